--- /dev/null
+++ b/process/resource/resource.go
@@ -0,0 +1,143 @@
+// Package resource defines the amounts that every ledger, limit and placement
+// decision of the scheduler counts.
+//
+// An Amount is a vector. All arithmetic is element by element, in integers, so
+// that a sum of parts is exactly the whole.
+package resource
+
+import "fmt"
+
+// Amount is a quantity of everything a task or request occupies on a worker.
+type Amount struct {
+	// Running counts tasks and requests in flight.
+	Running int64 `json:"running,omitempty" toml:"running,omitempty"`
+	// MilliCPU is processor time in thousandths of a core.
+	MilliCPU int64 `json:"milli_cpu,omitempty" toml:"milli_cpu,omitempty"`
+	// MemoryMB is memory in units of 10^6 bytes.
+	MemoryMB int64 `json:"memory_mb,omitempty" toml:"memory_mb,omitempty"`
+	// Accelerators counts whole accelerators.
+	Accelerators int64 `json:"accelerators,omitempty" toml:"accelerators,omitempty"`
+	// Slots counts request slots of a worker.
+	Slots int64 `json:"slots,omitempty" toml:"slots,omitempty"`
+}
+
+// Dimension names one element of an Amount.
+type Dimension int
+
+// The dimensions of an Amount, in the order of its fields.
+const (
+	Running Dimension = iota
+	MilliCPU
+	MemoryMB
+	Accelerators
+	Slots
+	// Dimensions is the number of dimensions.
+	Dimensions
+)
+
+var dimensionNames = [Dimensions]string{"running", "milli_cpu", "memory_mb", "accelerators", "slots"}
+
+// String returns the name of the dimension as it stands in records.
+func (d Dimension) String() string {
+	if d < 0 || d >= Dimensions {
+		return fmt.Sprintf("dimension(%d)", int(d))
+	}
+	return dimensionNames[d]
+}
+
+// Vector returns the amount as an array indexed by Dimension.
+func (a Amount) Vector() [Dimensions]int64 {
+	return [Dimensions]int64{a.Running, a.MilliCPU, a.MemoryMB, a.Accelerators, a.Slots}
+}
+
+// FromVector returns the Amount whose Vector is v.
+func FromVector(v [Dimensions]int64) Amount {
+	return Amount{
+		Running:      v[Running],
+		MilliCPU:     v[MilliCPU],
+		MemoryMB:     v[MemoryMB],
+		Accelerators: v[Accelerators],
+		Slots:        v[Slots],
+	}
+}
+
+// Add returns a + b.
+func (a Amount) Add(b Amount) Amount {
+	return Amount{
+		Running:      a.Running + b.Running,
+		MilliCPU:     a.MilliCPU + b.MilliCPU,
+		MemoryMB:     a.MemoryMB + b.MemoryMB,
+		Accelerators: a.Accelerators + b.Accelerators,
+		Slots:        a.Slots + b.Slots,
+	}
+}
+
+// Sub returns a - b; elements may become negative.
+func (a Amount) Sub(b Amount) Amount {
+	return a.Add(b.Times(-1))
+}
+
+// Times returns a scaled by n.
+func (a Amount) Times(n int64) Amount {
+	return Amount{
+		Running:      a.Running * n,
+		MilliCPU:     a.MilliCPU * n,
+		MemoryMB:     a.MemoryMB * n,
+		Accelerators: a.Accelerators * n,
+		Slots:        a.Slots * n,
+	}
+}
+
+// Fits reports whether a is at most limit in every dimension.
+func (a Amount) Fits(limit Amount) bool {
+	_, short := a.FirstOver(limit)
+	return !short
+}
+
+// FirstOver returns the first dimension in which a exceeds limit, if any.
+func (a Amount) FirstOver(limit Amount) (Dimension, bool) {
+	want, have := a.Vector(), limit.Vector()
+	for d := range Dimensions {
+		if want[d] > have[d] {
+			return d, true
+		}
+	}
+	return 0, false
+}
+
+// IsZero reports whether every element is zero.
+func (a Amount) IsZero() bool { return a == Amount{} }
+
+// Min returns the smaller of a and b in every dimension.
+func (a Amount) Min(b Amount) Amount {
+	x, y := a.Vector(), b.Vector()
+	for d := range Dimensions {
+		x[d] = min(x[d], y[d])
+	}
+	return FromVector(x)
+}
+
+// Max returns the larger of a and b in every dimension.
+func (a Amount) Max(b Amount) Amount {
+	x, y := a.Vector(), b.Vector()
+	for d := range Dimensions {
+		x[d] = max(x[d], y[d])
+	}
+	return FromVector(x)
+}
+
+// DominantShare returns the largest fraction of total that a takes in any
+// dimension. Dimensions of which total has none are passed over.
+//
+// Source: Ghodsi et al., "Dominant Resource Fairness", NSDI 2011.
+func (a Amount) DominantShare(total Amount) float64 {
+	part, whole := a.Vector(), total.Vector()
+	var share float64
+	for d := range Dimensions {
+		if whole[d] <= 0 {
+			continue
+		}
+		share = max(share, float64(part[d])/float64(whole[d]))
+	}
+	return share
+}
