--- /dev/null
+++ b/process/capacity/book.go
@@ -0,0 +1,284 @@
+package capacity
+
+import (
+	"hash/maphash"
+	"sync"
+	"time"
+
+	"github.com/kingcuplatch/kingcuplatch/process/placement"
+	"github.com/kingcuplatch/kingcuplatch/process/resource"
+)
+
+type holdingKey struct{ worker, id string }
+
+type shard struct {
+	mu      sync.Mutex
+	ledgers map[string]*ledger
+	teams   map[string]resource.Amount
+	// expiring holds the assumed holdings that are not confirmed.
+	expiring map[holdingKey]time.Time
+}
+
+func (s *shard) addTeam(team string, a resource.Amount) {
+	sum := s.teams[team].Add(a)
+	if sum.IsZero() {
+		delete(s.teams, team)
+		return
+	}
+	s.teams[team] = sum
+}
+
+// Book counts what the owned workers hold. All methods may be called from many
+// goroutines.
+type Book struct {
+	seed   maphash.Seed
+	shards [shardCount]shard
+	all    *index
+	// membership is held while a worker enters or leaves the book.
+	membership sync.Mutex
+
+	mu        sync.RWMutex
+	upstreams map[string]*index
+}
+
+var _ placement.Fleet = (*Book)(nil)
+
+// NewBook returns an empty book.
+func NewBook() *Book {
+	b := &Book{
+		seed:      maphash.MakeSeed(),
+		all:       &index{place: func(l *ledger) *int { return &l.all }},
+		upstreams: make(map[string]*index),
+	}
+	for i := range b.shards {
+		s := &b.shards[i]
+		s.ledgers = make(map[string]*ledger)
+		s.teams = make(map[string]resource.Amount)
+		s.expiring = make(map[holdingKey]time.Time)
+	}
+	return b
+}
+
+func (b *Book) shardOf(worker string) *shard {
+	return &b.shards[maphash.String(b.seed, worker)%shardCount]
+}
+
+// with runs f under the lock of the worker's shard; l is nil if the worker is
+// not in the book.
+func (b *Book) with(worker string, f func(s *shard, l *ledger)) {
+	s := b.shardOf(worker)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	f(s, s.ledgers[worker])
+}
+
+// Open enters a worker, closed until Reconcile. A worker that is in the book
+// under another epoch is entered anew; under the same epoch nothing changes.
+func (b *Book) Open(w Worker) {
+	b.membership.Lock()
+	defer b.membership.Unlock()
+	var entered, replaced *ledger
+	b.with(w.Name, func(s *shard, l *ledger) {
+		if l != nil && l.worker.Epoch == w.Epoch {
+			return
+		}
+		if l != nil {
+			l.clear()
+			replaced = l
+		}
+		entered = newLedger(s, w)
+		s.ledgers[w.Name] = entered
+	})
+	if replaced != nil {
+		b.unindex(replaced)
+	}
+	if entered != nil {
+		b.all.insert(entered)
+		b.upstream(w.Upstream).insert(entered)
+	}
+}
+
+// Close takes a worker out of the book and returns what it held.
+func (b *Book) Close(worker string) []Holding {
+	b.membership.Lock()
+	defer b.membership.Unlock()
+	var closed *ledger
+	var held []Holding
+	b.with(worker, func(s *shard, l *ledger) {
+		if l == nil {
+			return
+		}
+		held = l.sorted()
+		l.clear()
+		l.adopted = false
+		delete(s.ledgers, worker)
+		closed = l
+	})
+	if closed != nil {
+		b.unindex(closed)
+	}
+	return held
+}
+
+func (b *Book) unindex(l *ledger) {
+	b.all.remove(l)
+	b.upstream(l.worker.Upstream).remove(l)
+}
+
+// Reconcile opens a worker that was adopted at epoch with what it reported.
+// Requests in flight that no holding stands for occupy slots until a later
+// report counts fewer, or until straysUntil. It returns false if the worker is
+// not in the book at that epoch.
+func (b *Book) Reconcile(worker string, epoch uint64, holdings []Holding, requestsInFlight int, straysUntil time.Time) bool {
+	var ok bool
+	b.with(worker, func(_ *shard, l *ledger) {
+		if l == nil || l.worker.Epoch != epoch {
+			return
+		}
+		l.clear()
+		for _, h := range holdings {
+			l.put(h)
+		}
+		l.strays = requestsInFlight
+		l.straysUntil = straysUntil
+		l.adopted = true
+		ok = true
+	})
+	return ok
+}
+
+// ReportRequests takes in a later count of a worker's requests in flight. The
+// count includes requests that have holdings, so that it bounds the strays.
+func (b *Book) ReportRequests(worker string, inFlight int) {
+	b.with(worker, func(_ *shard, l *ledger) {
+		if l != nil {
+			l.strays = min(l.strays, inFlight)
+		}
+	})
+}
+
+// Assume occupies capacity for work about to be handed over. Errors: *FullError,
+// *ClosedError, *ExistsError.
+func (b *Book) Assume(worker string, h Holding) error {
+	var err error
+	b.with(worker, func(_ *shard, l *ledger) { err = assume(worker, l, h) })
+	return err
+}
+
+func assume(worker string, l *ledger, h Holding) error {
+	if l == nil || l.closed() {
+		return &ClosedError{Worker: worker}
+	}
+	if _, exists := l.holdings[h.ID]; exists {
+		return &ExistsError{Worker: worker, ID: h.ID}
+	}
+	if dimension, ok := l.fits(h); !ok {
+		return &FullError{Worker: worker, Dimension: dimension}
+	}
+	l.put(h)
+	return nil
+}
+
+// Add confirms an assumed holding: it no longer expires. It returns false if
+// the holding is unknown, so that work without capacity is not handed over.
+func (b *Book) Add(worker, id string) bool { return b.add(worker, id, time.Time{}) }
+
+// AddUnexpired is Add for a holding that has not expired at now.
+func (b *Book) AddUnexpired(worker, id string, now time.Time) bool { return b.add(worker, id, now) }
+
+func (b *Book) add(worker, id string, now time.Time) bool {
+	var ok bool
+	b.with(worker, func(s *shard, l *ledger) {
+		if l == nil {
+			return
+		}
+		h, exists := l.holdings[id]
+		if !exists || (!h.Until.IsZero() && now.After(h.Until)) {
+			return
+		}
+		h.Until = time.Time{}
+		l.holdings[id] = h
+		delete(s.expiring, holdingKey{worker, id})
+		ok = true
+	})
+	return ok
+}
+
+// Forget frees what a holding occupied and returns it.
+func (b *Book) Forget(worker, id string) (Holding, bool) {
+	var h Holding
+	var ok bool
+	b.with(worker, func(_ *shard, l *ledger) {
+		if l != nil {
+			h, ok = l.drop(id)
+		}
+	})
+	return h, ok
+}
+
+// Expire frees the assumed holdings whose time is over and returns them.
+func (b *Book) Expire(now time.Time) []Held {
+	var expired []Held
+	for i := range b.shards {
+		expired = b.shards[i].expire(now, expired)
+	}
+	return expired
+}
+
+func (s *shard) expire(now time.Time, expired []Held) []Held {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for key, until := range s.expiring {
+		if now.Before(until) {
+			continue
+		}
+		if h, ok := s.ledgers[key.worker].drop(key.id); ok {
+			expired = append(expired, Held{Worker: key.worker, Holding: h})
+		}
+	}
+	for _, l := range s.ledgers {
+		if l.strays > 0 && !now.Before(l.straysUntil) {
+			l.strays = 0
+		}
+	}
+	return expired
+}
+
+// SetLeaving says whether the worker is listed as leaving.
+func (b *Book) SetLeaving(worker string, leaving bool) {
+	b.with(worker, func(_ *shard, l *ledger) {
+		if l != nil {
+			l.leaving = leaving
+		}
+	})
+}
+
+// SetAside says whether the worker is set aside for failing what it starts.
+func (b *Book) SetAside(worker string, aside bool) {
+	b.with(worker, func(_ *shard, l *ledger) {
+		if l != nil {
+			l.aside = aside
+		}
+	})
+}
+
+// Worker returns a worker of the book and whether it takes new work.
+func (b *Book) Worker(name string) (w Worker, open, ok bool) {
+	b.with(name, func(_ *shard, l *ledger) {
+		if l != nil {
+			w, open, ok = l.worker, !l.closed(), true
+		}
+	})
+	return w, open, ok
+}
+
+// Holdings returns what a worker holds, sorted by id.
+func (b *Book) Holdings(worker string) []Holding {
+	var held []Holding
+	b.with(worker, func(_ *shard, l *ledger) {
+		if l != nil {
+			held = l.sorted()
+		}
+	})
+	return held
+}
--- /dev/null
+++ b/process/capacity/view.go
@@ -0,0 +1,81 @@
+package capacity
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/kingcuplatch/kingcuplatch/process/placement"
+	"github.com/kingcuplatch/kingcuplatch/process/resource"
+)
+
+// Len implements placement.Fleet over all workers.
+func (b *Book) Len() int { return b.all.Len() }
+
+// At implements placement.Fleet over all workers.
+func (b *Book) At(i int) placement.Candidate { return b.all.At(i) }
+
+// Fleet returns the workers that carry an upstream, as a live view.
+func (b *Book) Fleet(upstream string) placement.Fleet { return b.upstream(upstream) }
+
+func (b *Book) upstream(name string) *index {
+	b.mu.RLock()
+	x, ok := b.upstreams[name]
+	b.mu.RUnlock()
+	if ok {
+		return x
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if x, ok = b.upstreams[name]; !ok {
+		x = &index{place: func(l *ledger) *int { return &l.upstream }}
+		b.upstreams[name] = x
+	}
+	return x
+}
+
+// TeamUsage returns what each team has on the workers, sorted by team.
+func (b *Book) TeamUsage() []TeamUsage {
+	sums := make(map[string]resource.Amount)
+	for i := range b.shards {
+		b.shards[i].sumTeams(sums)
+	}
+	usage := make([]TeamUsage, 0, len(sums))
+	for team, amount := range sums {
+		usage = append(usage, TeamUsage{Team: team, Amount: amount})
+	}
+	slices.SortFunc(usage, func(x, y TeamUsage) int { return cmp.Compare(x.Team, y.Team) })
+	return usage
+}
+
+func (s *shard) sumTeams(sums map[string]resource.Amount) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for team, amount := range s.teams {
+		sums[team] = sums[team].Add(amount)
+	}
+}
+
+// Free returns the free capacity of the open workers.
+func (b *Book) Free() Summary {
+	var sum Summary
+	for i := range b.shards {
+		b.shards[i].sumFree(&sum)
+	}
+	return sum
+}
+
+func (s *shard) sumFree(sum *Summary) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, l := range s.ledgers {
+		sum.LargestCapacity = sum.LargestCapacity.Max(l.worker.Capacity)
+		sum.TotalCapacity = sum.TotalCapacity.Add(l.worker.Capacity)
+		if l.closed() {
+			continue
+		}
+		free := l.free()
+		sum.Workers++
+		sum.Total = sum.Total.Add(free)
+		sum.Largest = sum.Largest.Max(free)
+	}
+}
--- /dev/null
+++ b/process/jobs/keeper_test.go
@@ -0,0 +1,252 @@
+package jobs
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/kingcuplatch/kingcuplatch/process/platform"
+)
+
+// inWorld runs f in virtual time with a context that ends with it.
+func inWorld(t *testing.T, f func(t *testing.T, ctx context.Context)) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer time.Sleep(10 * time.Minute)
+		defer cancel()
+		f(t, ctx)
+	})
+}
+
+func TestSubmitIsDurableAndTrue(t *testing.T) {
+	inWorld(t, func(t *testing.T, ctx context.Context) {
+		w := newWorld(2, 8)
+		k := w.takeOver(ctx, t, policy{})
+		spec := Spec{ID: "j1", Team: "a", Kind: "batch", Tasks: 20}
+		_, err := k.Submit(ctx, spec)
+		assert.NilError(t, err)
+		assert.Assert(t, w.table.rows[rowKey("j1")].Version > 0)
+		_, err = k.Submit(ctx, spec)
+		assert.NilError(t, err, "the same job again")
+		spec.Team = "b"
+		_, err = k.Submit(ctx, spec)
+		assert.ErrorIs(t, err, ErrForbidden)
+		_, err = k.Get(ctx, "b", "j1")
+		assert.ErrorIs(t, err, ErrForbidden)
+		assert.ErrorIs(t, k.Cancel(ctx, "b", "j1"), ErrForbidden)
+		waitFor(t, time.Minute, "j1 ends", w.ended("a", "j1"))
+
+		_, err = k.Submit(ctx, Spec{ID: "big", Team: "a", Kind: "gang", Tasks: 17})
+		assert.Error(t, err, "not run: never fits fleet in milli_cpu")
+
+		w.table.down = true
+		_, err = k.Submit(ctx, Spec{ID: "j2", Team: "a", Kind: "batch", Tasks: 1})
+		assert.ErrorIs(t, err, ErrUnavailable)
+		time.Sleep(time.Minute)
+		w.table.down = false
+		time.Sleep(time.Minute)
+		_, err = k.Get(ctx, "a", "j2")
+		assert.ErrorIs(t, err, ErrForbidden, "a job answered as not run appeared")
+
+		w.table.loseAnswers = 1
+		_, err = k.Submit(ctx, Spec{ID: "j3", Team: "a", Kind: "batch", Tasks: 1})
+		assert.NilError(t, err, "read back")
+		waitFor(t, time.Minute, "j3 ends", w.ended("a", "j3"))
+		assert.Equal(t, len(w.violations), 0)
+		assert.Equal(t, w.leaked(), 0)
+	})
+}
+
+// stallOnce holds back one commit that writes a job row until release is closed.
+func stallOnce(release <-chan struct{}) func(platform.Txn) {
+	var done atomic.Bool
+	return func(txn platform.Txn) {
+		if len(txn.Writes) > 0 && len(txn.Writes[0].Key) > 4 && txn.Writes[0].Key[:4] == rowPrefix {
+			if done.CompareAndSwap(false, true) {
+				<-release
+			}
+		}
+	}
+}
+
+// TestNoTaskRunsTwice provokes each failure with the protocol whole and with the
+// part left out that is meant for it.
+func TestNoTaskRunsTwice(t *testing.T) {
+	cases := []struct {
+		name string
+		off  policy
+		run  func(t *testing.T, ctx context.Context, w *world, p policy)
+	}{
+		{"answer of the start lost", policy{retryUnknown: true}, startAnswerLost},
+		{"killed between start and record", policy{startUnrecorded: true}, killedBeforeRecord},
+		{"write of an earlier keeper delayed", policy{unfenced: true}, delayedWrite},
+		{"killed between record and start", policy{}, killedBeforeStart},
+		{"killed between start and answer", policy{}, killedBeforeAnswer},
+	}
+	for _, c := range cases {
+		for _, off := range []bool{false, true} {
+			if off && c.off == (policy{}) {
+				continue
+			}
+			t.Run(fmt.Sprintf("%s/off=%v", c.name, off), func(t *testing.T) {
+				inWorld(t, func(t *testing.T, ctx context.Context) {
+					w := newWorld(2, 1)
+					w.runTime = 5 * time.Minute
+					p := policy{}
+					if off {
+						p = c.off
+					}
+					c.run(t, ctx, w, p)
+					assert.Equal(t, len(w.violations) > 0, off, "%v", w.violations)
+				})
+			})
+		}
+	}
+}
+
+func submitOne(t *testing.T, ctx context.Context, k *Keeper) {
+	t.Helper()
+	_, err := k.Submit(ctx, Spec{ID: "j", Team: "a", Kind: "batch", Tasks: 1})
+	assert.NilError(t, err)
+}
+
+func startAnswerLost(t *testing.T, ctx context.Context, w *world, p policy) {
+	w.afterStart = func() error { return errLost }
+	submitOne(t, ctx, w.takeOver(ctx, t, p))
+	time.Sleep(time.Minute)
+}
+
+func killedBeforeRecord(t *testing.T, ctx context.Context, w *world, p policy) {
+	k := w.takeOver(ctx, t, p)
+	release := make(chan struct{})
+	w.full = true
+	submitOne(t, ctx, k)
+	w.table.before = stallOnce(release)
+	w.full = false
+	time.Sleep(3 * time.Second)
+	w.takeOver(ctx, t, policy{})
+	time.Sleep(time.Minute)
+	close(release)
+	time.Sleep(time.Minute)
+}
+
+func killedBeforeStart(t *testing.T, ctx context.Context, w *world, p policy) {
+	killedAround(t, ctx, w, p, func(f func()) { w.beforeStart = f })
+}
+
+func killedBeforeAnswer(t *testing.T, ctx context.Context, w *world, p policy) {
+	killedAround(t, ctx, w, p, func(f func()) { w.afterStart = func() error { f(); return nil } })
+}
+
+// killedAround stops a keeper in its start call; the call goes on after another
+// keeper has taken over.
+func killedAround(t *testing.T, ctx context.Context, w *world, p policy, hook func(func())) {
+	release := make(chan struct{})
+	var done atomic.Bool
+	hook(func() {
+		if done.CompareAndSwap(false, true) {
+			<-release
+		}
+	})
+	submitOne(t, ctx, w.takeOver(ctx, t, p))
+	time.Sleep(time.Second)
+	w.takeOver(ctx, t, p)
+	time.Sleep(time.Minute)
+	assert.Equal(t, w.starts, 1)
+	close(release)
+	time.Sleep(time.Minute)
+}
+
+func delayedWrite(t *testing.T, ctx context.Context, w *world, p policy) {
+	w.full = true
+	earlier := w.takeOver(ctx, t, p)
+	submitOne(t, ctx, earlier)
+	release := make(chan struct{})
+	w.table.before = stallOnce(release)
+	s := earlier.shard(ShardOf("j"))
+	s.mu.Lock()
+	earlier.commit.mark(s, s.jobs["j"])
+	s.mu.Unlock()
+	time.Sleep(time.Second)
+	earlier.Lose(s.name)
+	w.full = false
+	w.takeOver(ctx, t, p)
+	time.Sleep(time.Minute)
+	close(release)
+	time.Sleep(time.Minute)
+	w.takeOver(ctx, t, p)
+	time.Sleep(time.Minute)
+}
+
+// TestCancellationWave cancels ten thousand jobs while they start.
+func TestCancellationWave(t *testing.T) {
+	const jobs = 10_000
+	for _, off := range []bool{false, true} {
+		t.Run(fmt.Sprintf("off=%v", off), func(t *testing.T) {
+			inWorld(t, func(t *testing.T, ctx context.Context) {
+				w := newWorld(2, 500)
+				w.runTime, w.startDelay, w.full = time.Hour, time.Second, true
+				k := w.takeOver(ctx, t, policy{ackAtOnce: off})
+				eachJob(jobs, func(id string) {
+					_, err := k.Submit(ctx, Spec{ID: id, Team: "a", Kind: "batch", Tasks: 1})
+					assert.Check(t, err)
+				})
+				w.full = false
+				time.Sleep(500 * time.Millisecond)
+				before := w.table.commits
+				eachJob(jobs, func(id string) {
+					assert.Check(t, k.Cancel(ctx, "a", id))
+					w.mu.Lock()
+					w.acked[id] = true
+					w.mu.Unlock()
+				})
+				writes := w.table.commits - before
+				t.Logf("%d transactions for %d cancellations, %d starts", writes, jobs, w.starts)
+				assert.Assert(t, writes < jobs/50)
+				waitFor(t, time.Minute, "nothing runs", func() bool { return w.leaked() == 0 })
+				assert.Equal(t, len(w.violations) > 0, off, "%v", w.violations)
+			})
+		})
+	}
+}
+
+func eachJob(n int, f func(id string)) {
+	var wg sync.WaitGroup
+	for i := range n {
+		wg.Go(func() { f(fmt.Sprintf("j%d", i)) })
+	}
+	wg.Wait()
+}
+
+// TestRacingGangs has many jobs want all at once of a small fleet.
+func TestRacingGangs(t *testing.T) {
+	const gangs = 40
+	for _, off := range []bool{false, true} {
+		t.Run(fmt.Sprintf("off=%v", off), func(t *testing.T) {
+			inWorld(t, func(t *testing.T, ctx context.Context) {
+				w := newWorld(3, 8)
+				k := w.takeOver(ctx, t, policy{keepPartial: off})
+				eachJob(gangs, func(id string) {
+					_, err := k.Submit(ctx, Spec{ID: id, Team: "a", Kind: "gang", Tasks: 6 + len(id)*5})
+					assert.Check(t, err)
+				})
+				waitFor(t, 10*time.Minute, "all end", func() bool { return w.endedOf("a") == gangs })
+				waitFor(t, time.Minute, "nothing held", func() bool { return w.leaked() == 0 })
+				together := 0
+				for id, first := range w.firstStart {
+					if w.lastStart[id].Sub(first) < w.runTime/2 {
+						together++
+					}
+				}
+				assert.Equal(t, together == gangs, !off)
+				assert.Equal(t, len(w.violations), 0)
+			})
+		})
+	}
+}
--- /dev/null
+++ b/process/jobs/read.go
@@ -0,0 +1,75 @@
+package jobs
+
+import (
+	"cmp"
+	"context"
+	"slices"
+	"time"
+)
+
+// find returns a durable job of the team with its shard locked; the caller
+// unlocks it.
+func (k *Keeper) find(team, id string) (*shard, *job, error) {
+	s, err := k.shardOf(id)
+	if err != nil {
+		return nil, nil, err
+	}
+	s.mu.Lock()
+	j := s.jobs[id]
+	if s.lost {
+		s.mu.Unlock()
+		return nil, nil, ErrNotKeeper
+	}
+	if j == nil || j.version == 0 || j.spec.Team != team {
+		s.mu.Unlock()
+		return nil, nil, ErrForbidden
+	}
+	return s, j, nil
+}
+
+// Get returns a job of the team. Errors: ErrForbidden, ErrNotKeeper.
+func (k *Keeper) Get(_ context.Context, team, id string) (Job, error) {
+	s, j, err := k.find(team, id)
+	if err != nil {
+		return Job{}, err
+	}
+	defer s.mu.Unlock()
+	return j.view(), nil
+}
+
+// List returns the team's jobs that this keeper keeps, sorted by id.
+func (k *Keeper) List(_ context.Context, team string) []Job {
+	var list []Job
+	for _, s := range k.all() {
+		list = s.list(team, list)
+	}
+	slices.SortFunc(list, func(x, y Job) int { return cmp.Compare(x.ID, y.ID) })
+	return list
+}
+
+func (s *shard) list(team string, list []Job) []Job {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, j := range s.jobs {
+		if j.spec.Team == team && j.version > 0 {
+			list = append(list, j.view())
+		}
+	}
+	return list
+}
+
+// Explain says why tasks of a job wait. Errors: ErrForbidden, ErrNotKeeper.
+func (k *Keeper) Explain(_ context.Context, team, id string) (Explanation, error) {
+	s, j, err := k.find(team, id)
+	if err != nil {
+		return Explanation{}, err
+	}
+	e := Explanation{
+		Job: j.view(), Limit: j.limit, Dimension: j.dimension, NeverRunnable: j.never, Tries: j.tries,
+	}
+	s.mu.Unlock()
+	queue := k.queue(time.Now())
+	e.Waiting = len(queue)
+	e.Place = 1 + slices.IndexFunc(queue, func(w Waiting) bool { return w.ID == id })
+	return e, nil
+}
--- /dev/null
+++ b/process/jobs/remote.go
@@ -0,0 +1,226 @@
+package jobs
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"strings"
+	"sync"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/kingcuplatch/kingcuplatch/conn/peer"
+	"github.com/kingcuplatch/kingcuplatch/process/tasks"
+)
+
+// Methods of keepers between entries.
+const (
+	MethodSubmit  = "job.submit"
+	MethodGet     = "job.get"
+	MethodList    = "job.list"
+	MethodCancel  = "job.cancel"
+	MethodExplain = "job.explain"
+	MethodReport  = "job.report"
+)
+
+// JobRequest names a job of a team; ID is empty in a list request.
+type JobRequest struct {
+	Team string `json:"team"`
+	ID   string `json:"id,omitempty"`
+}
+
+// JobList is a part of a team's jobs.
+type JobList struct {
+	Jobs []Job `json:"jobs"`
+}
+
+// CancelReply acknowledges a cancellation.
+type CancelReply struct{}
+
+// ReportRequest carries events to a keeper.
+type ReportRequest struct {
+	Events []tasks.Event `json:"events"`
+}
+
+// Handlers returns the peer methods of the keeper.
+func (k *Keeper) Handlers() map[string]peer.Handler {
+	return map[string]peer.Handler{
+		MethodSubmit:  handle(k.Submit),
+		MethodGet:     handle(func(ctx context.Context, r JobRequest) (Job, error) { return k.Get(ctx, r.Team, r.ID) }),
+		MethodExplain: handle(func(ctx context.Context, r JobRequest) (Explanation, error) { return k.Explain(ctx, r.Team, r.ID) }),
+		MethodCancel:  handle(k.cancelRequest),
+		MethodList:    handle(k.listRequest),
+		MethodReport:  handle(k.reportRequest),
+	}
+}
+
+func (k *Keeper) cancelRequest(ctx context.Context, r JobRequest) (CancelReply, error) {
+	return CancelReply{}, k.Cancel(ctx, r.Team, r.ID)
+}
+
+func (k *Keeper) listRequest(ctx context.Context, r JobRequest) (JobList, error) {
+	return JobList{Jobs: k.List(ctx, r.Team)}, nil
+}
+
+func (k *Keeper) reportRequest(ctx context.Context, r ReportRequest) (tasks.ReportReply, error) {
+	return k.Report(ctx, r.Events), nil
+}
+
+func handle[In, Out any](f func(context.Context, In) (Out, error)) peer.Handler {
+	return func(ctx context.Context, params json.RawMessage) (any, error) {
+		var in In
+		if err := json.Unmarshal(params, &in); err != nil {
+			return nil, eris.Wrap(err, "decode parameters")
+		}
+		out, err := f(ctx, in)
+		if err != nil {
+			return nil, encodeError(err)
+		}
+		return out, nil
+	}
+}
+
+// Client calls the keeper of a job: this entry's own directly, others over peer
+// links. It implements tasks.Keepers.
+type Client struct {
+	Keeper    *Keeper
+	Directory Directory
+	Fleet     Fleet
+	Caller    peer.Caller
+}
+
+var _ tasks.Keepers = (*Client)(nil)
+
+// Submit calls Keeper.Submit at the job's keeper.
+func (c *Client) Submit(ctx context.Context, spec Spec) (Job, error) {
+	return call(ctx, c, ShardOf(spec.ID), MethodSubmit, spec, c.Keeper.Submit)
+}
+
+// Get calls Keeper.Get at the job's keeper.
+func (c *Client) Get(ctx context.Context, team, id string) (Job, error) {
+	r := JobRequest{Team: team, ID: id}
+	return call(ctx, c, ShardOf(id), MethodGet, r, func(ctx context.Context, r JobRequest) (Job, error) {
+		return c.Keeper.Get(ctx, r.Team, r.ID)
+	})
+}
+
+// Explain calls Keeper.Explain at the job's keeper.
+func (c *Client) Explain(ctx context.Context, team, id string) (Explanation, error) {
+	r := JobRequest{Team: team, ID: id}
+	return call(ctx, c, ShardOf(id), MethodExplain, r, func(ctx context.Context, r JobRequest) (Explanation, error) {
+		return c.Keeper.Explain(ctx, r.Team, r.ID)
+	})
+}
+
+// Cancel calls Keeper.Cancel at the job's keeper.
+func (c *Client) Cancel(ctx context.Context, team, id string) error {
+	_, err := call(ctx, c, ShardOf(id), MethodCancel, JobRequest{Team: team, ID: id}, c.Keeper.cancelRequest)
+	return err
+}
+
+// List returns the team's jobs of all keepers, and an error if one could not be
+// asked.
+func (c *Client) List(ctx context.Context, team string) ([]Job, error) {
+	var list []Job
+	for _, owner := range c.Fleet.Owners() {
+		if owner.Instance == c.Keeper.Instance {
+			list = append(list, c.Keeper.List(ctx, team)...)
+			continue
+		}
+		var part JobList
+		if err := c.Caller.Call(ctx, owner.Address, MethodList, JobRequest{Team: team}, &part); err != nil {
+			return list, eris.Wrapf(err, "list jobs peer %s", owner.Instance)
+		}
+		list = append(list, part.Jobs...)
+	}
+	return list, nil
+}
+
+// Report passes events to the keepers of their jobs, all keepers at once.
+// Events of shards that nobody keeps are left unrecorded.
+func (c *Client) Report(ctx context.Context, events []tasks.Event) (tasks.ReportReply, error) {
+	shards := make(map[string][]tasks.Event)
+	for _, e := range events {
+		name := ShardOf(tasks.JobOf(e.Task))
+		shards[name] = append(shards[name], e)
+	}
+	var mu sync.Mutex
+	var sum tasks.ReportReply
+	var wg sync.WaitGroup
+	for _, group := range c.byKeeper(shards) {
+		wg.Go(func() {
+			request := ReportRequest{Events: group.events}
+			reply, err := call(ctx, c, group.shard, MethodReport, request, c.Keeper.reportRequest)
+			if err != nil {
+				return
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			sum.Recorded = append(sum.Recorded, reply.Recorded...)
+			sum.Stop = append(sum.Stop, reply.Stop...)
+		})
+	}
+	wg.Wait()
+	return sum, nil
+}
+
+// keeperEvents are the events for one keeper; shard is one of its shards.
+type keeperEvents struct {
+	shard  string
+	events []tasks.Event
+}
+
+func (c *Client) byKeeper(shards map[string][]tasks.Event) map[string]*keeperEvents {
+	groups := make(map[string]*keeperEvents)
+	for name, events := range shards {
+		_, instance, ok := c.Directory.OwnerOf(name)
+		if !ok {
+			continue
+		}
+		if groups[instance] == nil {
+			groups[instance] = &keeperEvents{shard: name}
+		}
+		groups[instance].events = append(groups[instance].events, events...)
+	}
+	return groups
+}
+
+// call runs local if this entry keeps the shard, else calls its keeper.
+func call[In, Out any](
+	ctx context.Context, c *Client, shard, method string, in In, local func(context.Context, In) (Out, error),
+) (Out, error) {
+	var out Out
+	address, instance, ok := c.Directory.OwnerOf(shard)
+	if !ok {
+		return out, ErrNotKeeper
+	}
+	if instance == c.Keeper.Instance {
+		return local(ctx, in)
+	}
+	err := c.Caller.Call(ctx, address, method, in, &out)
+	return out, eris.Wrapf(decodeError(err), "%s peer %s", method, instance)
+}
+
+// decodeError turns an error of another entry into what its keeper returned.
+func decodeError(err error) error {
+	var remote *peer.RemoteError
+	switch {
+	case err == nil:
+		return nil
+	case errors.Is(err, peer.ErrNotSent):
+		return ErrUnavailable
+	case !errors.As(err, &remote):
+		return ErrUnknown
+	}
+	first, second, _ := strings.Cut(remote.Message, "\x00")
+	switch remote.Code {
+	case codeInvalid:
+		return &InvalidError{Field: first, Reason: second}
+	case codeNeverFits:
+		return &NeverFitsError{Limit: first, Dimension: second}
+	}
+	if known, ok := plainErrors[remote.Code]; ok {
+		return known
+	}
+	return err
+}
--- /dev/null
+++ b/process/jobs/row.go
@@ -0,0 +1,92 @@
+package jobs
+
+import (
+	"encoding/json"
+
+	"github.com/rotisserie/eris"
+)
+
+// row is a job in the table. States has one letter a task; Placed lists the
+// tasks that were attempted and have not ended, in the order of their indexes.
+type row struct {
+	Spec      Spec        `json:"s"`
+	Cancelled bool        `json:"x,omitempty"`
+	States    string      `json:"t"`
+	Placed    []placedRow `json:"l,omitempty"`
+	// Workers and Blocks are the names that Placed refers to by number.
+	Workers []string `json:"w,omitempty"`
+	Blocks  []string `json:"b,omitempty"`
+}
+
+type placedRow struct {
+	Index      int    `json:"i"`
+	Attempt    int    `json:"a"`
+	Failures   int    `json:"f,omitempty"`
+	Worker     int    `json:"w,omitempty"`
+	Block      int    `json:"b,omitempty"`
+	Epoch      uint64 `json:"e,omitempty"`
+	Checkpoint string `json:"c,omitempty"`
+}
+
+// names numbers strings in the order of their first use.
+type names struct {
+	list   []string
+	places map[string]int
+}
+
+func (n *names) place(name string) int {
+	if p, ok := n.places[name]; ok {
+		return p
+	}
+	if n.places == nil {
+		n.places = make(map[string]int)
+	}
+	n.places[name] = len(n.list)
+	n.list = append(n.list, name)
+	return len(n.list) - 1
+}
+
+func (j *job) encode() ([]byte, error) {
+	var workers, blocks names
+	r := row{Spec: j.spec, Cancelled: j.cancelled}
+	states := make([]byte, len(j.tasks))
+	for i := range j.tasks {
+		t := &j.tasks[i]
+		states[i] = byte(t.state)
+		if t.attempt == 0 || t.state.ended() {
+			continue
+		}
+		r.Placed = append(r.Placed, placedRow{
+			Index: i, Attempt: t.attempt, Failures: t.failures,
+			Worker: workers.place(t.worker), Block: blocks.place(t.block), Epoch: t.epoch,
+			Checkpoint: t.checkpoint,
+		})
+	}
+	r.States, r.Workers, r.Blocks = string(states), workers.list, blocks.list
+	value, err := json.Marshal(&r)
+	return value, eris.Wrapf(err, "encode job %s", j.spec.ID)
+}
+
+func decode(value []byte) (*job, error) {
+	var r row
+	if err := json.Unmarshal(value, &r); err != nil {
+		return nil, eris.Wrap(err, "decode job row")
+	}
+	if len(r.States) != r.Spec.Tasks {
+		return nil, eris.Errorf("decode job row %s: %d states for %d tasks", r.Spec.ID, len(r.States), r.Spec.Tasks)
+	}
+	j := newJob(r.Spec)
+	j.cancelled = r.Cancelled
+	for i := range j.tasks {
+		j.tasks[i].state = TaskState(r.States[i])
+	}
+	for _, p := range r.Placed {
+		if p.Index < 0 || p.Index >= len(j.tasks) || p.Worker >= len(r.Workers) || p.Block >= len(r.Blocks) {
+			return nil, eris.Errorf("decode job row %s: placed task %d out of range", r.Spec.ID, p.Index)
+		}
+		t := &j.tasks[p.Index]
+		t.attempt, t.failures, t.epoch, t.checkpoint = p.Attempt, p.Failures, p.Epoch, p.Checkpoint
+		t.worker, t.block = r.Workers[p.Worker], r.Blocks[p.Block]
+	}
+	return j, nil
+}
--- /dev/null
+++ b/process/jobs/submit.go
@@ -0,0 +1,136 @@
+package jobs
+
+import (
+	"context"
+	"time"
+
+	"github.com/kingcuplatch/kingcuplatch/process/resource"
+	"github.com/kingcuplatch/kingcuplatch/version"
+)
+
+// Submit accepts a job and returns once it is durable. A job that exists with
+// the same id and team is returned as it is. Errors: *InvalidError,
+// *NeverFitsError, ErrForbidden, ErrUnavailable, ErrUnknown, ErrNotKeeper.
+func (k *Keeper) Submit(ctx context.Context, spec Spec) (Job, error) {
+	s, err := k.shardOf(spec.ID)
+	if err != nil {
+		return Job{}, err
+	}
+	outcome, view, err := k.enter(s, spec, time.Now())
+	if err != nil || outcome == nil {
+		return view, err
+	}
+	if err := await(ctx, outcome); err != nil {
+		return Job{}, err
+	}
+	return k.Get(ctx, spec.Team, spec.ID)
+}
+
+// await returns ErrUnknown if ctx ends before the outcome is known.
+func await(ctx context.Context, outcome <-chan error) error {
+	select {
+	case err := <-outcome:
+		return err
+	case <-ctx.Done():
+		return ErrUnknown
+	}
+}
+
+// enter adds a new job, or joins one of the same id. There is nothing to wait
+// for if outcome is nil.
+func (k *Keeper) enter(s *shard, spec Spec, now time.Time) (outcome <-chan error, view Job, err error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.lost {
+		return nil, Job{}, ErrNotKeeper
+	}
+	if known := s.jobs[spec.ID]; known != nil {
+		return k.join(s, known, &spec)
+	}
+	if err := k.complete(&spec, now); err != nil {
+		return nil, Job{}, err
+	}
+	j := newJob(spec)
+	s.jobs[spec.ID] = j
+	return k.commit.mark(s, j), j.view(), nil
+}
+
+func (k *Keeper) join(s *shard, known *job, spec *Spec) (<-chan error, Job, error) {
+	if !known.spec.sameRequest(spec) {
+		return nil, Job{}, ErrForbidden
+	}
+	if known.version > 0 {
+		return nil, known.view(), nil
+	}
+	return k.commit.mark(s, known), known.view(), nil
+}
+
+// complete checks a new job and fills in what its kind says.
+func (k *Keeper) complete(spec *Spec, now time.Time) error {
+	if spec.ID == "" || len(spec.ID) > MaxIDBytes {
+		return &InvalidError{Field: "id", Reason: "is empty or too long"}
+	}
+	snapshot := k.Snapshot()
+	team, kind := snapshot.Teams[spec.Team], snapshot.Kinds[spec.Kind]
+	switch {
+	case team == nil:
+		return &InvalidError{Field: "team", Reason: "is unknown"}
+	case kind == nil || !kind.Allows(spec.Team) || kind.Policy == version.PolicyRequest:
+		return &InvalidError{Field: "kind", Reason: "is not open to the team for jobs"}
+	case spec.Tasks < 1 || (kind.MaxTasks > 0 && spec.Tasks > kind.MaxTasks):
+		return &InvalidError{Field: "tasks", Reason: "is out of the kind's range"}
+	}
+	if spec.Amount.IsZero() {
+		spec.Amount = kind.Amount
+	}
+	spec.Amount.Running = 1
+	spec.Policy, spec.Urgent = kind.Policy, kind.Urgent
+	spec.Attempts, spec.RunTime = kind.Attempts, kind.RunTime
+	spec.Created = now.Round(0)
+	if never := NeverFits(spec, team.Limit, k.fleetSize()); never != nil {
+		return never
+	}
+	return nil
+}
+
+// FleetSize is the most that the fleet can hold.
+type FleetSize struct {
+	// Largest is the most that one worker can hold, per dimension.
+	Largest resource.Amount
+	// Total is what all workers can hold together.
+	Total resource.Amount
+	// Known is false while no owner is known.
+	Known bool
+}
+
+func (k *Keeper) fleetSize() FleetSize {
+	var size FleetSize
+	for _, owner := range k.Fleet.Owners() {
+		size.Largest = size.Largest.Max(owner.Free.LargestCapacity)
+		size.Total = size.Total.Add(owner.Free.TotalCapacity)
+		size.Known = size.Known || !owner.Free.TotalCapacity.IsZero()
+	}
+	return size
+}
+
+// NeverFits returns which limit keeps the job from ever starting on a fleet of
+// that size, or nil.
+func NeverFits(spec *Spec, limit resource.Amount, size FleetSize) *NeverFitsError {
+	least := spec.Amount
+	if spec.Policy == version.PolicyAllAtOnce {
+		least = least.Times(int64(spec.Tasks))
+	}
+	if d, over := least.FirstOver(limit); over {
+		return &NeverFitsError{Limit: "team limit", Dimension: d.String()}
+	}
+	if !size.Known {
+		return nil
+	}
+	if d, over := spec.Amount.FirstOver(size.Largest); over {
+		return &NeverFitsError{Limit: "largest worker", Dimension: d.String()}
+	}
+	if d, over := least.FirstOver(size.Total); over {
+		return &NeverFitsError{Limit: "fleet", Dimension: d.String()}
+	}
+	return nil
+}
--- /dev/null
+++ b/process/tasks/agent.go
@@ -0,0 +1,221 @@
+package tasks
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"github.com/kingcuplatch/kingcuplatch/conn/worker"
+	"github.com/kingcuplatch/kingcuplatch/process/capacity"
+	"github.com/kingcuplatch/kingcuplatch/process/resource"
+)
+
+// phase is where an attempt is, as far as the owner knows.
+type phase int
+
+const (
+	// starting attempts have a start call outstanding.
+	starting phase = iota
+	// unsure attempts had a start call whose outcome is unknown.
+	unsure
+	// running attempts were seen running.
+	running
+	// ended attempts wait for their keeper to record the end.
+	ended
+)
+
+type attempt struct {
+	team   string
+	kind   string
+	amount resource.Amount
+	phase  phase
+	event  Event
+	// due is when the attempt should end by its declared run time.
+	due time.Time
+	// stop says that the attempt is to be stopped.
+	stop bool
+}
+
+// agent serves one worker.
+type agent struct {
+	owner  *Owner
+	worker capacity.Worker
+	client worker.Client
+	wake   chan struct{}
+	cancel context.CancelFunc
+
+	mu      sync.Mutex
+	adopted bool
+	// reconciled says that the first report was taken in.
+	reconciled bool
+	closed     bool
+	// leasesEnd is when every lease that this or an earlier owner gave has
+	// surely ended.
+	leasesEnd time.Time
+	attempts  map[worker.TaskRef]*attempt
+	// lost attempts were given up; they are stopped when the worker answers.
+	lost   map[worker.TaskRef]bool
+	forget []worker.TaskRef
+}
+
+func newAgent(o *Owner, w capacity.Worker) *agent {
+	return &agent{
+		owner:     o,
+		worker:    w,
+		client:    o.Dial(w.Instance),
+		wake:      make(chan struct{}, 1),
+		leasesEnd: time.Now().Add(o.Lease + o.Margin),
+		attempts:  make(map[worker.TaskRef]*attempt),
+		lost:      make(map[worker.TaskRef]bool),
+	}
+}
+
+func (a *agent) begin(ctx context.Context) {
+	ctx, a.cancel = context.WithCancel(ctx)
+	go a.run(ctx)
+}
+
+func (a *agent) end() {
+	a.mu.Lock()
+	a.closed = true
+	a.mu.Unlock()
+	a.cancel()
+	a.client.Close()
+}
+
+// idle reports whether the worker holds nothing that this owner knows of.
+func (a *agent) idle(now time.Time) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return len(a.attempts) == 0 && (a.adopted || now.After(a.leasesEnd))
+}
+
+func (a *agent) nudge() {
+	select {
+	case a.wake <- struct{}{}:
+	default:
+	}
+}
+
+func (a *agent) run(ctx context.Context) {
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-timer.C:
+		case <-a.wake:
+		}
+		timer.Reset(a.step(ctx))
+	}
+}
+
+// step makes one round of calls and returns the pause until the next.
+func (a *agent) step(ctx context.Context) time.Duration {
+	err := a.contact(ctx)
+	a.giveUp(time.Now())
+	if err != nil {
+		return retryInterval
+	}
+	return a.pause(time.Now())
+}
+
+var errNoRight = errors.New("no right to the worker's block")
+
+// contact brings what the owner knows up to the worker's own report, and tells
+// the worker what to stop and to forget.
+func (a *agent) contact(ctx context.Context) error {
+	if !a.owner.right(a.worker) {
+		return errNoRight
+	}
+	if err := a.refresh(ctx); err != nil {
+		a.owner.Book.SetAside(a.worker.Name, true)
+		return err
+	}
+	a.owner.Book.SetAside(a.worker.Name, false)
+	if err := a.stopMarked(ctx); err != nil {
+		return err
+	}
+	return a.forgetRecorded(ctx)
+}
+
+func (a *agent) refresh(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, a.owner.CallTimeout)
+	defer cancel()
+	before := a.settled()
+	if !a.isAdopted() {
+		report, err := a.client.Adopt(ctx, a.worker.Epoch)
+		if err != nil {
+			return err
+		}
+		a.adopt(report)
+	}
+	report, err := a.client.Renew(ctx, a.worker.Epoch, a.owner.Lease)
+	a.extendLeases(err)
+	if err != nil {
+		a.checkEpoch(err)
+		return err
+	}
+	a.apply(report, before)
+	return nil
+}
+
+// checkEpoch has a worker adopted again that has forgotten its epoch.
+func (a *agent) checkEpoch(err error) {
+	var refused *worker.RefusedError
+	if !errors.As(err, &refused) || refused.Epoch >= a.worker.Epoch {
+		return
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.adopted = false
+}
+
+func (a *agent) isAdopted() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.adopted
+}
+
+// extendLeases notes that a call that gives leases has ended just now, so that
+// the worker may have acted on it up to now.
+func (a *agent) extendLeases(err error) {
+	if errors.Is(err, worker.ErrNotSent) {
+		return
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.leasesEnd = time.Now().Add(a.owner.Lease + a.owner.Margin)
+}
+
+// settled returns the attempts whose start call has returned. A report asked
+// for after this moment must name those that the worker knows.
+func (a *agent) settled() []worker.TaskRef {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	var refs []worker.TaskRef
+	for ref, at := range a.attempts {
+		if at.phase == unsure || at.phase == running {
+			refs = append(refs, ref)
+		}
+	}
+	return refs
+}
+
+// pause is a part of the lease, or less if an attempt is due to end.
+func (a *agent) pause(now time.Time) time.Duration {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	wait := a.owner.Lease / renewalsPerLease
+	for _, at := range a.attempts {
+		if at.phase == unsure {
+			return earliestRenewal
+		}
+		if at.phase == running && at.due.After(now) {
+			wait = min(wait, at.due.Sub(now))
+		}
+	}
+	return max(wait, earliestRenewal)
+}
--- /dev/null
+++ b/process/tasks/outbox.go
@@ -0,0 +1,133 @@
+package tasks
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/kingcuplatch/kingcuplatch/conn/worker"
+)
+
+// outbox holds the events that their keepers have not recorded yet.
+type outbox struct {
+	mu     sync.Mutex
+	events map[Located]Event
+	wake   chan struct{}
+}
+
+func (b *outbox) put(e Event) {
+	b.mu.Lock()
+	b.events[e.Located] = e
+	b.mu.Unlock()
+	select {
+	case b.wake <- struct{}{}:
+	default:
+	}
+}
+
+// take returns at most deliveryBatch events; they stay in the outbox.
+func (b *outbox) take() []Event {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	batch := make([]Event, 0, min(len(b.events), deliveryBatch))
+	for _, e := range b.events {
+		if len(batch) == deliveryBatch {
+			break
+		}
+		batch = append(batch, e)
+	}
+	return batch
+}
+
+// remove drops an event unless a newer one has taken its place.
+func (b *outbox) remove(e Event) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.events[e.Located] == e {
+		delete(b.events, e.Located)
+	}
+}
+
+func (b *outbox) dropWorker(name string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for at := range b.events {
+		if at.Worker == name {
+			delete(b.events, at)
+		}
+	}
+}
+
+// deliver passes events to the keepers until ctx ends.
+func (o *Owner) deliver(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-o.outbox.wake:
+		}
+		wait := deliveryInterval
+		for wait > 0 && sleep(ctx, wait) {
+			wait = o.deliverBatch(ctx)
+		}
+	}
+}
+
+// deliverBatch returns how long to wait before the next batch; zero if nothing
+// is left.
+func (o *Owner) deliverBatch(ctx context.Context) time.Duration {
+	batch := o.outbox.take()
+	if len(batch) == 0 {
+		return 0
+	}
+	ctx, cancel := context.WithTimeout(ctx, o.CallTimeout)
+	defer cancel()
+	reply, err := o.Keepers.Report(ctx, batch)
+	o.settle(batch, reply)
+	if err != nil || len(reply.Recorded) == 0 {
+		return retryInterval
+	}
+	return deliveryInterval
+}
+
+func (o *Owner) settle(batch []Event, reply ReportReply) {
+	recorded := make(map[worker.TaskRef]bool, len(reply.Recorded))
+	for _, ref := range reply.Recorded {
+		recorded[ref] = true
+	}
+	stop := make(map[worker.TaskRef]bool, len(reply.Stop))
+	for _, ref := range reply.Stop {
+		stop[ref] = true
+	}
+	for _, e := range batch {
+		a := o.agent(e.Worker)
+		if a == nil {
+			continue
+		}
+		if stop[e.TaskRef] {
+			a.cancelAttempt(e.TaskRef)
+		}
+		if recorded[e.TaskRef] {
+			o.outbox.remove(e)
+			a.settleEvent(e)
+		}
+	}
+}
+
+func (a *agent) settleEvent(e Event) {
+	if e.State.Final() {
+		a.recorded(e.TaskRef)
+	}
+}
+
+// sleep waits for d and reports whether ctx is still alive.
+func sleep(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
--- /dev/null
+++ b/process/tasks/owner.go
@@ -0,0 +1,200 @@
+package tasks
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/kingcuplatch/kingcuplatch/conn/worker"
+	"github.com/kingcuplatch/kingcuplatch/process/capacity"
+	"github.com/kingcuplatch/kingcuplatch/process/ownership"
+	"github.com/kingcuplatch/kingcuplatch/process/placement"
+	"github.com/kingcuplatch/kingcuplatch/process/platform"
+	"github.com/kingcuplatch/kingcuplatch/process/resource"
+	"github.com/kingcuplatch/kingcuplatch/version"
+)
+
+// Allotments is this entry's part of the teams' upper limits.
+type Allotments interface {
+	// Take takes amount if the team's allotment has room for it.
+	Take(team string, amount resource.Amount) bool
+	// Force counts amount that runs already, whether or not there is room.
+	Force(team string, amount resource.Amount)
+	// Give returns what was taken or forced.
+	Give(team string, amount resource.Amount)
+}
+
+// Keepers passes events to the keepers of their jobs.
+type Keepers interface {
+	Report(ctx context.Context, events []Event) (ReportReply, error)
+}
+
+// Want is what a placement is asked for.
+type Want struct {
+	Team   string
+	Kind   string
+	Policy version.Policy
+	Amount resource.Amount
+	Count  int
+}
+
+// Choose returns at most want.Count worker names out of fleet, one a task; a
+// worker may occur more than once.
+type Choose func(fleet placement.Fleet, want Want) []string
+
+// Config is what an Owner works with. All fields are required.
+type Config struct {
+	Owners     ownership.Owners
+	Book       *capacity.Book
+	Allotments Allotments
+	Keepers    Keepers
+	Choose     Choose
+	// Dial returns a client of the worker; it does no I/O.
+	Dial func(platform.Instance) worker.Client
+	// BlockOf returns the block of a worker.
+	BlockOf func(platform.Instance) string
+	// Lease is how long a task runs without renewal.
+	Lease time.Duration
+	// Margin is added to a lease before it is held to have ended. It must exceed
+	// CallTimeout, since a call may act on the worker until it is given up.
+	Margin time.Duration
+	// CallTimeout bounds each call to a worker or a keeper.
+	CallTimeout time.Duration
+}
+
+// Owner runs tasks on the workers of the blocks that this entry owns.
+type Owner struct {
+	Config
+	policy policy
+	holds  holds
+	outbox outbox
+
+	mu     sync.Mutex
+	agents map[string]*agent
+}
+
+// policy leaves out parts of the protocol, for tests that must see it fail.
+type policy struct {
+	// assumeNotStarted takes an unknown start outcome for a refusal.
+	assumeNotStarted bool
+	// loseEarly declares attempts lost before their lease has ended.
+	loseEarly bool
+	// absentWithReservation answers absent without dropping the reservation.
+	absentWithReservation bool
+	// skipRight starts without asking for the right to the block.
+	skipRight bool
+}
+
+// NewOwner returns an Owner without workers.
+func NewOwner(c Config) *Owner {
+	o := &Owner{Config: c, agents: make(map[string]*agent)}
+	o.holds.workers = make(map[string]workerHold)
+	o.outbox.events = make(map[Located]Event)
+	o.outbox.wake = make(chan struct{}, 1)
+	return o
+}
+
+// Run passes on events and frees expired reservations until ctx ends. Sync must
+// be called for workers to be served.
+func (o *Owner) Run(ctx context.Context) {
+	ticker := time.NewTicker(expiryInterval)
+	defer ticker.Stop()
+	go o.deliver(ctx)
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			o.expire(time.Now())
+		}
+	}
+}
+
+func (o *Owner) expire(now time.Time) {
+	for _, held := range o.Book.Expire(now) {
+		if isTask(held.ID) {
+			o.Allotments.Give(held.Team, held.Amount)
+		}
+	}
+	o.holds.expire(now)
+}
+
+// Sync starts an agent for each listed worker of an owned block and ends the
+// agents of blocks that are no longer owned at their epoch. ctx bounds the
+// lives of the agents. A worker that has left the list is kept, as leaving,
+// while it holds anything.
+func (o *Owner) Sync(ctx context.Context, instances []platform.Instance) {
+	epochs := make(map[string]uint64)
+	for _, grant := range o.Owners.Owned() {
+		epochs[grant.Block] = grant.Epoch
+	}
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	for name, a := range o.agents {
+		if epoch, owned := epochs[a.worker.Block]; !owned || epoch != a.worker.Epoch {
+			o.drop(name, a)
+		}
+	}
+	listed := make(map[string]bool, len(instances))
+	for _, instance := range instances {
+		if instance.Role != platform.RoleWorker {
+			continue
+		}
+		listed[instance.Name] = true
+		block := o.BlockOf(instance)
+		if epoch, owned := epochs[block]; owned {
+			o.keep(ctx, capacity.Worker{Instance: instance, Block: block, Epoch: epoch})
+		}
+	}
+	for name, a := range o.agents {
+		if !listed[name] {
+			o.unlisted(name, a)
+		}
+	}
+}
+
+func (o *Owner) keep(ctx context.Context, w capacity.Worker) {
+	if a, ok := o.agents[w.Name]; ok && a.worker.Address == w.Address {
+		o.Book.SetLeaving(w.Name, w.Leaving)
+		return
+	} else if ok {
+		o.drop(w.Name, a)
+	}
+	o.Book.Open(w)
+	a := newAgent(o, w)
+	o.agents[w.Name] = a
+	a.begin(ctx)
+}
+
+func (o *Owner) unlisted(name string, a *agent) {
+	o.Book.SetLeaving(name, true)
+	if a.idle(time.Now()) && len(o.Book.Holdings(name)) == 0 {
+		o.drop(name, a)
+	}
+}
+
+func (o *Owner) drop(name string, a *agent) {
+	delete(o.agents, name)
+	a.end()
+	for _, h := range o.Book.Close(name) {
+		if isTask(h.ID) {
+			o.Allotments.Give(h.Team, h.Amount)
+		}
+	}
+	o.outbox.dropWorker(name)
+}
+
+func (o *Owner) agent(name string) *agent {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.agents[name]
+}
+
+// right reports whether the entry may act for the worker at this moment.
+func (o *Owner) right(w capacity.Worker) bool {
+	if o.policy.skipRight {
+		return true
+	}
+	grant, ok := o.Owners.MayHandOver(w.Block)
+	return ok && grant.Epoch == w.Epoch
+}
--- /dev/null
+++ b/process/tasks/report.go
@@ -0,0 +1,162 @@
+package tasks
+
+import (
+	"time"
+
+	"github.com/kingcuplatch/kingcuplatch/conn/worker"
+	"github.com/kingcuplatch/kingcuplatch/process/capacity"
+)
+
+// adopt takes in what a worker reported at its adoption.
+func (a *agent) adopt(report worker.Report) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.closed {
+		return
+	}
+	a.adopted = true
+	if a.reconciled {
+		return
+	}
+	a.reconciled = true
+	var holdings []capacity.Holding
+	for _, status := range report.Tasks {
+		if h, holds := a.adoptTask(status); holds {
+			holdings = append(holdings, h)
+		}
+	}
+	until := time.Now().Add(a.owner.Lease + a.owner.Margin)
+	a.owner.Book.Reconcile(a.worker.Name, a.worker.Epoch, holdings, report.Requests, until)
+}
+
+func (a *agent) adoptTask(status worker.TaskStatus) (capacity.Holding, bool) {
+	ref := worker.TaskRef{Task: status.Task, Attempt: status.Attempt}
+	at := &attempt{team: status.Team, kind: status.Kind, amount: status.Amount, phase: running}
+	a.attempts[ref] = at
+	if status.State.Final() {
+		a.finish(ref, at, status)
+		return capacity.Holding{}, false
+	}
+	at.stop = a.lost[ref]
+	a.owner.Allotments.Force(at.team, at.amount)
+	a.owner.outbox.put(a.event(ref, status))
+	return capacity.Holding{ID: holdingID(ref), Team: at.team, Kind: at.kind, Amount: at.amount}, true
+}
+
+// apply takes in a later report. before lists the attempts that it must name if
+// the worker knows them.
+func (a *agent) apply(report worker.Report, before []worker.TaskRef) {
+	a.owner.Book.ReportRequests(a.worker.Name, report.Requests)
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.closed {
+		return
+	}
+	named := make(map[worker.TaskRef]bool, len(report.Tasks))
+	for _, status := range report.Tasks {
+		ref := worker.TaskRef{Task: status.Task, Attempt: status.Attempt}
+		named[ref] = true
+		a.applyTask(ref, status)
+	}
+	for _, ref := range before {
+		if !named[ref] {
+			a.missing(ref)
+		}
+	}
+}
+
+func (a *agent) applyTask(ref worker.TaskRef, status worker.TaskStatus) {
+	at, known := a.attempts[ref]
+	switch {
+	case !known && status.State.Final():
+		a.forget = append(a.forget, ref)
+		delete(a.lost, ref)
+	case !known:
+		a.lost[ref] = true
+	case at.phase == starting || at.phase == ended:
+	case status.State.Final():
+		a.finish(ref, at, status)
+	case at.phase == unsure:
+		at.phase = running
+		a.owner.outbox.put(a.event(ref, status))
+	}
+}
+
+// missing handles an attempt that the worker's report should have named. A
+// start of unknown outcome may still be on its way, so it is stopped for good.
+func (a *agent) missing(ref worker.TaskRef) {
+	at := a.attempts[ref]
+	if at == nil {
+		return
+	}
+	if at.phase == unsure {
+		at.stop = true
+		return
+	}
+	if at.phase == running {
+		a.finish(ref, at, worker.TaskStatus{State: StateLost, Error: "unknown to the worker"})
+	}
+}
+
+// finish ends an attempt and passes the event to its keeper.
+func (a *agent) finish(ref worker.TaskRef, at *attempt, status worker.TaskStatus) {
+	if at.phase == ended {
+		return
+	}
+	at.phase = ended
+	at.event = a.event(ref, status)
+	a.owner.outbox.put(at.event)
+}
+
+func (a *agent) event(ref worker.TaskRef, status worker.TaskStatus) Event {
+	return Event{
+		Located:    Located{TaskRef: ref, Worker: a.worker.Name},
+		Block:      a.worker.Block,
+		Epoch:      a.worker.Epoch,
+		State:      status.State,
+		Usage:      status.Usage,
+		Checkpoint: status.Checkpoint,
+		Error:      status.Error,
+	}
+}
+
+// giveUp ends the attempts of a worker whose leases had surely ended at now. The
+// right is asked for after now was read: while it holds, no other owner can have
+// renewed them.
+func (a *agent) giveUp(now time.Time) {
+	if !a.owner.right(a.worker) {
+		return
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.closed || (!now.After(a.leasesEnd) && !a.owner.policy.loseEarly) {
+		return
+	}
+	for ref, at := range a.attempts {
+		if at.phase != unsure && at.phase != running {
+			continue
+		}
+		a.lost[ref] = true
+		a.finish(ref, at, worker.TaskStatus{State: StateLost, Error: "lease ended, worker unreachable"})
+	}
+}
+
+// recorded frees what an ended attempt occupied, after its keeper has recorded
+// the end.
+func (a *agent) recorded(ref worker.TaskRef) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	at := a.attempts[ref]
+	if at == nil || at.phase != ended {
+		return
+	}
+	delete(a.attempts, ref)
+	a.forget = append(a.forget, ref)
+	a.free(ref)
+}
+
+func (a *agent) free(ref worker.TaskRef) {
+	if h, ok := a.owner.Book.Forget(a.worker.Name, holdingID(ref)); ok {
+		a.owner.Allotments.Give(h.Team, h.Amount)
+	}
+}
--- /dev/null
+++ b/process/tasks/reserve.go
@@ -0,0 +1,96 @@
+package tasks
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/kingcuplatch/kingcuplatch/conn/worker"
+	"github.com/kingcuplatch/kingcuplatch/process/capacity"
+)
+
+// reserveRounds is how often a placement is made anew after its plan turned out
+// to be outdated.
+const reserveRounds = 3
+
+// Reserve keeps capacity for attempts for a short time. The reservations are
+// for the first of r.Refs.
+func (o *Owner) Reserve(ctx context.Context, r ReserveRequest) ReserveReply {
+	var reply ReserveReply
+	for range reserveRounds {
+		refs := r.Refs[len(reply.Reservations):]
+		if len(refs) == 0 || reply.Limit == LimitTeam {
+			break
+		}
+		o.reserveRound(r, refs, &reply)
+	}
+	short := len(reply.Reservations) < len(r.Refs)
+	if !short {
+		reply.Limit, reply.Dimension = LimitNone, ""
+	}
+	if short && r.Hold != nil {
+		o.hold(r, len(r.Refs), time.Now())
+	}
+	if short && r.AllOrNothing {
+		o.Release(ctx, AttemptsRequest{Attempts: locate(reply.Reservations)})
+		reply.Reservations = nil
+	}
+	return reply
+}
+
+func (o *Owner) reserveRound(r ReserveRequest, refs []worker.TaskRef, reply *ReserveReply) {
+	fleet := o.holds.view(o.Book, r.Job, time.Now())
+	names := o.Choose(fleet, Want{
+		Team: r.Team, Kind: r.Kind, Policy: r.Policy, Amount: r.Amount, Count: len(refs),
+	})
+	reply.Limit = LimitCapacity
+	next := 0
+	for _, name := range names {
+		if next == len(refs) || reply.Limit == LimitTeam {
+			return
+		}
+		if o.reserveOne(r, refs[next], name, reply) {
+			next++
+		}
+	}
+}
+
+func (o *Owner) reserveOne(r ReserveRequest, ref worker.TaskRef, name string, reply *ReserveReply) bool {
+	w, _, ok := o.Book.Worker(name)
+	if !ok || !o.right(w) {
+		return false
+	}
+	if !o.Allotments.Take(r.Team, r.Amount) {
+		reply.Limit, reply.Dimension = LimitTeam, ""
+		return false
+	}
+	err := o.Book.Assume(name, capacity.Holding{
+		ID: holdingID(ref), Team: r.Team, Kind: r.Kind, Amount: r.Amount, Until: time.Now().Add(r.For),
+	})
+	if err != nil {
+		o.Allotments.Give(r.Team, r.Amount)
+		reply.Limit, reply.Dimension = LimitCapacity, shortDimension(err)
+		return false
+	}
+	reply.Reservations = append(reply.Reservations, Reservation{
+		Located: Located{TaskRef: ref, Worker: name}, Block: w.Block, Epoch: w.Epoch,
+		FailureDomain: w.FailureDomain, Rack: w.Rack,
+	})
+	return true
+}
+
+func shortDimension(err error) string {
+	var full *capacity.FullError
+	if errors.As(err, &full) {
+		return full.Dimension
+	}
+	return ""
+}
+
+func locate(reservations []Reservation) []Located {
+	located := make([]Located, len(reservations))
+	for i, r := range reservations {
+		located[i] = r.Located
+	}
+	return located
+}
--- /dev/null
+++ b/process/tasks/start.go
@@ -0,0 +1,143 @@
+package tasks
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"github.com/kingcuplatch/kingcuplatch/conn/worker"
+)
+
+// Reasons why a start was refused.
+const (
+	reasonNotOwned      = "worker not owned at that epoch"
+	reasonNoReservation = "no reservation"
+)
+
+// Start starts attempts from their reservations, one call a worker. An attempt
+// answered as absent was not started and never will be; its reservation is gone.
+func (o *Owner) Start(ctx context.Context, r StartRequest) Outcomes {
+	groups := make(map[string][]int)
+	for i, start := range r.Starts {
+		groups[start.Worker] = append(groups[start.Worker], i)
+	}
+	reply := Outcomes{Outcomes: make([]Outcome, len(r.Starts))}
+	var wg sync.WaitGroup
+	running := make(chan struct{}, startParallelism)
+	for name, places := range groups {
+		running <- struct{}{}
+		wg.Go(func() {
+			defer func() { <-running }()
+			o.startOn(ctx, name, places, r.Starts, reply.Outcomes)
+		})
+	}
+	wg.Wait()
+	return reply
+}
+
+// startOn starts the attempts at the given places on one worker.
+func (o *Owner) startOn(ctx context.Context, name string, places []int, starts []Start, out []Outcome) {
+	a := o.agent(name)
+	var calls []worker.StartTask
+	var callPlaces []int
+	for _, i := range places {
+		out[i] = a.claim(starts[i])
+		if out[i].State == "" {
+			task := starts[i].Task
+			task.Lease = o.Lease
+			calls = append(calls, task)
+			callPlaces = append(callPlaces, i)
+		}
+	}
+	if len(calls) == 0 {
+		return
+	}
+	statuses, err := a.callStart(ctx, calls)
+	for n, i := range callPlaces {
+		var status worker.TaskStatus
+		if err == nil {
+			status = statuses[n]
+		}
+		out[i] = a.started(starts[i].Ref(), status, err)
+	}
+	a.nudgeIfUnsure(err)
+}
+
+// claim turns a reservation into an attempt that is starting. An outcome with a
+// state means that no call is to be made.
+func (a *agent) claim(s Start) Outcome {
+	ref := s.Ref()
+	if a == nil {
+		return Outcome{Ref: ref, State: StateUnknown, Reason: reasonNotOwned}
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if at := a.attempts[ref]; at != nil {
+		return at.outcome(ref)
+	}
+	if a.closed || s.Epoch != a.worker.Epoch {
+		return Outcome{Ref: ref, State: StateUnknown, Reason: reasonNotOwned}
+	}
+	if !a.owner.Book.AddUnexpired(a.worker.Name, holdingID(ref), time.Now()) {
+		return Outcome{Ref: ref, State: StateAbsent, Reason: reasonNoReservation}
+	}
+	at := &attempt{team: s.Task.Team, kind: s.Task.Kind, amount: s.Task.Amount, phase: starting}
+	if s.Task.RunTime > 0 {
+		at.due = time.Now().Add(s.Task.RunTime)
+	}
+	a.attempts[ref] = at
+	return Outcome{Ref: ref}
+}
+
+func (a *agent) callStart(ctx context.Context, calls []worker.StartTask) ([]worker.TaskStatus, error) {
+	ctx, cancel := context.WithTimeout(ctx, a.owner.CallTimeout)
+	defer cancel()
+	if !a.owner.right(a.worker) {
+		return nil, worker.ErrNotSent
+	}
+	statuses, err := a.client.Start(ctx, a.worker.Epoch, calls)
+	a.extendLeases(err)
+	if err == nil && len(statuses) != len(calls) {
+		err = worker.ErrUnknown
+	}
+	return statuses, err
+}
+
+// started settles an attempt after its start call returned.
+func (a *agent) started(ref worker.TaskRef, status worker.TaskStatus, err error) Outcome {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	at := a.attempts[ref]
+	switch {
+	case err != nil && (notDone(err) || a.owner.policy.assumeNotStarted):
+		return a.notStarted(ref, err.Error())
+	case err != nil:
+		at.phase = unsure
+	case status.State == worker.TaskFailed && status.Error == worker.RefusedCapacity:
+		return a.notStarted(ref, status.Error)
+	case status.State.Final():
+		a.finish(ref, at, status)
+	default:
+		at.phase = running
+	}
+	return at.outcome(ref)
+}
+
+func (a *agent) notStarted(ref worker.TaskRef, reason string) Outcome {
+	delete(a.attempts, ref)
+	a.free(ref)
+	return Outcome{Ref: ref, State: StateAbsent, Reason: reason}
+}
+
+// notDone reports whether the worker surely did not act on a call.
+func notDone(err error) bool {
+	var refused *worker.RefusedError
+	return errors.Is(err, worker.ErrNotSent) || errors.As(err, &refused)
+}
+
+func (a *agent) nudgeIfUnsure(err error) {
+	if err != nil {
+		a.nudge()
+	}
+}
--- /dev/null
+++ b/process/tasks/status.go
@@ -0,0 +1,56 @@
+package tasks
+
+import (
+	"context"
+	"time"
+
+	"github.com/kingcuplatch/kingcuplatch/conn/worker"
+)
+
+// Status says what the owner knows of attempts. After the answer absent, a
+// start of that attempt that arrives late is refused.
+func (o *Owner) Status(_ context.Context, r AttemptsRequest) Outcomes {
+	return o.each(r, func(a *agent, ref worker.TaskRef) Outcome { return a.look(ref) })
+}
+
+func (a *agent) look(ref worker.TaskRef) Outcome {
+	now := time.Now()
+	right := a.owner.right(a.worker)
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if at := a.attempts[ref]; at != nil {
+		return at.outcome(ref)
+	}
+	if a.closed || !right {
+		return Outcome{Ref: ref, State: StateUnknown}
+	}
+	if a.adopted && !a.lost[ref] {
+		return a.absent(ref)
+	}
+	if now.After(a.leasesEnd) {
+		a.lost[ref] = true
+		event := a.event(ref, worker.TaskStatus{State: StateLost, Error: "lease ended, worker unreachable"})
+		return Outcome{Ref: ref, State: StateEnded, Event: &event}
+	}
+	return Outcome{Ref: ref, State: StateUnknown}
+}
+
+// absent drops the attempt's reservation, so that it cannot start any more.
+func (a *agent) absent(ref worker.TaskRef) Outcome {
+	if !a.owner.policy.absentWithReservation {
+		a.free(ref)
+	}
+	return Outcome{Ref: ref, State: StateAbsent}
+}
+
+func (at *attempt) outcome(ref worker.TaskRef) Outcome {
+	switch at.phase {
+	case running:
+		return Outcome{Ref: ref, State: StateRunning}
+	case ended:
+		event := at.event
+		return Outcome{Ref: ref, State: StateEnded, Event: &event}
+	default:
+		return Outcome{Ref: ref, State: StateUnknown}
+	}
+}
--- /dev/null
+++ b/process/tasks/stop.go
@@ -0,0 +1,124 @@
+package tasks
+
+import (
+	"context"
+
+	"github.com/kingcuplatch/kingcuplatch/conn/worker"
+)
+
+// stopMarked stops in one call what is marked to be stopped or was given up.
+func (a *agent) stopMarked(ctx context.Context) error {
+	refs := a.marked()
+	if len(refs) == 0 {
+		return nil
+	}
+	if !a.owner.right(a.worker) {
+		return errNoRight
+	}
+	ctx, cancel := context.WithTimeout(ctx, a.owner.CallTimeout)
+	defer cancel()
+	statuses, err := a.client.Stop(ctx, a.worker.Epoch, refs)
+	if err != nil {
+		return err
+	}
+	a.stopped(statuses)
+	return nil
+}
+
+func (a *agent) marked() []worker.TaskRef {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	var refs []worker.TaskRef
+	for ref := range a.lost {
+		refs = append(refs, ref)
+	}
+	for ref, at := range a.attempts {
+		if at.stop && !a.lost[ref] && at.phase != starting && at.phase != ended {
+			refs = append(refs, ref)
+		}
+	}
+	return refs
+}
+
+func (a *agent) stopped(statuses []worker.TaskStatus) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	for _, status := range statuses {
+		if !status.State.Final() {
+			continue
+		}
+		ref := worker.TaskRef{Task: status.Task, Attempt: status.Attempt}
+		delete(a.lost, ref)
+		if at := a.attempts[ref]; at != nil {
+			a.finish(ref, at, status)
+		}
+	}
+}
+
+// forgetRecorded has the worker drop the statuses that keepers have recorded.
+func (a *agent) forgetRecorded(ctx context.Context) error {
+	a.mu.Lock()
+	refs := a.forget
+	a.forget = nil
+	a.mu.Unlock()
+	if len(refs) == 0 {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, a.owner.CallTimeout)
+	defer cancel()
+	err := a.client.Forget(ctx, a.worker.Epoch, refs)
+	if err == nil {
+		return nil
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.forget = append(a.forget, refs...)
+	return err
+}
+
+// Cancel stops attempts. An attempt that is only reserved is released and
+// answered as absent; one that runs is stopped soon, and an event follows.
+func (o *Owner) Cancel(_ context.Context, r AttemptsRequest) Outcomes {
+	return o.each(r, func(a *agent, ref worker.TaskRef) Outcome { return a.cancelAttempt(ref) })
+}
+
+func (a *agent) cancelAttempt(ref worker.TaskRef) Outcome {
+	a.mu.Lock()
+	at := a.attempts[ref]
+	if at != nil && at.phase != ended {
+		at.stop = true
+	}
+	a.mu.Unlock()
+	if at != nil {
+		a.nudge()
+	}
+	return a.look(ref)
+}
+
+// Release drops reservations that will not be started from.
+func (o *Owner) Release(_ context.Context, r AttemptsRequest) {
+	o.each(r, func(a *agent, ref worker.TaskRef) Outcome {
+		a.release(ref)
+		return Outcome{}
+	})
+}
+
+func (a *agent) release(ref worker.TaskRef) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.attempts[ref] == nil {
+		a.free(ref)
+	}
+}
+
+func (o *Owner) each(r AttemptsRequest, do func(*agent, worker.TaskRef) Outcome) Outcomes {
+	reply := Outcomes{Outcomes: make([]Outcome, 0, len(r.Attempts))}
+	for _, at := range r.Attempts {
+		outcome := Outcome{Ref: at.TaskRef, State: StateUnknown}
+		if a := o.agent(at.Worker); a != nil {
+			outcome = do(a, at.TaskRef)
+		}
+		reply.Outcomes = append(reply.Outcomes, outcome)
+	}
+	return reply
+}
