Free the keeper's tests of data races

Cause: the fakes' switches were set while keepers read them. Change: switches are set under the fakes' locks.

--- a/process/jobs/keeper_test.go
+++ b/process/jobs/keeper_test.go
@@ -31,7 +31,8 @@
 		spec := Spec{ID: "j1", Team: "a", Kind: "batch", Tasks: 20}
 		_, err := k.Submit(ctx, spec)
 		assert.NilError(t, err)
-		assert.Assert(t, w.table.rows[rowKey("j1")].Version > 0)
+		row, _, _ := w.table.Get(ctx, rowKey("j1"))
+		assert.Assert(t, row.Version > 0)
 		_, err = k.Submit(ctx, spec)
 		assert.NilError(t, err, "the same job again")
 		spec.Team = "b"
@@ -45,20 +46,20 @@
 		_, err = k.Submit(ctx, Spec{ID: "big", Team: "a", Kind: "gang", Tasks: 17})
 		assert.Error(t, err, "not run: never fits fleet in milli_cpu")
 
-		w.table.down = true
+		w.do(func() { w.table.down = true })
 		_, err = k.Submit(ctx, Spec{ID: "j2", Team: "a", Kind: "batch", Tasks: 1})
 		assert.ErrorIs(t, err, ErrUnavailable)
 		time.Sleep(time.Minute)
-		w.table.down = false
+		w.do(func() { w.table.down = false })
 		time.Sleep(time.Minute)
 		_, err = k.Get(ctx, "a", "j2")
 		assert.ErrorIs(t, err, ErrForbidden, "a job answered as not run appeared")
 
-		w.table.loseAnswers = 1
+		w.do(func() { w.table.loseAnswers = 1 })
 		_, err = k.Submit(ctx, Spec{ID: "j3", Team: "a", Kind: "batch", Tasks: 1})
 		assert.NilError(t, err, "read back")
 		waitFor(t, time.Minute, "j3 ends", w.ended("a", "j3"))
-		assert.Equal(t, len(w.violations), 0)
+		assert.Equal(t, len(w.violated()), 0)
 		assert.Equal(t, w.leaked(), 0)
 	})
 }
@@ -103,7 +104,7 @@
 						p = c.off
 					}
 					c.run(t, ctx, w, p)
-					assert.Equal(t, len(w.violations) > 0, off, "%v", w.violations)
+					assert.Equal(t, len(w.violated()) > 0, off, "%v", w.violations)
 				})
 			})
 		}
@@ -125,10 +126,10 @@
 func killedBeforeRecord(t *testing.T, ctx context.Context, w *world, p policy) {
 	k := w.takeOver(ctx, t, p)
 	release := make(chan struct{})
-	w.full = true
+	w.do(func() { w.full = true })
 	submitOne(t, ctx, k)
-	w.table.before = stallOnce(release)
-	w.full = false
+	w.do(func() { w.table.before = stallOnce(release) })
+	w.do(func() { w.full = false })
 	time.Sleep(3 * time.Second)
 	w.takeOver(ctx, t, policy{})
 	time.Sleep(time.Minute)
@@ -164,18 +165,18 @@
 }
 
 func delayedWrite(t *testing.T, ctx context.Context, w *world, p policy) {
-	w.full = true
+	w.do(func() { w.full = true })
 	earlier := w.takeOver(ctx, t, p)
 	submitOne(t, ctx, earlier)
 	release := make(chan struct{})
-	w.table.before = stallOnce(release)
+	w.do(func() { w.table.before = stallOnce(release) })
 	s := earlier.shard(ShardOf("j"))
 	s.mu.Lock()
 	earlier.commit.mark(s, s.jobs["j"])
 	s.mu.Unlock()
 	time.Sleep(time.Second)
 	earlier.Lose(s.name)
-	w.full = false
+	w.do(func() { w.full = false })
 	w.takeOver(ctx, t, p)
 	time.Sleep(time.Minute)
 	close(release)
@@ -197,20 +198,20 @@
 					_, err := k.Submit(ctx, Spec{ID: id, Team: "a", Kind: "batch", Tasks: 1})
 					assert.Check(t, err)
 				})
-				w.full = false
+				w.do(func() { w.full = false })
 				time.Sleep(500 * time.Millisecond)
-				before := w.table.commits
+				before := w.commits()
 				eachJob(jobs, func(id string) {
 					assert.Check(t, k.Cancel(ctx, "a", id))
 					w.mu.Lock()
 					w.acked[id] = true
 					w.mu.Unlock()
 				})
-				writes := w.table.commits - before
+				writes := w.commits() - before
 				t.Logf("%d transactions for %d cancellations, %d starts", writes, jobs, w.starts)
 				assert.Assert(t, writes < jobs/50)
 				waitFor(t, time.Minute, "nothing runs", func() bool { return w.leaked() == 0 })
-				assert.Equal(t, len(w.violations) > 0, off, "%v", w.violations)
+				assert.Equal(t, len(w.violated()) > 0, off, "%v", w.violations)
 			})
 		})
 	}
@@ -239,6 +240,8 @@
 				waitFor(t, 10*time.Minute, "all end", func() bool { return w.endedOf("a") == gangs })
 				waitFor(t, time.Minute, "nothing held", func() bool { return w.leaked() == 0 })
 				together := 0
+				w.mu.Lock()
+				defer w.mu.Unlock()
 				for id, first := range w.firstStart {
 					if w.lastStart[id].Sub(first) < w.runTime/2 {
 						together++
--- a/process/jobs/world_test.go
+++ b/process/jobs/world_test.go
@@ -66,8 +66,11 @@
 }
 
 func (f *fakeTable) Commit(_ context.Context, txn platform.Txn) (uint64, error) {
-	if f.before != nil {
-		f.before(txn)
+	f.mu.Lock()
+	before := f.before
+	f.mu.Unlock()
+	if before != nil {
+		before(txn)
 	}
 	time.Sleep(5 * time.Millisecond)
 	f.mu.Lock()
@@ -212,7 +215,10 @@
 	for _, s := range r.Starts {
 		reply.Outcomes = append(reply.Outcomes, w.claim(o, s.Ref()))
 	}
-	time.Sleep(w.startDelay)
+	w.mu.Lock()
+	delay := w.startDelay
+	w.mu.Unlock()
+	time.Sleep(delay)
 	for _, s := range r.Starts {
 		w.run(o, s.Ref())
 	}
@@ -259,7 +265,10 @@
 	}
 	w.lastStart[job] = time.Now()
 	if w.runTime > 0 {
-		time.AfterFunc(w.runTime, func() { w.end(o, ref, worker.TaskDone) })
+		go func() {
+			time.Sleep(w.runTime)
+			w.end(o, ref, worker.TaskDone)
+		}()
 	}
 }
 
@@ -273,10 +282,14 @@
 	delete(o.running, ref)
 	event := tasks.Event{Located: tasks.Located{TaskRef: ref}, State: state}
 	o.ended[ref] = event
+	ctx := w.ctx
 	w.mu.Unlock()
-	for w.ctx.Err() == nil {
-		call, cancel := context.WithTimeout(w.ctx, 5*time.Second)
-		reply := w.keeper.Report(call, []tasks.Event{event})
+	for ctx.Err() == nil {
+		call, cancel := context.WithTimeout(ctx, 5*time.Second)
+		w.mu.Lock()
+		keeper := w.keeper
+		w.mu.Unlock()
+		reply := keeper.Report(call, []tasks.Event{event})
 		cancel()
 		if len(reply.Recorded) == 1 {
 			w.mu.Lock()
@@ -291,7 +304,7 @@
 func (w *world) Cancel(_ context.Context, to tasks.Peer, r tasks.AttemptsRequest) (tasks.Outcomes, error) {
 	o := w.owners[to.Instance]
 	for _, at := range r.Attempts {
-		time.AfterFunc(0, func() { w.end(o, at.TaskRef, worker.TaskStopped) })
+		go w.end(o, at.TaskRef, worker.TaskStopped)
 	}
 	return w.Status(context.Background(), to, r)
 }
@@ -354,7 +367,7 @@
 	fences := make(map[string]platform.Condition)
 	for i := range Shards {
 		name := fmt.Sprintf("s/%02x", i)
-		row := w.table.rows["block/"+name]
+		row, _, _ := w.table.Get(ctx, "block/"+name)
 		txn := platform.Txn{
 			Conditions: []platform.Condition{{Key: "block/" + name, Version: row.Version}},
 			Writes:     []platform.Write{{Key: "block/" + name, Value: []byte("owner")}},
@@ -373,7 +386,7 @@
 	for name := range fences {
 		assert.NilError(t, k.Gain(ctx, name))
 	}
-	w.keeper, w.ctx = k, ctx
+	w.do(func() { w.keeper, w.ctx = k, ctx })
 	go k.Run(ctx)
 	return k
 }
@@ -407,3 +420,22 @@
 	}
 	return n
 }
+
+// do changes the world while nothing looks at it.
+func (w *world) do(f func()) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.table.mu.Lock()
+	defer w.table.mu.Unlock()
+	f()
+}
+
+func (w *world) commits() (n int) {
+	w.do(func() { n = w.table.commits })
+	return n
+}
+
+func (w *world) violated() (list []string) {
+	w.do(func() { list = slices.Clone(w.violations) })
+	return list
+}
