Add the queue that decides what starts next

Cause: entries need one decision for who is next and who is shed, by weighted dominant share of use over time. Ruled out: charging a start a fixed cost (run times are unknown and differ between teams); decayed usage (a team that used idle capacity is punished when others come back).

--- /dev/null
+++ b/request/queue/pop.go
@@ -0,0 +1,178 @@
+package queue
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/kingcuplatch/kingcuplatch/process/resource"
+)
+
+const (
+	// lookahead is the running time that a start is charged for in advance, so
+	// that starts made at the same instant already count against each other.
+	lookahead = 500 * time.Millisecond
+	// maxCredit and maxDebt bound how far a team's virtual time may lie behind
+	// and ahead of the queue's, in time at the rate of a fully shared fleet.
+	maxCredit = 2 * time.Second
+	maxDebt   = 10 * time.Second
+)
+
+// candidate is a team that Pop may serve, and its place in the order.
+type candidate struct {
+	team *teamState
+	// privileged heads are urgent and within their team's bound.
+	privileged bool
+	tag        float64
+}
+
+// Pop takes out the item that starts next, nil if there is none. It asks admit
+// about the head of one team after the other, in order, until admit returns true;
+// a nil admit admits everything. admit must not call the queue. The caller reports
+// the start with Started before the next Pop.
+func (q *Queue) Pop(now time.Time, admit func(*Item) bool) *Item {
+	now = q.advance(now)
+	q.collectLate(now)
+	q.rank(now)
+	for _, c := range q.candidates {
+		it := c.team.first.top()
+		if admit != nil && !admit(it) {
+			continue
+		}
+		q.drop(it)
+		q.virtual = max(q.virtual, c.team.virtual)
+		q.drained.count(now)
+		return it
+	}
+	return nil
+}
+
+// rank fills candidates with the backlogged teams, first one first.
+func (q *Queue) rank(now time.Time) {
+	q.candidates = q.candidates[:0]
+	for _, t := range q.order {
+		if t.first.Len() == 0 {
+			continue
+		}
+		t.charge(now)
+		q.bound(t)
+		q.candidates = append(q.candidates, candidate{
+			team:       t,
+			privileged: t.urgent > 0 && q.urgentWithinShare(t),
+			tag:        t.virtual + t.rate*lookahead.Seconds(),
+		})
+	}
+	slices.SortStableFunc(q.candidates, compareCandidates)
+}
+
+func compareCandidates(a, b candidate) int {
+	if a.privileged != b.privileged {
+		if a.privileged {
+			return -1
+		}
+		return 1
+	}
+	return cmp.Compare(a.tag, b.tag)
+}
+
+// bound keeps the team's virtual time near the queue's.
+func (q *Queue) bound(t *teamState) {
+	perSecond := 1 / max(q.weights, t.weight)
+	t.virtual = max(t.virtual, q.virtual-maxCredit.Seconds()*perSecond)
+	t.virtual = min(t.virtual, q.virtual+maxDebt.Seconds()*perSecond)
+}
+
+// urgentWithinShare reports whether the team's running urgent work is within its
+// weighted share. The first urgent item always is.
+func (q *Queue) urgentWithinShare(t *teamState) bool {
+	return t.urgentShare < t.weight/max(q.weights, t.weight)
+}
+
+// Started reports that work of the team runs, whether it came from this queue or
+// not.
+func (q *Queue) Started(now time.Time, c Charge) {
+	q.change(q.advance(now), c, 1)
+}
+
+// Finished reports that work charged before runs no more.
+func (q *Queue) Finished(now time.Time, c Charge) {
+	q.change(q.advance(now), c, -1)
+}
+
+func (q *Queue) change(now time.Time, c Charge, sign int64) {
+	t := q.team(c.Team)
+	t.charge(now)
+	t.own = t.own.Add(c.Amount.Times(sign))
+	if c.Urgent {
+		t.ownUrgent = t.ownUrgent.Add(c.Amount.Times(sign))
+	}
+	t.measure(q.total)
+}
+
+// SetFleetUsage replaces what peers report of the rest of the fleet: everything
+// that teams have running and that was not reported to this queue by Started.
+func (q *Queue) SetFleetUsage(now time.Time, usage []TeamUsage) {
+	now = q.advance(now)
+	for _, t := range q.order {
+		t.charge(now)
+		t.fleet = resource.Amount{}
+	}
+	for _, u := range usage {
+		t := q.team(u.Team)
+		t.fleet = t.fleet.Add(u.Amount)
+	}
+	q.measure()
+}
+
+// SetTeams replaces weights and queue limits. Items of teams that are gone stay
+// queued, with weight 1.
+func (q *Queue) SetTeams(now time.Time, teams []Team) {
+	now = q.advance(now)
+	for _, t := range q.order {
+		t.charge(now)
+		t.weight, t.queueLimit, t.configured = 1, 0, false
+	}
+	q.weights = 0
+	for _, config := range teams {
+		t := q.team(config.Name)
+		t.weight = float64(max(1, config.Weight))
+		t.queueLimit = config.QueueLimit
+		t.configured = true
+		q.weights += t.weight
+	}
+	q.measure()
+}
+
+// SetTotal replaces the capacity that shares are fractions of.
+func (q *Queue) SetTotal(now time.Time, total resource.Amount) {
+	now = q.advance(now)
+	for _, t := range q.order {
+		t.charge(now)
+	}
+	q.total = total
+	q.measure()
+}
+
+// measure recomputes every team's rate and forgets the teams that are idle.
+func (q *Queue) measure() {
+	q.order = slices.DeleteFunc(q.order, func(t *teamState) bool {
+		if t.idle() {
+			delete(q.teams, t.name)
+			return true
+		}
+		t.measure(q.total)
+		return false
+	})
+}
+
+// team returns the team's state, made when it is first seen.
+func (q *Queue) team(name string) *teamState {
+	t := q.teams[name]
+	if t == nil {
+		t = newTeamState(name)
+		t.charged = q.now
+		q.teams[name] = t
+		q.order = append(q.order, t)
+	}
+	return t
+}
