Add the platform's HTTP adapter and its stand-in

Cause: entries need a platform to run against, and the outcomes of writes (done, surely not, unknown) must survive the way over HTTP.

Change: process/platform/httpplatform carries table, object store and instance list over HTTP/JSON. A write that was given no connection is unavailable, one that was is unknown unless the platform answered whole. internal/standin/platformstandin keeps the same in memory, with switches for down, slow, lost answers and a lagging list. Table and object store both have a method Get, so the object store is reached by Objects().

Ruled out: telling written headers from a given connection. A connection that was handed out may have carried bytes, and in doubt the outcome is unknown.

One conformance test runs in process and over HTTP.

--- /dev/null
+++ b/internal/standin/platformstandin/platform_test.go
@@ -0,0 +1,197 @@
+package platformstandin
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/kingcuplatch/kingcuplatch/internal/standin"
+	"github.com/kingcuplatch/kingcuplatch/process/platform"
+	"github.com/kingcuplatch/kingcuplatch/process/platform/httpplatform"
+)
+
+// doors is one way to reach a platform.
+type doors struct {
+	table     platform.Table
+	objects   platform.Objects
+	instances platform.Instances
+}
+
+// eachDoor runs check on a new platform in process and over HTTP.
+func eachDoor(t *testing.T, check func(t *testing.T, p *Platform, d doors)) {
+	t.Run("in process", func(t *testing.T) {
+		p := New()
+		check(t, p, doors{p, p.Objects(), p})
+	})
+	t.Run("http", func(t *testing.T) {
+		p := New()
+		server := httptest.NewServer(p.Handler())
+		defer server.Close()
+		client := httpplatform.New(server.URL)
+		defer client.Close()
+		check(t, p, doors{client, client.Objects(), client})
+	})
+}
+
+func put(key, value string, version uint64) platform.Txn {
+	return platform.Txn{
+		Conditions: []platform.Condition{{Key: key, Version: version}},
+		Writes:     []platform.Write{{Key: key, Value: []byte(value)}},
+	}
+}
+
+func TestConditionsAndVersions(t *testing.T) {
+	eachDoor(t, func(t *testing.T, p *Platform, d doors) {
+		ctx := t.Context()
+		first, err := d.table.Commit(ctx, put("a/1", "x", 0))
+		assert.NilError(t, err)
+		_, err = d.table.Commit(ctx, put("a/1", "y", 0))
+		var conflict *platform.ConflictError
+		assert.Assert(t, errors.As(err, &conflict), "%v", err)
+		assert.DeepEqual(t, *conflict, platform.ConflictError{Key: "a/1", Version: first})
+		assert.ErrorContains(t, err, "commit peer ")
+
+		drop := platform.Txn{Writes: []platform.Write{{Key: "a/1", Delete: true}, {Key: "a/2"}, {Key: "b"}}}
+		_, err = d.table.Commit(ctx, drop)
+		assert.NilError(t, err)
+		again, err := d.table.Commit(ctx, put("a/1", "z", 0))
+		assert.NilError(t, err)
+		assert.Assert(t, again > first+1, "a deleted row's version came again")
+
+		rows, err := d.table.Scan(ctx, "a/", "a/1", 10)
+		assert.NilError(t, err)
+		assert.Equal(t, len(rows), 1)
+		assert.Equal(t, rows[0].Key, "a/2")
+		row, found, err := d.table.Get(ctx, "a/1")
+		assert.NilError(t, err)
+		assert.Assert(t, found && string(row.Value) == "z" && row.Version == again)
+		_, found, err = d.table.Get(ctx, "a")
+		assert.NilError(t, err)
+		assert.Assert(t, !found)
+		counts := p.Counts()
+		assert.DeepEqual(t, counts, Counts{Commits: 3, Conflicts: 1, RowsWritten: 5, Gets: 2, Scans: 1})
+	})
+}
+
+func TestOutcomes(t *testing.T) {
+	eachDoor(t, func(t *testing.T, p *Platform, d doors) {
+		ctx := t.Context()
+		p.Change(func(s *Switches) { s.LoseBefore, s.LoseAnswers = 1, 1 })
+		_, err := d.table.Commit(ctx, put("k", "before", 0))
+		assert.ErrorIs(t, err, platform.ErrUnknown)
+		_, found, err := d.table.Get(ctx, "k")
+		assert.NilError(t, err)
+		assert.Assert(t, !found)
+		_, err = d.table.Commit(ctx, put("k", "after", 0))
+		assert.ErrorIs(t, err, platform.ErrUnknown)
+		row, _, err := d.table.Get(ctx, "k")
+		assert.NilError(t, err)
+		assert.Equal(t, string(row.Value), "after")
+
+		p.Change(func(s *Switches) { s.Down = true })
+		_, err = d.table.Commit(ctx, put("k", "down", row.Version))
+		assert.ErrorIs(t, err, platform.ErrUnavailable)
+		_, err = d.instances.List(ctx)
+		assert.ErrorIs(t, err, platform.ErrUnavailable)
+		p.Change(func(s *Switches) { s.Down = false })
+		same, _, err := d.table.Get(ctx, "k")
+		assert.NilError(t, err)
+		assert.DeepEqual(t, same, row)
+	})
+}
+
+func TestObjectsAreWrittenOnce(t *testing.T) {
+	eachDoor(t, func(t *testing.T, _ *Platform, d doors) {
+		ctx := t.Context()
+		_, err := d.objects.Get(ctx, "v/1")
+		assert.ErrorIs(t, err, platform.ErrNotFound)
+		assert.NilError(t, d.objects.Put(ctx, "v/1", nil))
+		assert.NilError(t, d.objects.Put(ctx, "v/1", []byte{}))
+		var conflict *platform.ConflictError
+		assert.Assert(t, errors.As(d.objects.Put(ctx, "v/1", []byte("other")), &conflict))
+		body, err := d.objects.Get(ctx, "v/1")
+		assert.NilError(t, err)
+		assert.Equal(t, len(body), 0)
+	})
+}
+
+func TestListLags(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := New()
+		p.Change(func(s *Switches) {
+			s.ListLag = standin.Duration(2 * time.Second)
+			s.Delay = standin.Duration(100 * time.Millisecond)
+		})
+		p.ChangeInstances(InstancesChange{Put: []platform.Instance{{Name: "w2"}, {Name: "w1"}}})
+		p.ChangeInstances(InstancesChange{Leaving: []string{"w1"}, Remove: []string{"w2"}})
+		list, err := p.List(t.Context())
+		assert.NilError(t, err)
+		assert.Equal(t, len(list), 0)
+		time.Sleep(2 * time.Second)
+		list, err = p.List(t.Context())
+		assert.NilError(t, err)
+		assert.DeepEqual(t, list, []platform.Instance{{Name: "w1", Leaving: true}})
+
+		ctx, cancel := context.WithTimeout(t.Context(), 60*time.Millisecond)
+		defer cancel()
+		_, err = p.Commit(ctx, put("k", "v", 0))
+		assert.ErrorIs(t, err, platform.ErrUnknown)
+		_, found, err := p.Get(t.Context(), "k")
+		assert.NilError(t, err)
+		assert.Assert(t, found, "the first half of the delay was over")
+	})
+}
+
+func TestHTTPWriteIsUnknownOnceSent(t *testing.T) {
+	p := New()
+	var fault atomic.Value
+	fault.Store(func(http.ResponseWriter) {})
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		fault.Load().(func(http.ResponseWriter))(w)
+		p.Handler().ServeHTTP(w, r)
+	}))
+	client := httpplatform.New(server.URL)
+	ctx, cancel := context.WithCancel(t.Context())
+	faults := map[string]func(w http.ResponseWriter){
+		"caller gone": func(http.ResponseWriter) { cancel() },
+		"cut short": func(w http.ResponseWriter) {
+			w.Header().Set("Content-Length", "100")
+			_, _ = w.Write([]byte(`{"version":1}`))
+			panic(http.ErrAbortHandler)
+		},
+		"no length":   func(w http.ResponseWriter) { w.(http.Flusher).Flush() },
+		"not its own": func(w http.ResponseWriter) { http.Error(w, "busy", http.StatusServiceUnavailable) },
+	}
+	for _, name := range []string{"cut short", "no length", "not its own", "caller gone"} {
+		fault.Store(faults[name])
+		_, err := client.Commit(ctx, put("k", "v", 0))
+		assert.ErrorIs(t, err, platform.ErrUnknown, name)
+	}
+	server.Close()
+	_, err := client.Commit(t.Context(), put("k", "v", 0))
+	assert.ErrorIs(t, err, platform.ErrUnavailable)
+	assert.ErrorContains(t, err, "commit peer "+strings.TrimPrefix(server.URL, "http://"))
+}
+
+func TestSwitchesOverHTTP(t *testing.T) {
+	p := New()
+	for body, status := range map[string]int{
+		`{"delay":"5ms","lose_answers":2}`: http.StatusOK,
+		`{"dwon":true}`:                    http.StatusBadRequest,
+	} {
+		answer := httptest.NewRecorder()
+		request := httptest.NewRequest(http.MethodPost, standin.PathSwitches, strings.NewReader(body))
+		p.Handler().ServeHTTP(answer, request)
+		assert.Equal(t, answer.Code, status, answer.Body)
+	}
+	now := p.Change(func(*Switches) {})
+	assert.DeepEqual(t, now, Switches{Delay: standin.Duration(5 * time.Millisecond), LoseAnswers: 2})
+}
