--- /dev/null
+++ b/internal/tomlcheck/read.go
@@ -0,0 +1,257 @@
+package tomlcheck
+
+import (
+	"errors"
+	"fmt"
+	"sort"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/pelletier/go-toml/v2"
+)
+
+// maxSeconds bounds integer seconds so that they fit a time.Duration.
+const maxSeconds = 1 << 32
+
+// secondsSuffix ends the key of a duration given in integer seconds.
+const secondsSuffix = "_seconds"
+
+// Reader gathers the faults of one file while its tables are read.
+type Reader struct {
+	File string
+	// Schema is the schema that the file declares. Keys of later schemas are
+	// refused.
+	Schema int
+	// IntegerSeconds says that durations are integers under KEY_seconds instead
+	// of strings such as "30s" under KEY.
+	IntegerSeconds bool
+	Faults         Faults
+}
+
+// Parse decodes the file. A syntax error is added to the faults with its line,
+// and ok is false.
+func (r *Reader) Parse(data []byte) (root map[string]any, ok bool) {
+	err := toml.Unmarshal(data, &root)
+	if err == nil {
+		return root, true
+	}
+	var decode *toml.DecodeError
+	if errors.As(err, &decode) {
+		line, column := decode.Position()
+		r.Faults.Add(r.File, "", "", "line %d, column %d: %s", line, column, decode.Error())
+		return nil, false
+	}
+	r.Faults.Add(r.File, "", "", "%s", err)
+	return nil, false
+}
+
+// Tables returns the array of tables under key, adding a fault if it is
+// something else.
+func (r *Reader) Tables(root map[string]any, record, key string) []map[string]any {
+	value, ok := root[key]
+	if !ok {
+		return nil
+	}
+	list, ok := value.([]any)
+	if !ok {
+		r.Faults.Add(r.File, record, key, "must be an array of tables: [[%s]]", key)
+		return nil
+	}
+	tables := make([]map[string]any, 0, len(list))
+	for _, element := range list {
+		table, ok := element.(map[string]any)
+		if !ok {
+			r.Faults.Add(r.File, record, key, "must be an array of tables: [[%s]]", key)
+			continue
+		}
+		tables = append(tables, table)
+	}
+	return tables
+}
+
+// Unknown adds a fault for every key of the table that is not known.
+func (r *Reader) Unknown(record string, table map[string]any, known ...string) {
+	isKnown := map[string]bool{}
+	for _, key := range known {
+		isKnown[key] = true
+	}
+	for _, key := range sortedKeys(table) {
+		if !isKnown[key] {
+			r.Faults.Add(r.File, record, key, "is not a known key")
+		}
+	}
+}
+
+// Read reads one table into a T, starting from the defaults, and checks it.
+func (s *Spec[T]) Read(r *Reader, record string, table map[string]any) T {
+	v := s.Defaults
+	flat := map[string]any{}
+	s.flatten(flat, "", table)
+	faulty := map[string]bool{}
+	for _, field := range s.Fields {
+		key := field.Key
+		at := field.At(&v)
+		_, isDuration := at.(*time.Duration)
+		if isDuration && r.IntegerSeconds {
+			key += secondsSuffix
+		}
+		value, ok := flat[key]
+		if !ok {
+			continue
+		}
+		if field.Since > r.Schema {
+			continue
+		}
+		delete(flat, key)
+		if err := assign(at, value, r.IntegerSeconds); err != nil {
+			faulty[field.Key] = true
+			r.Faults.Add(r.File, record, key, "%s", err)
+		}
+	}
+	r.unknownFields(record, flat, s.laterKeys(r.Schema))
+	s.Check(&r.Faults, r.File, record, &v, faulty)
+	return v
+}
+
+// laterKeys returns the keys that schemas after the given one add.
+func (s *Spec[T]) laterKeys(schema int) map[string]int {
+	later := map[string]int{}
+	for _, field := range s.Fields {
+		if field.Since > schema {
+			later[field.Key] = field.Since
+		}
+	}
+	return later
+}
+
+func (r *Reader) unknownFields(record string, flat map[string]any, later map[string]int) {
+	for _, key := range sortedKeys(flat) {
+		if since, ok := later[key]; ok {
+			r.Faults.Add(r.File, record, key, "needs schema %d, the file has %d", since, r.Schema)
+			continue
+		}
+		r.Faults.Add(r.File, record, key, "is not a known key")
+	}
+}
+
+// flatten turns inner tables into dotted keys, leaving out the children.
+func (s *Spec[T]) flatten(flat map[string]any, prefix string, table map[string]any) {
+	for key, value := range table {
+		full := prefix + key
+		if strings.Contains(key, ".") {
+			full = prefix + strconv.Quote(key)
+		}
+		if s.isChild(full) {
+			continue
+		}
+		if inner, ok := value.(map[string]any); ok && s.isGroup(full) {
+			s.flatten(flat, full+".", inner)
+			continue
+		}
+		flat[full] = value
+	}
+}
+
+// isGroup reports whether a declared key lies below the given one.
+func (s *Spec[T]) isGroup(key string) bool {
+	for _, field := range s.Fields {
+		if strings.HasPrefix(field.Key, key+".") {
+			return true
+		}
+	}
+	return false
+}
+
+func (s *Spec[T]) isChild(key string) bool {
+	for _, child := range s.Children {
+		if child == key {
+			return true
+		}
+	}
+	return false
+}
+
+func sortedKeys(table map[string]any) []string {
+	keys := make([]string, 0, len(table))
+	for key := range table {
+		keys = append(keys, key)
+	}
+	sort.Strings(keys)
+	return keys
+}
+
+// assign stores a decoded TOML value at the pointer.
+func assign(at, value any, integerSeconds bool) error {
+	switch p := at.(type) {
+	case *string:
+		return assignAs(p, value, "a string")
+	case *bool:
+		return assignAs(p, value, "true or false")
+	case *int64:
+		return assignAs(p, value, "an integer")
+	case *int:
+		var n int64
+		err := assignAs(&n, value, "an integer")
+		*p = int(n)
+		return err
+	case *float64:
+		if n, ok := value.(int64); ok {
+			*p = float64(n)
+			return nil
+		}
+		return assignAs(p, value, "a number")
+	case *[]string:
+		return assignStrings(p, value)
+	case *time.Duration:
+		return assignDuration(p, value, integerSeconds)
+	}
+	return fmt.Errorf("has no reader for %T", at)
+}
+
+func assignAs[V any](p *V, value any, want string) error {
+	v, ok := value.(V)
+	if !ok {
+		return fmt.Errorf("must be %s", want)
+	}
+	*p = v
+	return nil
+}
+
+func assignStrings(p *[]string, value any) error {
+	list, ok := value.([]any)
+	if !ok {
+		return errors.New("must be a list of strings")
+	}
+	var out []string
+	for _, element := range list {
+		text, ok := element.(string)
+		if !ok {
+			return errors.New("must be a list of strings")
+		}
+		out = append(out, text)
+	}
+	*p = out
+	return nil
+}
+
+func assignDuration(p *time.Duration, value any, integerSeconds bool) error {
+	if integerSeconds {
+		n, ok := value.(int64)
+		if !ok || n < 0 || n > maxSeconds {
+			return errors.New("must be whole seconds, not below 0")
+		}
+		*p = time.Duration(n) * time.Second
+		return nil
+	}
+	text, ok := value.(string)
+	if !ok {
+		return errors.New(`must be a duration string such as "30s"`)
+	}
+	d, err := time.ParseDuration(strings.TrimSpace(text))
+	if err != nil {
+		return errors.New(`must be a duration string such as "30s"`)
+	}
+	*p = d
+	return nil
+}
--- /dev/null
+++ b/internal/tomlcheck/spec.go
@@ -0,0 +1,247 @@
+package tomlcheck
+
+import (
+	"fmt"
+	"reflect"
+	"strings"
+	"time"
+)
+
+// Field declares one key of a table that is read into a T.
+type Field[T any] struct {
+	// Key is the dotted key inside the table.
+	Key string
+	// At returns a pointer to the value inside T: *string, *bool, *int, *int64,
+	// *float64, *time.Duration or *[]string.
+	At func(*T) any
+	// Required fields must not be zero.
+	Required bool
+	// Min and Max bound a number, or a time.Duration in seconds, when Max is
+	// above Min. The default is always allowed.
+	Min, Max float64
+	// Check returns why a non-empty string, or an element of a list, is wrong.
+	Check func(string) error
+	// Since is the first schema that has the key.
+	Since int
+	// Unit and Doc are for the reference page.
+	Unit, Doc string
+	// DefaultText replaces the default value on the reference page.
+	DefaultText string
+}
+
+// Spec declares a kind of table.
+type Spec[T any] struct {
+	// Name is the key of the table in the file.
+	Name string
+	// Defaults is what a table without any key reads as.
+	Defaults T
+	Fields   []Field[T]
+	// Children are keys that the caller reads by itself.
+	Children []string
+}
+
+// Check adds a fault for every field of v that is missing or out of bounds,
+// except those that passOver names.
+func (s *Spec[T]) Check(faults *Faults, file, record string, v *T, passOver map[string]bool) {
+	for _, field := range s.Fields {
+		if passOver[field.Key] {
+			continue
+		}
+		if reason := s.wrong(field, v); reason != "" {
+			faults.Add(file, record, field.Key, "%s", reason)
+		}
+	}
+}
+
+func (s *Spec[T]) wrong(field Field[T], v *T) string {
+	value := field.value(v)
+	if reflect.ValueOf(value).IsZero() && field.Required {
+		return strings.TrimSpace("must be given " + field.bounds())
+	}
+	if reflect.DeepEqual(value, field.value(&s.Defaults)) {
+		return ""
+	}
+	switch x := value.(type) {
+	case string:
+		return checkStrings(field.Check, x)
+	case []string:
+		return checkStrings(field.Check, x...)
+	case bool:
+		return ""
+	}
+	if n := number(value); field.Max > field.Min && !(n >= field.Min && n <= field.Max) {
+		return fmt.Sprintf("%s is not %s", format(value), field.bounds())
+	}
+	return ""
+}
+
+func checkStrings(check func(string) error, values ...string) string {
+	if check == nil {
+		return ""
+	}
+	for _, value := range values {
+		if err := check(value); err != nil {
+			return err.Error()
+		}
+	}
+	return ""
+}
+
+// value returns the field's value in v.
+func (f Field[T]) value(v *T) any {
+	return reflect.ValueOf(f.At(v)).Elem().Interface()
+}
+
+func (f Field[T]) bounds() string {
+	if f.Max <= f.Min {
+		return ""
+	}
+	var zero T
+	if _, ok := f.At(&zero).(*time.Duration); ok {
+		return fmt.Sprintf("from %s to %s", format(seconds(f.Min)), format(seconds(f.Max)))
+	}
+	return fmt.Sprintf("from %.10g to %.13g", f.Min, f.Max)
+}
+
+func seconds(n float64) time.Duration {
+	return time.Duration(n * float64(time.Second))
+}
+
+func number(value any) float64 {
+	switch x := value.(type) {
+	case int:
+		return float64(x)
+	case int64:
+		return float64(x)
+	case float64:
+		return x
+	case time.Duration:
+		return x.Seconds()
+	}
+	return 0
+}
+
+// format returns the value as it is shown to people.
+func format(value any) string {
+	switch x := value.(type) {
+	case string:
+		return fmt.Sprintf("%q", x)
+	case []string:
+		return fmt.Sprintf("%q", x)
+	case time.Duration:
+		return shortDuration(x)
+	}
+	return fmt.Sprint(value)
+}
+
+// shortDuration drops the zero parts that time.Duration prints: 6h, not 6h0m0s.
+func shortDuration(d time.Duration) string {
+	text := d.String()
+	if strings.HasSuffix(text, "m0s") {
+		text = strings.TrimSuffix(text, "0s")
+	}
+	if strings.HasSuffix(text, "h0m") {
+		text = strings.TrimSuffix(text, "0m")
+	}
+	return text
+}
+
+// Encode returns the table of v with every field that differs from its default.
+func (s *Spec[T]) Encode(v *T) map[string]any {
+	table := map[string]any{}
+	for _, field := range s.Fields {
+		value := field.value(v)
+		if reflect.DeepEqual(value, field.value(&s.Defaults)) {
+			continue
+		}
+		if d, ok := value.(time.Duration); ok {
+			value = shortDuration(d)
+		}
+		put(table, strings.Split(field.Key, "."), value)
+	}
+	return table
+}
+
+func put(table map[string]any, path []string, value any) {
+	if len(path) == 1 {
+		table[path[0]] = value
+		return
+	}
+	inner, ok := table[path[0]].(map[string]any)
+	if !ok {
+		inner = map[string]any{}
+		table[path[0]] = inner
+	}
+	put(inner, path[1:], value)
+}
+
+// Difference is one field whose values differ.
+type Difference struct {
+	Field    string
+	Old, New string
+}
+
+// Diff returns the fields in which a and b differ, in declared order.
+func (s *Spec[T]) Diff(a, b *T) []Difference {
+	var out []Difference
+	for _, field := range s.Fields {
+		x, y := field.value(a), field.value(b)
+		if !reflect.DeepEqual(x, y) {
+			out = append(out, Difference{Field: field.Key, Old: s.show(field, x), New: s.show(field, y)})
+		}
+	}
+	return out
+}
+
+// show leaves out defaults that stand for the absence of a value.
+func (s *Spec[T]) show(field Field[T], value any) string {
+	if field.DefaultText != "" && reflect.DeepEqual(value, field.value(&s.Defaults)) {
+		return "unset"
+	}
+	return format(value)
+}
+
+// Markdown returns the reference table of the fields.
+func (s *Spec[T]) Markdown() string {
+	var b strings.Builder
+	b.WriteString("| Key | Type | Unit | Default | Bounds | Since schema | Meaning |\n")
+	b.WriteString("|---|---|---|---|---|---|---|\n")
+	for _, field := range s.Fields {
+		fmt.Fprintf(&b, "| `%s` | %s | %s | %s | %s | %d | %s |\n", field.Key, s.typeName(field),
+			dash(field.Unit), s.defaultText(field), dash(field.bounds()), max(field.Since, 1), field.Doc)
+	}
+	return b.String()
+}
+
+func dash(text string) string {
+	if text == "" {
+		return "–"
+	}
+	return text
+}
+
+func (s *Spec[T]) defaultText(field Field[T]) string {
+	switch {
+	case field.Required:
+		return "required"
+	case field.DefaultText != "":
+		return field.DefaultText
+	}
+	return "`" + format(field.value(&s.Defaults)) + "`"
+}
+
+func (s *Spec[T]) typeName(field Field[T]) string {
+	switch field.At(&s.Defaults).(type) {
+	case *string:
+		return "string"
+	case *[]string:
+		return "list of strings"
+	case *bool:
+		return "boolean"
+	case *float64:
+		return "number"
+	case *time.Duration:
+		return "duration"
+	}
+	return "integer"
+}
