Choose workers by policy through an index of free capacity

Cause: a choice must fit on every dimension at a cost that doesn't grow with the fleet, and a random sample alone finds nothing when the fleet is nearly full. Ruled out: the search of the request grid alone: the property test found a request for an accelerator that a scan places and the slot grid misses, so the task grids follow it.

--- /dev/null
+++ b/process/placement/index.go
@@ -0,0 +1,249 @@
+package placement
+
+import (
+	"math/rand/v2"
+
+	"github.com/kingcuplatch/kingcuplatch/process/resource"
+)
+
+// maxClass is the class of workers with the most free accelerators told apart.
+const maxClass = 17
+
+// Index is a Fleet kept sorted by free capacity, so that a worker that fits is
+// found at a cost that does not depend on the number of workers. Updates cost the
+// same few steps. An Index is not safe for concurrent use.
+//
+// Each upstream has one grid for requests, by free slots and memory, and for tasks
+// one grid a class of free accelerators, by free processors and memory. The idea of
+// sorting by size into cells found through bit sets is that of two-level segregated
+// fit (Masmano et al., "TLSF: a New Dynamic Memory Allocator for Real-Time Systems",
+// ECRTS 2004).
+type Index struct {
+	workers   []Candidate
+	positions map[string]int
+	// reference is the most that any worker has, by dimension.
+	reference resource.Amount
+	upstreams []*upstreamIndex
+	byName    map[string]*upstreamIndex
+	// tasks and requests link the workers in the grids of either family.
+	tasks, requests []link
+}
+
+// upstreamIndex holds the grids of one upstream's workers.
+type upstreamIndex struct {
+	requests grid
+	// classes are the grids for tasks by class of free accelerators, made when
+	// first used.
+	classes [maxClass + 1]*grid
+}
+
+// NewIndex returns an index of the workers; it keeps a copy.
+func NewIndex(workers []Candidate) *Index {
+	ix := &Index{
+		positions: make(map[string]int, len(workers)),
+		byName:    make(map[string]*upstreamIndex),
+	}
+	for _, c := range workers {
+		ix.reference = ix.reference.Max(c.Capacity)
+	}
+	for _, c := range workers {
+		ix.Add(c)
+	}
+	return ix
+}
+
+// IndexOf returns an index of a copy of the fleet.
+func IndexOf(fleet Fleet) *Index {
+	workers := make([]Candidate, fleet.Len())
+	for i := range workers {
+		workers[i] = fleet.At(i)
+	}
+	return NewIndex(workers)
+}
+
+// Len implements Fleet.
+func (ix *Index) Len() int { return len(ix.workers) }
+
+// At implements Fleet.
+func (ix *Index) At(i int) Candidate { return ix.workers[i] }
+
+// Position returns the index of the worker by name.
+func (ix *Index) Position(worker string) (int, bool) {
+	i, known := ix.positions[worker]
+	return i, known
+}
+
+// Add adds a worker, or replaces the one of the same name, and returns its index.
+func (ix *Index) Add(c Candidate) int {
+	i, known := ix.positions[c.Worker]
+	if known {
+		ix.Set(i, c)
+		return i
+	}
+	i = len(ix.workers)
+	ix.workers = append(ix.workers, c)
+	ix.tasks = append(ix.tasks, link{})
+	ix.requests = append(ix.requests, link{})
+	ix.positions[c.Worker] = i
+	ix.widen(c.Capacity)
+	ix.insert(i)
+	return i
+}
+
+// Set replaces worker i, whose name must stay the same.
+func (ix *Index) Set(i int, c Candidate) {
+	ix.unlink(i)
+	ix.workers[i] = c
+	ix.widen(c.Capacity)
+	ix.insert(i)
+}
+
+// Remove takes worker i out. The last worker takes over its index.
+func (ix *Index) Remove(i int) {
+	last := len(ix.workers) - 1
+	ix.unlink(i)
+	ix.unlink(last)
+	delete(ix.positions, ix.workers[i].Worker)
+	moved := ix.workers[last]
+	ix.workers[last] = Candidate{}
+	ix.workers = ix.workers[:last]
+	ix.tasks = ix.tasks[:last]
+	ix.requests = ix.requests[:last]
+	if i == last {
+		return
+	}
+	ix.workers[i] = moved
+	ix.positions[moved.Worker] = i
+	ix.insert(i)
+}
+
+// Take lowers what worker i has free.
+func (ix *Index) Take(i int, amount resource.Amount) {
+	ix.SetFree(i, ix.workers[i].Free.Sub(amount))
+}
+
+// Give raises what worker i has free.
+func (ix *Index) Give(i int, amount resource.Amount) {
+	ix.SetFree(i, ix.workers[i].Free.Add(amount))
+}
+
+// SetFree replaces what worker i has free.
+func (ix *Index) SetFree(i int, free resource.Amount) {
+	ix.unlink(i)
+	ix.workers[i].Free = free
+	ix.insert(i)
+}
+
+// SetClosed opens or closes worker i for new work.
+func (ix *Index) SetClosed(i int, closed bool) {
+	ix.unlink(i)
+	ix.workers[i].Closed = closed
+	ix.insert(i)
+}
+
+func (ix *Index) unlink(i int) {
+	unlink(ix.tasks, i)
+	unlink(ix.requests, i)
+}
+
+// insert links worker i where its free capacity belongs. Closed workers are in no
+// grid.
+func (ix *Index) insert(i int) {
+	c := &ix.workers[i]
+	if c.Closed {
+		return
+	}
+	u := ix.upstream(c.Upstream)
+	memory := levelOf(c.Free.MemoryMB, ix.reference.MemoryMB)
+	u.class(classOf(c)).insert(ix.tasks, i, levelOf(c.Free.MilliCPU, ix.reference.MilliCPU), memory)
+	u.requests.insert(ix.requests, i, levelOf(c.Free.Slots, ix.reference.Slots), memory)
+}
+
+// widen sorts all workers again when one is larger than any before.
+func (ix *Index) widen(capacity resource.Amount) {
+	if capacity.Fits(ix.reference) {
+		return
+	}
+	ix.reference = ix.reference.Max(capacity)
+	for i := range ix.workers {
+		ix.unlink(i)
+	}
+	for i := range ix.workers {
+		ix.insert(i)
+	}
+}
+
+func (ix *Index) upstream(name string) *upstreamIndex {
+	u := ix.byName[name]
+	if u == nil {
+		u = &upstreamIndex{}
+		ix.byName[name] = u
+		ix.upstreams = append(ix.upstreams, u)
+	}
+	return u
+}
+
+func (u *upstreamIndex) class(n int) *grid {
+	if u.classes[n] == nil {
+		u.classes[n] = &grid{}
+	}
+	return u.classes[n]
+}
+
+// classOf returns 0 for a worker without accelerators, else one more than it has
+// free.
+func classOf(c *Candidate) int {
+	if c.Capacity.Accelerators == 0 {
+		return 0
+	}
+	return int(min(max(c.Free.Accelerators, 0)+1, maxClass))
+}
+
+// choose returns the worker for the ask, none if nothing was found.
+func (ix *Index) choose(ask *Ask, rng *rand.Rand) (int, Reason) {
+	if len(ix.workers) == 0 {
+		return none, Reason{}
+	}
+	best := none
+	if bySample(ask.Policy) {
+		best = ix.sample(ask, rng)
+	}
+	if best == none {
+		best = ix.search(ask)
+	}
+	if best == none {
+		return none, ix.explain(ask, rng)
+	}
+	return best, Reason{Chosen: true, Workers: len(ix.workers)}
+}
+
+// sample compares workers drawn at random, without copying them.
+func (ix *Index) sample(ask *Ask, rng *rand.Rand) int {
+	best, bestScore := none, score{}
+	for range sampleSize {
+		i := rng.IntN(len(ix.workers))
+		c := &ix.workers[i]
+		if !ask.takes(c) {
+			continue
+		}
+		if s := scoreOf(ask, c); best == none || s.less(bestScore) {
+			best, bestScore = i, s
+		}
+	}
+	return best
+}
+
+// explain counts why workers don't do, over a sample of a large fleet.
+func (ix *Index) explain(ask *Ask, rng *rand.Rand) Reason {
+	reason := Reason{Workers: len(ix.workers)}
+	if len(ix.workers) <= sampleSize {
+		for i := range ix.workers {
+			reason.count(ask, &ix.workers[i])
+		}
+		return reason
+	}
+	for range sampleSize {
+		reason.count(ask, &ix.workers[rng.IntN(len(ix.workers))])
+	}
+	return reason
+}
