--- /dev/null
+++ b/request/retry/backoff.go
@@ -0,0 +1,27 @@
+package retry
+
+import (
+	"math/rand/v2"
+	"time"
+)
+
+const (
+	// firstBackoff bounds the wait before the first retry.
+	firstBackoff = 50 * time.Millisecond
+	// maxBackoff bounds every wait.
+	maxBackoff = 5 * time.Second
+	// maxDoublings keeps the bound from overflowing.
+	maxDoublings = 10
+)
+
+// Backoff returns how long to wait before the retry that follows the given attempt,
+// counted from 1. It is false when the wait and then the expected run time would
+// reach past the deadline; a zero deadline never does.
+func Backoff(attempt int, runTime time.Duration, deadline, now time.Time, rng *rand.Rand) (time.Duration, bool) {
+	bound := min(firstBackoff<<min(max(attempt-1, 0), maxDoublings), maxBackoff)
+	wait := time.Duration(rng.Int64N(int64(bound)))
+	if !deadline.IsZero() && now.Add(wait+runTime).After(deadline) {
+		return 0, false
+	}
+	return wait, true
+}
