--- a/cmd/kingcuplatch/main.go
+++ b/cmd/kingcuplatch/main.go
@@ -2,12 +2,15 @@
 package main
 
 import (
-	"fmt"
-	_ "net"
+	"context"
 	"os"
+	"os/signal"
+
+	"github.com/kingcuplatch/kingcuplatch/internal/cli"
 )
 
 func main() {
-	fmt.Fprintln(os.Stderr, "kingcuplatch: not built yet")
-	os.Exit(1)
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt)
+	defer stop()
+	os.Exit(cli.Main(ctx, os.Args[1:], os.Stdin, os.Stdout, os.Stderr))
 }
--- /dev/null
+++ b/internal/cli/client.go
@@ -0,0 +1,114 @@
+package cli
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptrace"
+	"strings"
+
+	"github.com/kingcuplatch/kingcuplatch/conn/api"
+)
+
+// errLost says that a call was sent and its answer lost.
+var errLost = errors.New("the answer was lost; the outcome is unknown")
+
+// unreachableError says that no URL could be reached; nothing was sent.
+type unreachableError struct{ cause error }
+
+// Error implements error.
+func (e *unreachableError) Error() string { return "no entry could be reached: " + e.cause.Error() }
+
+// Unwrap returns the last cause.
+func (e *unreachableError) Unwrap() error { return e.cause }
+
+// call is one call to a door.
+type call struct {
+	method, path string
+	header       http.Header
+	body         []byte
+}
+
+// do sends the call to the first URL of a comma list that can be reached. It goes
+// to the next one only if nothing was sent. Errors: *api.Error, *unreachableError,
+// errLost.
+func (a *app) do(ctx context.Context, urls string, c call) (*http.Response, []byte, error) {
+	if urls == "" {
+		return nil, nil, &usageError{"-entries or -operators is missing"}
+	}
+	key, err := a.secret()
+	if err != nil {
+		return nil, nil, err
+	}
+	var last error
+	for base := range strings.SplitSeq(urls, ",") {
+		response, body, sent, err := send(ctx, strings.TrimSuffix(base, "/"), key, c)
+		if err == nil {
+			return response, body, answerError(response, body)
+		}
+		if sent {
+			return nil, nil, fmt.Errorf("%s %s at %s: %w: %w", c.method, c.path, base, errLost, err)
+		}
+		last = err
+	}
+	return nil, nil, &unreachableError{last}
+}
+
+func send(ctx context.Context, base, key string, c call) (response *http.Response, body []byte, sent bool, err error) {
+	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { sent = true }}
+	ctx = httptrace.WithClientTrace(ctx, trace)
+	request, err := http.NewRequestWithContext(ctx, c.method, base+c.path, bytes.NewReader(c.body))
+	if err != nil {
+		return nil, nil, false, err
+	}
+	request.GetBody = nil
+	for name, values := range c.header {
+		request.Header[name] = values
+	}
+	request.Header.Set("Authorization", "Bearer "+key)
+	response, err = http.DefaultClient.Do(request)
+	if err != nil {
+		return nil, nil, sent, err
+	}
+	defer response.Body.Close()
+	body, err = io.ReadAll(response.Body)
+	return response, body, true, err
+}
+
+// answerError returns the api.Error of an answer that isn't a success.
+func answerError(response *http.Response, body []byte) error {
+	if response.StatusCode < 300 {
+		return nil
+	}
+	var refused api.Error
+	if json.Unmarshal(body, &refused) == nil && refused.Code != "" {
+		return &refused
+	}
+	return fmt.Errorf("%s: %w", response.Status, errLost)
+}
+
+// get reads JSON from a door into v.
+func (a *app) get(ctx context.Context, urls, path string, v any) error {
+	return a.exchange(ctx, urls, http.MethodGet, path, nil, v)
+}
+
+// exchange sends in as JSON and decodes the answer into out.
+func (a *app) exchange(ctx context.Context, urls, method, path string, in, out any) error {
+	var body []byte
+	if in != nil {
+		data, err := json.Marshal(in)
+		if err != nil {
+			return err
+		}
+		body = data
+	}
+	_, answer, err := a.do(ctx, urls, call{method: method, path: path, body: body})
+	if err != nil {
+		return err
+	}
+	return json.Unmarshal(answer, out)
+}
