Add the worker's HTTP adapter and its stand-in

Cause: entries need workers to hand work to, and the promises about whole answers, at most once and capacity need a record apart from the scheduler.

Change: conn/worker/httpworker keeps each connection in a lane of its own transport, so that the number of open connections is bounded, a fresh call can drop a connection not heard from lately, and whether bytes were written is known exactly. An answer is taken only with its id, length and digest. internal/standin/workerstandin runs tasks under leases, fences epochs, and records all that it was handed, also what it refused.

Ruled out: one net/http transport for all connections, which can't choose a connection by when it was last heard from; a deadline in the silent-connection test, which would judge by the clock: the caller now leaves once the request was written.

--- /dev/null
+++ b/conn/worker/httpworker/client_test.go
@@ -0,0 +1,169 @@
+package httpworker_test
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/kingcuplatch/kingcuplatch/conn/worker"
+	"github.com/kingcuplatch/kingcuplatch/conn/worker/httpworker"
+	"github.com/kingcuplatch/kingcuplatch/internal/standin/workerstandin"
+	"github.com/kingcuplatch/kingcuplatch/process/resource"
+)
+
+// serve starts a worker on loopback and returns it with its address.
+func serve(t *testing.T, slots int64) (*workerstandin.Worker, string) {
+	t.Helper()
+	w := workerstandin.New(workerstandin.Config{Name: "w1", Capacity: resource.Amount{Slots: slots}})
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = l.Close() })
+	go func() { _ = w.Serve(l) }()
+	return w, l.Addr().String()
+}
+
+func newClient(t *testing.T, address string, connections int, fresh time.Duration) *httpworker.Client {
+	t.Helper()
+	c := httpworker.New(httpworker.Options{Address: address, MaxConnections: connections, FreshWithin: fresh})
+	t.Cleanup(c.Close)
+	return c
+}
+
+func begins(w *workerstandin.Worker, id string) int {
+	found := 0
+	for _, e := range w.Record().Events {
+		if e.Kind == workerstandin.EventRequestBegin && e.ID == id {
+			found++
+		}
+	}
+	return found
+}
+
+func TestSilentConnectionHarmsOneCall(t *testing.T) {
+	w, address := serve(t, 1)
+	c := newClient(t, address, 2, time.Hour)
+	_, err := c.Do(t.Context(), worker.Request{ID: "before"}, false)
+	assert.NilError(t, err)
+	w.Change(func(s *workerstandin.Switches) { s.Silence = true })
+	ctx, cancel := context.WithCancel(t.Context())
+	leave := httptrace.ClientTrace{WroteRequest: func(httptrace.WroteRequestInfo) { cancel() }}
+	_, err = c.Do(httptrace.WithClientTrace(ctx, &leave), worker.Request{ID: "silent"}, true)
+	assert.ErrorIs(t, err, worker.ErrUnknown)
+	assert.ErrorContains(t, err, "request peer "+address)
+	_, err = c.Do(t.Context(), worker.Request{ID: "after"}, false)
+	assert.NilError(t, err)
+	assert.Equal(t, begins(w, "silent"), 0)
+}
+
+func TestFreshCallAvoidsConnectionNotHeardFrom(t *testing.T) {
+	w, address := serve(t, 1)
+	c := newClient(t, address, 2, time.Nanosecond)
+	for range 3 {
+		_, err := c.Do(t.Context(), worker.Request{ID: "old"}, false)
+		assert.NilError(t, err)
+	}
+	assert.Equal(t, w.Record().PeakConnections, 1, "a call that need not be fresh reuses the connection")
+	w.Change(func(s *workerstandin.Switches) { s.Silence = true })
+	_, err := c.Do(t.Context(), worker.Request{ID: "fresh"}, true)
+	assert.NilError(t, err)
+}
+
+func TestNothingIsSentTwice(t *testing.T) {
+	w, address := serve(t, 1)
+	c := newClient(t, address, 2, time.Hour)
+	for i := range 20 {
+		for _, body := range []string{"", "text"} {
+			id := fmt.Sprintf("r-%d-%s", i, body)
+			_, err := c.Do(t.Context(), worker.Request{ID: id + "-warm"}, false)
+			assert.NilError(t, err)
+			w.Change(func(s *workerstandin.Switches) { s.DieAfterRead = 1 })
+			_, err = c.Do(t.Context(), worker.Request{ID: id, Body: []byte(body)}, false)
+			assert.ErrorIs(t, err, worker.ErrUnknown)
+			assert.Equal(t, begins(w, id), 1)
+			for w.Record().Held.Requests > 0 {
+				assert.NilError(t, t.Context().Err())
+			}
+		}
+	}
+}
+
+func TestNotSent(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	assert.NilError(t, l.Close())
+	c := newClient(t, l.Addr().String(), 2, 0)
+	_, err = c.Do(t.Context(), worker.Request{ID: "refused"}, true)
+	assert.ErrorIs(t, err, worker.ErrNotSent)
+	_, err = c.Adopt(t.Context(), 1)
+	assert.ErrorIs(t, err, worker.ErrNotSent)
+
+	w, address := serve(t, 1)
+	c = newClient(t, address, 2, 0)
+	_, err = c.Do(t.Context(), worker.Request{ID: "line\nbreak"}, false)
+	assert.ErrorIs(t, err, worker.ErrNotSent)
+	c.Close()
+	_, err = c.Do(t.Context(), worker.Request{ID: "closed"}, false)
+	assert.ErrorIs(t, err, worker.ErrNotSent)
+	assert.Equal(t, len(w.Record().Events), 0)
+}
+
+func TestConnectionsAreBounded(t *testing.T) {
+	w, address := serve(t, 100)
+	c := newClient(t, address, 4, time.Hour)
+	var calls sync.WaitGroup
+	for i := range 30 {
+		calls.Go(func() {
+			r := worker.Request{ID: fmt.Sprint(i), Body: []byte(`{"work_ms":5}`)}
+			got, err := c.Do(t.Context(), r, i%2 == 0)
+			assert.Check(t, err)
+			assert.Check(t, got.ID == r.ID && got.Worker == "w1")
+			_, err = c.Adopt(t.Context(), 0)
+			assert.Check(t, err)
+		})
+	}
+	calls.Wait()
+	record := w.Record()
+	assert.Assert(t, record.PeakConnections <= 4, "%d", record.PeakConnections)
+	assert.Assert(t, record.Peak.Slots <= 3, "%d", record.Peak.Slots)
+}
+
+// TestAnswersThatAreNotTaken holds the client to its checks one by one.
+func TestAnswersThatAreNotTaken(t *testing.T) {
+	body := []byte("whole")
+	cases := map[string]func(http.Header){
+		"no id":        func(h http.Header) { h.Del(httpworker.HeaderID) },
+		"other digest": func(h http.Header) { h.Set(httpworker.HeaderDigest, httpworker.Digest(nil)) },
+		"no digest":    func(h http.Header) { h.Del(httpworker.HeaderDigest) },
+		"no length":    func(h http.Header) { h.Set("Transfer-Encoding", "chunked"); h.Del("Content-Length") },
+		"too long":     func(h http.Header) { h.Set("Content-Length", "1000") },
+		"no refusal":   func(h http.Header) { h.Set(httpworker.HeaderRefused, "broken") },
+	}
+	for name, spoil := range cases {
+		t.Run(name, func(t *testing.T) {
+			l, err := net.Listen("tcp", "127.0.0.1:0")
+			assert.NilError(t, err)
+			server := http.Server{Handler: http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) {
+				header := rw.Header()
+				header.Set(httpworker.HeaderID, r.Header.Get(httpworker.HeaderID))
+				header.Set(httpworker.HeaderDigest, httpworker.Digest(body))
+				header.Set("Content-Length", fmt.Sprint(len(body)))
+				spoil(header)
+				_, _ = rw.Write(body)
+			})}
+			go func() { _ = server.Serve(l) }()
+			defer server.Close()
+			c := httpworker.New(httpworker.Options{Address: l.Addr().String(), MaxConnections: 2, MaxAnswerBytes: 100})
+			defer c.Close()
+			got, err := c.Do(t.Context(), worker.Request{ID: "r"}, false)
+			assert.ErrorIs(t, err, worker.ErrUnknown)
+			assert.Assert(t, got.Body == nil)
+		})
+	}
+}
--- /dev/null
+++ b/conn/worker/httpworker/send.go
@@ -0,0 +1,121 @@
+package httpworker
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/kingcuplatch/kingcuplatch/conn/worker"
+)
+
+// call is one request as it goes onto a connection.
+type call struct {
+	step   string
+	path   string
+	header http.Header
+	body   []byte
+	fresh  bool
+}
+
+// answer is a whole and checked answer.
+type answer struct {
+	status int
+	header http.Header
+	body   []byte
+}
+
+// Reasons for which an answer is not taken.
+var (
+	errWrongID = errors.New("answer has the id of another request")
+	errLength  = errors.New("answer states no length or one above the bound")
+	errDigest  = errors.New("answer's body doesn't match its digest")
+)
+
+// send makes one call on a connection of p and returns its whole answer.
+func (c *Client) send(ctx context.Context, p *pool, sent call) (answer, error) {
+	l, err := p.acquire(ctx)
+	if err != nil {
+		return answer{}, c.fail(worker.ErrNotSent, sent.step, err)
+	}
+	defer p.release(l)
+
+	var since time.Time
+	if sent.fresh {
+		since = time.Now().Add(-c.options.FreshWithin)
+	}
+	l.begin(since)
+	got, err := c.exchange(ctx, l, sent)
+	if err != nil {
+		return answer{}, c.failed(l, sent.step, err)
+	}
+	if got.header.Get(HeaderRefused) != "" {
+		return answer{}, c.refused(sent.step, got)
+	}
+	return got, nil
+}
+
+// failed condemns the connection and tells whether the call may have been read.
+func (c *Client) failed(l *lane, step string, cause error) error {
+	if wrote := l.drop(); wrote {
+		return c.fail(worker.ErrUnknown, step, cause)
+	}
+	return c.fail(worker.ErrNotSent, step, cause)
+}
+
+// refused decodes a refusal.
+func (c *Client) refused(step string, got answer) error {
+	var refusal Refusal
+	if err := json.Unmarshal(got.body, &refusal); err != nil {
+		return c.fail(worker.ErrUnknown, step, err)
+	}
+	refused := &worker.RefusedError{
+		Code:    refusal.Code,
+		Epoch:   refusal.Epoch,
+		Message: refusal.Message,
+	}
+	return eris.Wrapf(refused, "%s peer %s", step, c.options.Address)
+}
+
+// exchange sends the call and reads and checks its answer.
+func (c *Client) exchange(ctx context.Context, l *lane, sent call) (answer, error) {
+	target := "http://" + c.options.Address + sent.path
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, target, nil)
+	if err != nil {
+		return answer{}, err
+	}
+	request.Header = sent.header
+	if len(sent.body) > 0 {
+		request.Body = io.NopCloser(bytes.NewReader(sent.body))
+		request.ContentLength = int64(len(sent.body))
+	}
+	response, err := l.transport.RoundTrip(request)
+	if err != nil {
+		return answer{}, err
+	}
+	defer response.Body.Close()
+	return c.readAnswer(response, sent.header.Get(HeaderID))
+}
+
+// readAnswer reads the body and checks it against id, length and digest.
+func (c *Client) readAnswer(response *http.Response, id string) (answer, error) {
+	if response.Header.Get(HeaderID) != id {
+		return answer{}, errWrongID
+	}
+	if response.ContentLength < 0 || response.ContentLength > c.options.MaxAnswerBytes {
+		return answer{}, errLength
+	}
+	body, err := io.ReadAll(response.Body)
+	if err != nil {
+		return answer{}, err
+	}
+	if response.Header.Get(HeaderDigest) != Digest(body) {
+		return answer{}, errDigest
+	}
+	return answer{status: response.StatusCode, header: response.Header, body: body}, nil
+}
--- /dev/null
+++ b/internal/standin/workerstandin/handler.go
@@ -0,0 +1,161 @@
+package workerstandin
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/http"
+	"strconv"
+
+	"github.com/kingcuplatch/kingcuplatch/conn/worker"
+	"github.com/kingcuplatch/kingcuplatch/conn/worker/httpworker"
+	"github.com/kingcuplatch/kingcuplatch/internal/standin"
+)
+
+// PathRecord answers GET with the Record.
+const PathRecord = "/standin/record"
+
+// Handler serves the protocol of package httpworker. Serve it through Serve, so
+// that connections are counted and can go silent.
+func (w *Worker) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST "+httpworker.PathRequests, w.serveRequest)
+	for _, path := range []string{
+		httpworker.PathAdopt,
+		httpworker.PathStart,
+		httpworker.PathRenew,
+		httpworker.PathStop,
+		httpworker.PathCheckpoint,
+		httpworker.PathThrottle,
+		httpworker.PathForget,
+	} {
+		mux.HandleFunc("POST "+path, w.serveControl)
+	}
+	return mux
+}
+
+// StandinHandler serves the record and the switches. It belongs on a listener
+// of its own, which stays reachable when the worker is not.
+func (w *Worker) StandinHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET "+PathRecord, func(rw http.ResponseWriter, _ *http.Request) {
+		standin.WriteJSON(rw, http.StatusOK, w.Record())
+	})
+	standin.HandleSwitches(mux, w.Change)
+	return mux
+}
+
+func (w *Worker) serveRequest(rw http.ResponseWriter, r *http.Request) {
+	epoch, err := strconv.ParseUint(r.Header.Get(httpworker.HeaderEpoch), 10, 64)
+	if err != nil {
+		w.refuse(rw, r, &worker.RefusedError{Code: worker.RefusedInvalid, Message: "epoch"})
+		return
+	}
+	body, err := standin.ReadBody(rw, r)
+	if err != nil {
+		panic(http.ErrAbortHandler) // the request isn't whole
+	}
+	got, err := w.do(worker.Request{
+		ID:    r.Header.Get(httpworker.HeaderID),
+		Epoch: epoch,
+		Team:  r.Header.Get(httpworker.HeaderTeam),
+		Kind:  r.Header.Get(httpworker.HeaderKind),
+		Body:  body,
+	})
+	if err != nil {
+		w.refuse(rw, r, err)
+		return
+	}
+	w.send(rw, got)
+}
+
+func (w *Worker) serveControl(rw http.ResponseWriter, r *http.Request) {
+	var body httpworker.Control
+	if err := standin.ReadJSON(rw, r, &body); err != nil {
+		w.refuse(rw, r, &worker.RefusedError{Code: worker.RefusedInvalid, Message: err.Error()})
+		return
+	}
+	answer, lost, err := w.control(r.URL.Path, body)
+	if lost {
+		panic(http.ErrAbortHandler)
+	}
+	if err != nil {
+		w.refuse(rw, r, err)
+		return
+	}
+	w.sendJSON(rw, r, http.StatusOK, answer)
+}
+
+// refuse answers with a refusal.
+func (w *Worker) refuse(rw http.ResponseWriter, r *http.Request, err error) {
+	var refused *worker.RefusedError
+	if !errors.As(err, &refused) {
+		panic(err)
+	}
+	status := http.StatusConflict
+	if refused.Code == worker.RefusedCapacity || refused.Code == worker.RefusedBroken {
+		status = http.StatusServiceUnavailable
+	}
+	rw.Header().Set(httpworker.HeaderRefused, refused.Code)
+	w.sendJSON(rw, r, status, httpworker.Refusal{
+		Code:    refused.Code,
+		Epoch:   refused.Epoch,
+		Message: refused.Message,
+	})
+}
+
+func (w *Worker) sendJSON(rw http.ResponseWriter, r *http.Request, status int, value any) {
+	body, err := json.Marshal(value)
+	if err != nil {
+		panic(err) // the messages of the protocol can always be encoded
+	}
+	w.send(rw, reply{response: worker.Response{
+		ID:     r.Header.Get(httpworker.HeaderID),
+		Worker: w.config.Name,
+		Status: status,
+		Body:   body,
+	}})
+}
+
+// send writes an answer, or what its fault leaves of it.
+func (w *Worker) send(rw http.ResponseWriter, got reply) {
+	response := got.response
+	body := response.Body
+	header := rw.Header()
+	header.Set(httpworker.HeaderID, response.ID)
+	header.Set(httpworker.HeaderWorker, response.Worker)
+	header.Set(httpworker.HeaderDigest, httpworker.Digest(body))
+	header.Set("Content-Length", strconv.Itoa(len(body)))
+	switch got.fault {
+	case faultCut:
+		panic(http.ErrAbortHandler)
+	case faultTruncate:
+		rw.WriteHeader(response.Status)
+		_, _ = rw.Write(body[:len(body)/2])
+		_ = http.NewResponseController(rw).Flush()
+		panic(http.ErrAbortHandler)
+	case faultWrongID:
+		header.Set(httpworker.HeaderID, response.ID+"-other")
+	case faultDuplicate:
+		sendTwice(rw, response)
+		return
+	}
+	rw.WriteHeader(response.Status)
+	_, _ = rw.Write(body)
+}
+
+// sendTwice writes the same answer two times and ends the connection.
+func sendTwice(rw http.ResponseWriter, response worker.Response) {
+	conn, buffer, err := http.NewResponseController(rw).Hijack()
+	if err != nil {
+		panic(err)
+	}
+	defer conn.Close()
+	for range 2 {
+		fmt.Fprintf(buffer, "HTTP/1.1 %d %s\r\n", response.Status, http.StatusText(response.Status))
+		_ = rw.Header().Write(buffer)
+		fmt.Fprint(buffer, "\r\n")
+		_, _ = buffer.Write(response.Body)
+	}
+	_ = buffer.Flush()
+}
