Measure service-level burn

Cause: users see outcomes through waiting time and answered work per team. A request that was surely not run goes to another worker without the retry budget; the replicator bounds one call. Conclusion: to be wired to the doors.

--- /dev/null
+++ b/process/burn/report.go
@@ -0,0 +1,115 @@
+package burn
+
+import (
+	"slices"
+	"time"
+)
+
+// Part is what one entry answered, or that it didn't.
+type Part struct {
+	Entry   string   `json:"entry"`
+	Missing string   `json:"missing,omitempty"`
+	Series  []Series `json:"series,omitempty"`
+}
+
+// Alert is a rule of two windows, given by their place in Windows.
+type Alert struct {
+	Name        string
+	Long, Short int
+	Threshold   float64
+}
+
+// Alerts are the customary rules for a budget of 30 days: 2% of it in an hour, 5%
+// in six hours.
+var Alerts = []Alert{
+	{Name: "page", Long: 2, Short: 0, Threshold: 14.4},
+	{Name: "ticket", Long: 3, Short: 1, Threshold: 6},
+}
+
+// Line is the report on one objective over all entries that answered.
+type Line struct {
+	Objective
+	// Rates are the burn rates over Windows.
+	Rates []float64 `json:"rates"`
+	Total int64     `json:"total"`
+	Bad   int64     `json:"bad"`
+	// BudgetLeft is the unused fraction of the budget of the longest window; it
+	// is negative when more was used.
+	BudgetLeft float64 `json:"budget_left"`
+	// Alert names the first alert that both its windows are above.
+	Alert   string    `json:"alert,omitempty"`
+	History []float64 `json:"history"`
+}
+
+// Report is the report on all objectives.
+type Report struct {
+	At      time.Time `json:"at"`
+	Entries []string  `json:"entries"`
+	// Missing names entries that gave no numbers; they count as unknown and not
+	// as zero.
+	Missing []string `json:"missing,omitempty"`
+	Lines   []Line   `json:"lines"`
+}
+
+// Merge makes the report of the parts of all entries.
+func Merge(at time.Time, parts []Part) Report {
+	report := Report{At: at}
+	sums := make(map[Objective]*Series)
+	var order []Objective
+	for _, part := range parts {
+		if part.Missing != "" {
+			report.Missing = append(report.Missing, part.Entry+": "+part.Missing)
+			continue
+		}
+		report.Entries = append(report.Entries, part.Entry)
+		for _, s := range part.Series {
+			sum := sums[s.Objective]
+			if sum == nil {
+				sum = emptySeries(s.Objective)
+				sums[s.Objective] = sum
+				order = append(order, s.Objective)
+			}
+			addCounts(sum.Windows, s.Windows)
+			addCounts(sum.History, s.History)
+		}
+	}
+	slices.SortFunc(order, compareObjectives)
+	for _, o := range order {
+		report.Lines = append(report.Lines, lineOf(sums[o]))
+	}
+	return report
+}
+
+func emptySeries(o Objective) *Series {
+	return &Series{Objective: o, Windows: make([]Count, len(Windows)), History: make([]Count, HistoryPoints)}
+}
+
+func addCounts(sum, more []Count) {
+	for i := range min(len(sum), len(more)) {
+		sum[i] = sum[i].Add(more[i])
+	}
+}
+
+func lineOf(s *Series) Line {
+	line := Line{Objective: s.Objective}
+	for _, count := range s.Windows {
+		line.Rates = append(line.Rates, count.Rate(s.Target))
+	}
+	for _, count := range s.History {
+		line.History = append(line.History, count.Rate(s.Target))
+	}
+	longest := s.Windows[len(s.Windows)-1]
+	line.Total, line.Bad = longest.Total, longest.Bad
+	line.BudgetLeft = 1 - longest.Rate(s.Target)
+	line.Alert = firstAlert(line.Rates)
+	return line
+}
+
+func firstAlert(rates []float64) string {
+	for _, alert := range Alerts {
+		if rates[alert.Long] > alert.Threshold && rates[alert.Short] > alert.Threshold {
+			return alert.Name
+		}
+	}
+	return ""
+}
--- a/process/dispatch/dispatch.go
+++ b/process/dispatch/dispatch.go
@@ -20,8 +20,16 @@
 	"github.com/kingcuplatch/kingcuplatch/version"
 )
 
-// maxAttempts bounds how often one request is handed over.
-const maxAttempts = 3
+// Bounds of one request.
+const (
+	// maxAttempts bounds how often an idempotent request is handed over after an
+	// outcome that isn't known.
+	maxAttempts = 3
+	// maxRefusals bounds how often a request is taken to another worker or peer
+	// after one said that it was not run. Refusals cost the upstream nothing, so
+	// the retry budget isn't asked.
+	maxRefusals = 8
+)
 
 // Place is room for one request, assumed until Release.
 type Place interface {
@@ -130,13 +138,13 @@
 
 // repeats decides whether an attempt is followed by another one.
 func (d *Dispatcher) repeats(o attempt.Outcome, kind *version.Kind, r *attempt.Request, n int, sentTo string) bool {
-	if o.Err == nil || sentTo == "" || n >= maxAttempts {
+	if o.Err == nil || sentTo == "" || !time.Now().Before(r.Deadline) {
 		return false
 	}
-	if !attempt.MayRepeat(kind, o) || !time.Now().Before(r.Deadline) {
-		return false
+	if o.WasNotRun() {
+		return n <= maxRefusals
 	}
-	return d.budget.MayRetry(r.Team)
+	return attempt.MayRepeat(kind, o) && n < maxAttempts && d.budget.MayRetry(r.Team)
 }
 
 // once waits for a place and makes one attempt. sentTo is empty if the request
--- a/request/dedupe/replicate.go
+++ b/request/dedupe/replicate.go
@@ -3,8 +3,12 @@
 import (
 	"context"
 	"sync"
+	"time"
 )
 
+// replicateFor bounds one call to the guards.
+const replicateFor = 3 * time.Second
+
 // Replicator sends ids to the guards, many in one call: while a call is in
 // progress, further ids gather for the next one.
 type Replicator struct {
@@ -65,7 +69,9 @@
 			return
 		}
 		r.mu.Unlock()
-		b.err = r.send(context.Background(), b.keys)
+		ctx, cancel := context.WithTimeout(context.Background(), replicateFor)
+		b.err = r.send(ctx, b.keys)
+		cancel()
 		close(b.done)
 	}
 }
