Report burn from all entries

Cause: the recorder's counts need a way out. Change: GET /v1/burn and 'kingcuplatch report burn' as text, JSON or one HTML page; an entry that gives no numbers is named as missing.

--- a/conn/operators/operators.go
+++ b/conn/operators/operators.go
@@ -18,6 +18,7 @@
 	"time"
 
 	"github.com/kingcuplatch/kingcuplatch/conn/api"
+	"github.com/kingcuplatch/kingcuplatch/process/burn"
 	"github.com/kingcuplatch/kingcuplatch/version"
 	"github.com/kingcuplatch/kingcuplatch/version/records"
 )
@@ -51,6 +52,7 @@
 	Workers() []api.WorkerView
 	Teams() []api.TeamView
 	Jobs(ctx context.Context, team string) ([]api.JobView, error)
+	Burn() burn.Part
 	// Confirm waits until the entries have the version in force, or ctx ends.
 	Confirm(ctx context.Context, number uint64) (confirmed, unconfirmed []string)
 	// Drain lets no new work go to the worker, or allows it again.
@@ -82,6 +84,7 @@
 	mux.HandleFunc("GET /v1/workers", d.checked(d.workers))
 	mux.HandleFunc("GET /v1/teams", d.checked(d.teams))
 	mux.HandleFunc("GET /v1/teams/{team}/jobs", d.checked(d.jobs))
+	mux.HandleFunc("GET /v1/burn", d.checked(d.burn))
 	mux.HandleFunc("/", func(w http.ResponseWriter, r *http.Request) {
 		api.WriteError(w, refused(api.CodeNotFound, "", "no such path: "+r.URL.Path))
 	})
@@ -191,6 +194,8 @@
 
 func (d *door) teams(*http.Request) (any, error) { return d.Views.Teams(), nil }
 
+func (d *door) burn(*http.Request) (any, error) { return d.Views.Burn(), nil }
+
 func (d *door) jobs(r *http.Request) (any, error) {
 	return d.Views.Jobs(r.Context(), r.PathValue("team"))
 }
--- a/internal/cli/report.go
+++ b/internal/cli/report.go
@@ -2,15 +2,64 @@
 
 import (
 	"context"
+	"io"
+	"net/http"
 	"os"
+	"strings"
+	"time"
 
 	"github.com/peterbourgon/ff/v3/ffcli"
+
+	"github.com/kingcuplatch/kingcuplatch/process/burn"
 )
 
+// reportEntryFor bounds the wait for one entry.
+const reportEntryFor = 5 * time.Second
+
 func (a *app) reportCommand() *ffcli.Command {
-	return a.command("report", "burn", "Report on service levels.", a.flags("report"), func(context.Context, []string) error {
-		return &usageError{"reports aren't available in this version"}
-	})
+	set := a.flags("report")
+	page := set.String("html", "", "write the report as one HTML page to this file")
+	return a.command("report", "[-html FILE] burn", "Report how fast teams use up their error budgets.", set,
+		func(ctx context.Context, args []string) error {
+			what, err := one(args, "burn")
+			if err != nil {
+				return err
+			}
+			if what != "burn" {
+				return &usageError{"there is no report " + what}
+			}
+			report := burn.Merge(time.Now(), a.burnParts(ctx))
+			if *page != "" {
+				return writePage(*page, report)
+			}
+			return a.print(report, func(w io.Writer) { _ = report.WriteText(w) })
+		})
+}
+
+// burnParts asks every entry named in -operators.
+func (a *app) burnParts(ctx context.Context) []burn.Part {
+	var parts []burn.Part
+	for base := range strings.SplitSeq(a.operators, ",") {
+		ctx, cancel := context.WithTimeout(ctx, reportEntryFor)
+		var part burn.Part
+		if err := a.exchange(ctx, base, http.MethodGet, "/v1/burn", nil, &part); err != nil {
+			part = burn.Part{Entry: base, Missing: err.Error()}
+		}
+		cancel()
+		parts = append(parts, part)
+	}
+	return parts
+}
+
+func writePage(path string, report burn.Report) error {
+	file, err := os.Create(path)
+	if err != nil {
+		return &usageError{err.Error()}
+	}
+	if err := report.WriteHTML(file); err != nil {
+		return err
+	}
+	return file.Close()
 }
 
 func (a *app) trialCommand() *ffcli.Command {
