Add testscript commands for separate processes

Cause: the proofs run the parts of a cluster as processes of their own, which scripts must start, freeze, kill and ask.

The worker's adapter gets a test that holds every outcome against the worker's record, with faults at random.

Ruled out: testscript's own background commands, which take no signal but interrupt and kill.

--- a/conn/worker/httpworker/client_test.go
+++ b/conn/worker/httpworker/client_test.go
@@ -2,10 +2,13 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/http/httptrace"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -167,3 +170,62 @@
 		})
 	}
 }
+
+// TestOutcomesAreTrueUnderFaults makes calls under all faults at once, some of
+// which leave early, and holds every outcome against the worker's record.
+func TestOutcomesAreTrueUnderFaults(t *testing.T) {
+	w, address := serve(t, 8)
+	c := newClient(t, address, 5, time.Millisecond)
+	random := rand.New(rand.NewPCG(1, 1))
+	const calls = 600
+	outcomes := make([]error, calls)
+	var running sync.WaitGroup
+	for i := range calls {
+		patience := time.Duration(random.IntN(20_000)) * time.Microsecond
+		fault := random.IntN(8)
+		running.Go(func() {
+			ctx, cancel := context.WithTimeout(t.Context(), patience)
+			defer cancel()
+			w.Change(func(s *workerstandin.Switches) {
+				s.Unreachable = fault == 6
+				s.Silence = fault == 5
+				counts := []*int{&s.LoseAnswers, &s.DieAfterRead, &s.Truncate, &s.WrongID, &s.Duplicate}
+				if fault < len(counts) {
+					*counts[fault] = 1
+				}
+			})
+			r := worker.Request{ID: fmt.Sprintf("id-%d", i), Body: []byte(`{"work_ms":1}`)}
+			got, err := c.Do(ctx, r, i%2 == 0)
+			outcomes[i] = err
+			if err == nil {
+				assert.Check(t, strings.Contains(string(got.Body), `"id":"`+r.ID+`"`), "%s", got.Body)
+			}
+		})
+		if i%20 == 0 {
+			running.Wait()
+		}
+	}
+	running.Wait()
+	for w.Record().Held.Requests > 0 {
+		assert.NilError(t, t.Context().Err())
+	}
+	ran := map[string]int{}
+	for _, e := range w.Record().Events {
+		if e.Kind == workerstandin.EventRequestBegin {
+			ran[e.ID]++
+		}
+	}
+	for i, err := range outcomes {
+		times := ran[fmt.Sprintf("id-%d", i)]
+		var refused *worker.RefusedError
+		switch {
+		case err == nil:
+			assert.Equal(t, times, 1)
+		case errors.Is(err, worker.ErrNotSent), errors.As(err, &refused):
+			assert.Equal(t, times, 0, "%v", err)
+		default:
+			assert.ErrorIs(t, err, worker.ErrUnknown)
+			assert.Assert(t, times <= 1)
+		}
+	}
+}
--- /dev/null
+++ b/internal/scenario/process.go
@@ -0,0 +1,183 @@
+package scenario
+
+import (
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/rogpeppe/go-internal/testscript"
+)
+
+// logTailBytes is how much of a process's log a failure prints.
+const logTailBytes = 4 << 10
+
+// maxArgs bounds the arguments of a program.
+const maxArgs = 100
+
+var signals = map[string]os.Signal{
+	"TERM": syscall.SIGTERM,
+	"KILL": syscall.SIGKILL,
+	"STOP": syscall.SIGSTOP,
+	"CONT": syscall.SIGCONT,
+}
+
+// processesKey is the key of *processes among a script's values.
+type processesKey struct{}
+
+// processes are those that one script has started.
+type processes struct {
+	dir string
+	env []string
+
+	mu     sync.Mutex
+	byName map[string]*process
+}
+
+// process is one background program.
+type process struct {
+	cmd *exec.Cmd
+	// exited is closed once the program has ended and err is set.
+	exited chan struct{}
+	err    error
+}
+
+func newProcesses(dir string, env []string) *processes {
+	return &processes{dir: dir, env: env, byName: make(map[string]*process)}
+}
+
+func (p *processes) logPath(name string) string {
+	return filepath.Join(p.dir, name+".log")
+}
+
+// start runs a program; its output is added to the log of its name.
+func (p *processes) start(dir, name, program string, args []string) error {
+	log, err := os.OpenFile(p.logPath(name), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
+	if err != nil {
+		return err
+	}
+	defer log.Close()
+	cmd := exec.Command(program, args...)
+	cmd.Dir = dir
+	cmd.Env = p.env
+	cmd.Stdout = log
+	cmd.Stderr = log
+	if err := cmd.Start(); err != nil {
+		return err
+	}
+	started := &process{cmd: cmd, exited: make(chan struct{})}
+	go func() {
+		started.err = cmd.Wait()
+		close(started.exited)
+	}()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.byName[name] = started
+	return nil
+}
+
+func (p *processes) get(name string) *process {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.byName[name]
+}
+
+// killAll ends all processes and waits for their end.
+func (p *processes) killAll() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, started := range p.byName {
+		_ = started.cmd.Process.Kill()
+	}
+	for _, started := range p.byName {
+		<-started.exited
+	}
+}
+
+func (p *process) running() bool {
+	select {
+	case <-p.exited:
+		return false
+	default:
+		return true
+	}
+}
+
+func processesOf(ts *testscript.TestScript) *processes {
+	procs, ok := ts.Value(processesKey{}).(*processes)
+	if !ok {
+		ts.Fatalf("scenario.Setup was not run")
+	}
+	return procs
+}
+
+// named returns a process that was started, or fails the script.
+func named(ts *testscript.TestScript, name string) *process {
+	found := processesOf(ts).get(name)
+	if found == nil {
+		ts.Fatalf("no process %s was started", name)
+	}
+	return found
+}
+
+func start(ts *testscript.TestScript, neg bool, args []string) {
+	positive(ts, neg)
+	usage(ts, args, 2, maxArgs, "start NAME PROGRAM [ARG...]")
+	procs := processesOf(ts)
+	earlier := procs.get(args[0])
+	if earlier != nil && earlier.running() {
+		ts.Fatalf("process %s is still running", args[0])
+	}
+	ts.Check(procs.start(ts.MkAbs("."), args[0], args[1], args[2:]))
+}
+
+func signal(ts *testscript.TestScript, neg bool, args []string) {
+	positive(ts, neg)
+	usage(ts, args, 2, 2, "signal NAME TERM|KILL|STOP|CONT")
+	sig, known := signals[args[1]]
+	if !known {
+		ts.Fatalf("no signal %s", args[1])
+	}
+	ts.Check(named(ts, args[0]).cmd.Process.Signal(sig))
+}
+
+func waitExit(ts *testscript.TestScript, neg bool, args []string) {
+	usage(ts, args, 1, 1, "waitexit NAME")
+	ended := named(ts, args[0])
+	select {
+	case <-ended.exited:
+	case <-time.After(waitBound):
+		logTail(ts, args[0])
+		ts.Fatalf("process %s still runs after %v", args[0], waitBound)
+	}
+	if failed := ended.err != nil; failed != neg {
+		logTail(ts, args[0])
+		ts.Fatalf("process %s ended with %v", args[0], ended.cmd.ProcessState)
+	}
+}
+
+// logTail prints the end of a process's log.
+func logTail(ts *testscript.TestScript, name string) {
+	text, err := os.ReadFile(processesOf(ts).logPath(name))
+	if err != nil {
+		ts.Logf("log of %s: %v", name, err)
+		return
+	}
+	ts.Logf("log of %s:\n%s", name, text[max(0, len(text)-logTailBytes):])
+}
+
+// logTails prints the end of every process's log.
+func logTails(ts *testscript.TestScript) {
+	procs := processesOf(ts)
+	procs.mu.Lock()
+	names := make([]string, 0, len(procs.byName))
+	for name := range procs.byName {
+		names = append(names, name)
+	}
+	procs.mu.Unlock()
+	for _, name := range names {
+		logTail(ts, name)
+	}
+}
