Free the store's tests of data races

Cause: the cells of the virtual-time tests switched cuts in plain variables that their entries read; go test -race named them. No race was named in the store. Change: atomics and a lock in the test's cell and fake. Runs: go test -race ./version/store passes.

--- a/version/store/admit_test.go
+++ b/version/store/admit_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -26,17 +27,19 @@
 type cell struct {
 	platform *fakePlatform
 	links    [entries]*link
-	stores   [entries]*Store
+	stores   [entries]atomic.Pointer[Store]
 	// island is cut off from its peers, -1 for none.
-	island int
-	// announceTo is how many peers an announcement reaches.
-	announceTo int
+	island atomic.Int32
+	// announceTo is the number of the first entry that no announcement reaches.
+	announceTo atomic.Int32
 }
 
 // newCell starts the entries, gives them a team with a key, and waits until all
 // admit. They end with ctx.
 func newCell(t *testing.T, ctx context.Context) *cell {
-	c := &cell{platform: newFakePlatform(), island: -1, announceTo: entries}
+	c := &cell{platform: newFakePlatform()}
+	c.island.Store(-1)
+	c.announceTo.Store(entries)
 	for i := range c.stores {
 		c.links[i] = &link{fakePlatform: c.platform, stale: -1}
 		c.start(ctx, i)
@@ -48,19 +51,20 @@
 	})
 	time.Sleep(promise)
 	for i := range c.stores {
-		assert.Assert(t, c.stores[i].Admitting(time.Now()) && c.usable(i))
+		assert.Assert(t, c.stores[i].Load().Admitting(time.Now()) && c.usable(i))
 	}
 	return c
 }
 
 func (c *cell) start(ctx context.Context, i int) {
-	c.stores[i] = New(Options{
+	s := New(Options{
 		Table: c.links[i], Objects: objects{c.links[i]}, Self: fmt.Sprint(i),
 		Peers:         func() []string { return c.others(i) },
 		Announce:      func(ctx context.Context, number uint64) { c.announce(ctx, i, number) },
 		FetchFromPeer: c.fetcher(i),
 	})
-	go c.stores[i].Run(ctx)
+	c.stores[i].Store(s)
+	go s.Run(ctx)
 }
 
 func (c *cell) others(i int) []string {
@@ -73,23 +77,26 @@
 	return names
 }
 
-func (c *cell) cut(i, j int) bool { return c.island == i || c.island == j }
+func (c *cell) cut(i, j int) bool {
+	island := int(c.island.Load())
+	return island == i || island == j
+}
 
 func (c *cell) announce(ctx context.Context, from int, number uint64) {
-	for to := range min(entries, c.announceTo) {
+	for to := range int(c.announceTo.Load()) {
 		if to != from && !c.cut(from, to) {
-			_ = c.stores[to].Learn(ctx, fmt.Sprint(from), number)
+			_ = c.stores[to].Load().Learn(ctx, fmt.Sprint(from), number)
 		}
 	}
 }
 
 func (c *cell) fetcher(to int) func(context.Context, string, uint64) (Version, error) {
 	return func(_ context.Context, instance string, _ uint64) (Version, error) {
-		for from, store := range c.stores {
+		for from := range entries {
 			if fmt.Sprint(from) != instance || c.cut(from, to) {
 				continue
 			}
-			if v, ok := store.Latest(); ok {
+			if v, ok := c.stores[from].Load().Latest(); ok {
 				return v, nil
 			}
 		}
@@ -104,7 +111,7 @@
 			for j := range entries {
 				if i != j && !c.cut(i, j) {
 					now := time.Now()
-					c.stores[i].ObservePeer(fmt.Sprint(j), c.stores[j].Status().ForPeers(now), now)
+					c.stores[i].Load().ObservePeer(fmt.Sprint(j), c.stores[j].Load().Status().ForPeers(now), now)
 				}
 			}
 		}
@@ -113,7 +120,7 @@
 
 // change has entry 0 accept a change.
 func (c *cell) change(t *testing.T, id string, edit func(*records.Records)) {
-	_, err := c.stores[0].Apply(t.Context(), id, 0, func(r *records.Records) (*records.Records, error) {
+	_, err := c.stores[0].Load().Apply(t.Context(), id, 0, func(r *records.Records) (*records.Records, error) {
 		edit(r)
 		return r, nil
 	})
@@ -126,20 +133,20 @@
 
 // usable reports whether the entry admits work under the key.
 func (c *cell) usable(i int) bool {
-	s := c.stores[i]
+	s := c.stores[i].Load()
 	return s.Admitting(time.Now()) && s.Current().Keys[records.HashKey(key)] != nil
 }
 
 func (c *cell) cutStore(hang bool, list ...int) {
 	for _, i := range list {
-		c.links[i].set(!hang, hang)
+		c.links[i].cut(!hang, hang)
 	}
 }
 
 // admits watches the entry for d and reports whether it admitted all the time.
 func (c *cell) admits(i int, d time.Duration) bool {
 	for end := time.Now().Add(d); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
-		if !c.stores[i].Admitting(time.Now()) {
+		if !c.stores[i].Load().Admitting(time.Now()) {
 			return false
 		}
 	}
@@ -160,17 +167,17 @@
 // admitting and has the change in time.
 func TestInForceEverywhere(t *testing.T) {
 	for _, hang := range []bool{false, true} {
-		for _, announceTo := range []int{entries, 0} {
+		for _, announceTo := range []int32{entries, 0} {
 			t.Run(fmt.Sprintf("hang %t, announced to %d", hang, announceTo), func(t *testing.T) {
 				inCell(t, func(t *testing.T, _ context.Context, c *cell) {
-					c.announceTo = announceTo
+					c.announceTo.Store(announceTo)
 					c.cutStore(hang, entries-1)
 					assert.Assert(t, c.admits(entries-1, time.Minute))
 					c.withdraw(t)
 					assert.Assert(t, c.admits(entries-1, promise))
 					for i := range entries {
 						assert.Assert(t, !c.usable(i), "entry %d", i)
-						assert.Equal(t, c.stores[i].Current().Number, uint64(2))
+						assert.Equal(t, c.stores[i].Load().Current().Number, uint64(2))
 					}
 				})
 			})
@@ -183,14 +190,14 @@
 	inCell(t, func(t *testing.T, _ context.Context, c *cell) {
 		island := entries - 1
 		c.cutStore(true, island)
-		c.island = island
+		c.island.Store(entries - 1)
 		c.withdraw(t)
 		time.Sleep(promise)
-		assert.Assert(t, !c.stores[island].Admitting(time.Now()))
-		c.stores[island].ignoreBound = true
+		assert.Assert(t, !c.stores[island].Load().Admitting(time.Now()))
+		c.stores[island].Load().ignoreBound = true
 		assert.Assert(t, c.usable(island), "the bound is not what stopped the key")
-		c.stores[island].ignoreBound = false
-		c.island = -1
+		c.stores[island].Load().ignoreBound = false
+		c.island.Store(-1)
 		time.Sleep(promise)
 		assert.Assert(t, c.admits(island, time.Second) && !c.usable(island))
 	})
@@ -202,22 +209,22 @@
 	for _, hang := range []bool{false, true} {
 		t.Run(fmt.Sprintf("hang %t", hang), func(t *testing.T) {
 			inCell(t, func(t *testing.T, ctx context.Context, c *cell) {
-				c.announceTo = 2
-				c.platform.downAfter = time.Hour
+				c.announceTo.Store(2)
+				c.platform.goDownAfter(time.Hour)
 				c.withdraw(t)
 				c.cutStore(hang, 0, 1, 2, 3)
 				time.Sleep(promise)
 				for i := range entries {
-					assert.Equal(t, c.stores[i].Current().Number, uint64(2))
+					assert.Equal(t, c.stores[i].Load().Current().Number, uint64(2))
 					assert.Assert(t, c.admits(i, 10*time.Minute))
 				}
 				c.start(ctx, 2)
-				assert.Assert(t, !c.stores[2].Admitting(time.Now()), "an empty version admits")
+				assert.Assert(t, !c.stores[2].Load().Admitting(time.Now()), "an empty version admits")
 				time.Sleep(promise)
-				assert.Assert(t, c.stores[2].Current().Number == 2 && c.admits(2, time.Minute))
-				c.island = 3
+				assert.Assert(t, c.stores[2].Load().Current().Number == 2 && c.admits(2, time.Minute))
+				c.island.Store(3)
 				time.Sleep(promise)
-				assert.Assert(t, !c.stores[3].Admitting(time.Now()))
+				assert.Assert(t, !c.stores[3].Load().Admitting(time.Now()))
 			})
 		})
 	}
@@ -228,7 +235,7 @@
 func TestOneStillReaches(t *testing.T) {
 	inCell(t, func(t *testing.T, _ context.Context, c *cell) {
 		c.cutStore(false, 1, 2, 3)
-		c.island = 0
+		c.island.Store(0)
 		c.withdraw(t)
 		time.Sleep(promise)
 		for i := range entries {
@@ -246,11 +253,11 @@
 		c.platform.mu.Lock()
 		c.platform.rows[headKey] = first
 		c.platform.mu.Unlock()
-		assert.ErrorIs(t, c.stores[0].Poll(t.Context()), ErrHeadBehind)
-		_, err := c.stores[0].Apply(t.Context(), "late", 0, func(r *records.Records) (*records.Records, error) {
+		assert.ErrorIs(t, c.stores[0].Load().Poll(t.Context()), ErrHeadBehind)
+		_, err := c.stores[0].Load().Apply(t.Context(), "late", 0, func(r *records.Records) (*records.Records, error) {
 			return r, nil
 		})
 		assert.ErrorIs(t, err, ErrHeadBehind)
-		assert.Equal(t, c.stores[0].Current().Number, uint64(2))
+		assert.Equal(t, c.stores[0].Load().Current().Number, uint64(2))
 	})
 }
--- a/version/store/fake_test.go
+++ b/version/store/fake_test.go
@@ -54,6 +54,19 @@
 	return &fakePlatform{rows: map[string]platform.Row{}, objects: map[string][]byte{}}
 }
 
+// goDownAfter makes the platform go down for d after the next commit.
+func (f *fakePlatform) goDownAfter(d time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.downAfter = d
+}
+
+func (f *fakePlatform) down() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return time.Now().Before(f.downUntil)
+}
+
 // land lets all delayed commits take effect if their conditions still hold.
 func (f *fakePlatform) land() {
 	for _, txn := range f.inFlight {
@@ -118,28 +131,28 @@
 type link struct {
 	*fakePlatform
 	mu sync.Mutex
-	// down refuses all calls; hang makes them wait for the end of their context.
-	down, hang bool
+	// refuse refuses all calls; hang makes them wait for the end of their context.
+	refuse, hang bool
 	// stale is the place in the history of a head that is read instead; -1 for
 	// the newest.
 	stale int
 }
 
-func (l *link) set(down, hang bool) {
+func (l *link) cut(refuse, hang bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.down, l.hang = down, hang
+	l.refuse, l.hang = refuse, hang
 }
 
 func (l *link) reach(ctx context.Context) error {
 	l.mu.Lock()
-	down, hang := l.down, l.hang
+	refuse, hang := l.refuse, l.hang
 	l.mu.Unlock()
 	if hang {
 		<-ctx.Done()
 		return platform.ErrUnknown
 	}
-	if down || time.Now().Before(l.downUntil) {
+	if refuse || l.fakePlatform.down() {
 		return platform.ErrUnavailable
 	}
 	return nil
