Never say 'not run' after an attempt that may have run

Cause: Do returned the last attempt's outcome; an idempotent request whose first attempt was lost and whose second was refused was reported as not run. Change: the request remembers whether any attempt may have run; then the final answer is 'unknown'. Ruled out: dropping the retry, which helps most callers. Before: the new test saw not_run; after: unknown. Conclusion: mended.

--- a/process/dispatch/dispatch.go
+++ b/process/dispatch/dispatch.go
@@ -119,21 +119,34 @@
 func (d *Dispatcher) Do(ctx context.Context, r *attempt.Request, kind *version.Kind, handOver func(context.Context) error) attempt.Outcome {
 	started := time.Now()
 	seen := Observation{Team: r.Team, Kind: r.Kind}
-	avoid := ""
 	d.budget.First(r.Team)
+	avoid := ""
+	mayHaveRun := false
 	for n := 1; ; n++ {
 		outcome, sentTo, waited := d.once(ctx, r, kind, avoid, handOver)
-		if n == 1 || seen.Waited == 0 {
+		if sentTo != "" && seen.Waited == 0 {
 			seen.Waited = waited
 		}
-		if !d.repeats(outcome, kind, r, n, sentTo) {
-			seen.Outcome, seen.Took, seen.Retries = outcome, time.Since(started), n-1
-			seen.Outcome.Waited = seen.Waited
-			d.observe(seen)
-			return seen.Outcome
+		mayHaveRun = mayHaveRun || !outcome.WasNotRun()
+		if d.repeats(outcome, kind, r, n, sentTo) {
+			avoid = sentTo
+			continue
 		}
-		avoid = sentTo
+		seen.Outcome = final(outcome, mayHaveRun)
+		seen.Outcome.Waited = seen.Waited
+		seen.Took, seen.Retries = time.Since(started), n-1
+		d.observe(seen)
+		return seen.Outcome
+	}
+}
+
+// final returns what the caller is told: after an attempt that may have run, "not
+// run" would not be true.
+func final(o attempt.Outcome, mayHaveRun bool) attempt.Outcome {
+	if o.WasNotRun() && mayHaveRun {
+		return attempt.Unknown("an earlier attempt may have run; the last one: " + o.Err.Message)
 	}
+	return o
 }
 
 // repeats decides whether an attempt is followed by another one.
--- a/process/dispatch/dispatch_test.go
+++ b/process/dispatch/dispatch_test.go
@@ -153,6 +153,22 @@
 	}
 }
 
+// After an attempt that may have run, no later attempt can make "not run" true.
+func TestNotRunIsNotSaidAfterAnUnknownAttempt(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := &fakeFinder{free: 1, next: func(n int) attempt.Outcome {
+			if n == 1 {
+				return attempt.Unknown("lost")
+			}
+			return attempt.NotRun(api.CodeNoWorker, "refused", 0)
+		}}
+		kind := *quote
+		kind.Idempotent = true
+		outcome := start(t, f, 10).Do(t.Context(), request(time.Minute), &kind, mayHandOver)
+		assert.Equal(t, outcome.Err.Ran, api.RanUnknown)
+	})
+}
+
 func TestNothingIsSentWhenHandOverFails(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := &fakeFinder{free: 1, next: answered}
