Hold the admission rule case by case

Cause: with seven single lines of the store's decisions taken out in turn (a peer that knows a newer version, a silent peer, a peer that reaches the table, the number found by a read, nothing loaded yet, an open attempt whose head has moved) the tests still passed. The transaction's condition on the change's own row went: every change moves the head, so the head's condition covers it, and no run could tell them apart.

--- a/version/store/history_test.go
+++ b/version/store/history_test.go
@@ -216,3 +216,15 @@
 		})
 	}
 }
+
+// TestLostRequestIsMadeAgain: the request of the first try is lost and another
+// operator moves the head, so that the change has to be made anew.
+func TestLostRequestIsMadeAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m := newMachine(func(*Store) {})
+		m.platform.faults = []fault{lostBefore}
+		time.AfterFunc(firstPause/2, func() { m.apply(1, "rival", 0) })
+		m.apply(0, "change", 0)
+		assert.DeepEqual(t, m.accepted, map[string]uint64{"rival": 1, "change": 2})
+	})
+}
--- a/version/store/rows.go
+++ b/version/store/rows.go
@@ -66,7 +66,9 @@
 	return out, true, nil
 }
 
-// applyTxn moves the head from `from` to the version, under the change's id.
+// applyTxn moves the head from `from` to the version, under the change's id. Its
+// only condition covers the change's row too: no change is written without moving
+// the head.
 func applyTxn(from headRow, id string, to Version) (platform.Txn, error) {
 	headValue, err := json.Marshal(head{Number: to.Number, Object: to.Object, Change: id})
 	if err != nil {
@@ -77,10 +79,7 @@
 		return platform.Txn{}, eris.Wrap(err, "encode change")
 	}
 	return platform.Txn{
-		Conditions: []platform.Condition{
-			{Key: changePrefix + id, Version: 0},
-			{Key: headKey, Version: from.rowVersion},
-		},
+		Conditions: []platform.Condition{{Key: headKey, Version: from.rowVersion}},
 		Writes: []platform.Write{
 			{Key: headKey, Value: headValue},
 			{Key: changePrefix + id, Value: changeValue},
