--- a/internal/tomlcheck/spec.go
+++ b/internal/tomlcheck/spec.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"reflect"
+	"strconv"
 	"strings"
 	"time"
 )
@@ -201,18 +202,40 @@
 	return format(value)
 }
 
-// Markdown returns the reference table of the fields.
+// Markdown returns the reference table of the fields. The column of schemas is
+// left out if no field has one.
 func (s *Spec[T]) Markdown() string {
-	var b strings.Builder
-	b.WriteString("| Key | Type | Unit | Default | Bounds | Since schema | Meaning |\n")
-	b.WriteString("|---|---|---|---|---|---|---|\n")
+	columns := []string{"Key", "Type", "Unit", "Default", "Bounds", "Meaning"}
+	withSchema := s.hasSchemas()
+	if withSchema {
+		columns = append(columns, "Since schema")
+	}
+	rows := [][]string{columns, strings.Split(strings.Repeat("---,", len(columns)-1)+"---", ",")}
 	for _, field := range s.Fields {
-		fmt.Fprintf(&b, "| `%s` | %s | %s | %s | %s | %d | %s |\n", field.Key, s.typeName(field),
-			dash(field.Unit), s.defaultText(field), dash(field.bounds()), max(field.Since, 1), field.Doc)
+		row := []string{
+			"`" + field.Key + "`", s.typeName(field), dash(field.Unit), s.defaultText(field), dash(field.bounds()), field.Doc,
+		}
+		if withSchema {
+			row = append(row, strconv.Itoa(max(field.Since, 1)))
+		}
+		rows = append(rows, row)
+	}
+	var b strings.Builder
+	for _, row := range rows {
+		b.WriteString("| " + strings.Join(row, " | ") + " |\n")
 	}
 	return b.String()
 }
 
+func (s *Spec[T]) hasSchemas() bool {
+	for _, field := range s.Fields {
+		if field.Since > 0 {
+			return true
+		}
+	}
+	return false
+}
+
 func dash(text string) string {
 	if text == "" {
 		return "–"
