--- /dev/null
+++ b/internal/policytrial/result.go
@@ -0,0 +1,168 @@
+package policytrial
+
+import (
+	"slices"
+	"time"
+
+	"github.com/kingcuplatch/kingcuplatch/request/queue"
+)
+
+// window is the time over which shares are compared.
+const window = 10 * time.Second
+
+// Waiting is the time from arrival to start of the work of one kind that started.
+type Waiting struct {
+	Kind     string
+	P50, P99 time.Duration
+	Started  int
+}
+
+// Result is what a trial measured after its warm-up.
+type Result struct {
+	Waiting []Waiting
+	// LargestShortfall and MeanShortfall are how far teams that were backlogged
+	// over a whole window got less than their weighted max-min part of all that
+	// was in use, as a fraction of that part.
+	LargestShortfall, MeanShortfall float64
+	// Windows is how many pairs of team and window were backlogged.
+	Windows int
+	// Used is the mean fraction of the fleet in use, in its most used dimension.
+	Used float64
+	// Refused work was shed or given up; Failed work ran on broken workers.
+	Refused, Failed int
+	// Goodput is work a second that succeeded within its deadline.
+	Goodput float64
+}
+
+// recorder gathers a Result.
+type recorder struct {
+	trial                            *Trial
+	started, refused, failed, inTime int
+	waits                            map[string][]time.Duration
+	// used is the sum of samples of dominant share in the current window.
+	used      []float64
+	backlog   []bool
+	samples   int
+	shortfall []float64
+	fullness  float64
+	ticks     int
+}
+
+func newRecorder(t *Trial) *recorder {
+	r := &recorder{trial: t, waits: make(map[string][]time.Duration)}
+	r.reset()
+	return r
+}
+
+func (r *recorder) reset() {
+	r.used = make([]float64, len(r.trial.setup.Teams))
+	r.backlog = slices.Repeat([]bool{true}, len(r.used))
+	r.samples = 0
+}
+
+func (r *recorder) measuring() bool { return r.trial.now >= r.trial.setup.Warmup }
+
+func (r *recorder) refuse(items []*queue.Item) {
+	if r.measuring() {
+		r.refused += len(items)
+	}
+}
+
+func (r *recorder) start(it *queue.Item) {
+	r.started++
+	if r.measuring() {
+		r.waits[it.Kind] = append(r.waits[it.Kind], r.trial.clock().Sub(it.Enqueued))
+	}
+}
+
+func (r *recorder) finish(it *queue.Item, ok bool) {
+	switch {
+	case !r.measuring():
+	case !ok:
+		r.failed++
+	case it.Deadline.IsZero() || !r.trial.clock().After(it.Deadline):
+		r.inTime++
+	}
+}
+
+// sample adds the usage of this tick to the window.
+func (r *recorder) sample() {
+	if !r.measuring() {
+		return
+	}
+	var all float64
+	for i, team := range r.trial.setup.Teams {
+		share := r.trial.usage(team.Name).DominantShare(r.trial.total)
+		r.used[i] += share
+		all += share
+		r.backlog[i] = r.backlog[i] && r.waiting(team.Name)
+	}
+	r.fullness += all
+	r.ticks++
+	if r.samples++; r.samples == int(window/tick) {
+		r.compare()
+		r.reset()
+	}
+}
+
+// waiting reports whether the team has items queued anywhere.
+func (r *recorder) waiting(team string) bool {
+	return slices.ContainsFunc(r.trial.entries, func(e *entry) bool { return e.scheduler.Waiting(team) })
+}
+
+// compare notes the shortfall of every team that was backlogged.
+func (r *recorder) compare() {
+	level := r.level()
+	for i, team := range r.trial.setup.Teams {
+		if r.backlog[i] {
+			r.shortfall = append(r.shortfall, max(0, 1-r.used[i]/(level*weight(team))))
+		}
+	}
+}
+
+// level is the usage per weight that weighted max-min gives to backlogged teams,
+// out of what they and all teams above that level used.
+func (r *recorder) level() float64 {
+	below := make([]bool, len(r.used))
+	for {
+		var used, weights float64
+		for i, team := range r.trial.setup.Teams {
+			if !below[i] {
+				used += r.used[i]
+				weights += weight(team)
+			}
+		}
+		level, changed := used/weights, false
+		for i, team := range r.trial.setup.Teams {
+			if !below[i] && !r.backlog[i] && r.used[i] < level*weight(team) {
+				below[i], changed = true, true
+			}
+		}
+		if !changed {
+			return level
+		}
+	}
+}
+
+func weight(t Team) float64 { return float64(max(1, t.Weight)) }
+
+func (r *recorder) result() Result {
+	res := Result{
+		Refused: r.refused, Failed: r.failed, Windows: len(r.shortfall),
+		Used:    r.fullness / float64(r.ticks),
+		Goodput: float64(r.inTime) / r.trial.setup.Duration.Seconds(),
+	}
+	for _, s := range r.shortfall {
+		res.LargestShortfall = max(res.LargestShortfall, s)
+		res.MeanShortfall += s / float64(len(r.shortfall))
+	}
+	for _, k := range r.trial.setup.Kinds {
+		waits := r.waits[k.Name]
+		if len(waits) == 0 {
+			continue
+		}
+		slices.Sort(waits)
+		res.Waiting = append(res.Waiting, Waiting{Kind: k.Name, Started: len(waits), P50: waits[len(waits)/2], P99: waits[len(waits)*99/100]})
+	}
+	return res
+}
--- a/request/queue/queue.go
+++ b/request/queue/queue.go
@@ -210,3 +210,11 @@
 	}
 	return q.now
 }
+
+// Waiting returns how many items of the team wait.
+func (q *Queue) Waiting(team string) int {
+	if t := q.teams[team]; t != nil {
+		return t.first.Len()
+	}
+	return 0
+}
--- a/request/queue/queue_test.go
+++ b/request/queue/queue_test.go
@@ -137,7 +137,7 @@
 		}
 		for team := range runTime {
 			n++
-			for q.teamLen(team) < 100 {
+			for q.Waiting(team) < 100 {
 				n++
 				_, err := q.Push(at(now), item(fmt.Sprint(n), team, 0))
 				assert.NilError(t, err)
@@ -158,8 +158,6 @@
 	}
 }
 
-func (q *Queue) teamLen(team string) int { return q.team(team).first.Len() }
-
 // Whatever the calls, every item leaves exactly once and the bounds hold.
 func TestEveryItemLeavesOnce(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
@@ -195,7 +193,7 @@
 				}
 				leave(shed...)
 			}
-			assert.Assert(t, q.Len() <= 8 && q.teamLen("a") <= 3)
+			assert.Assert(t, q.Len() <= 8 && q.Waiting("a") <= 3)
 		}
 		leave(q.Expire(at(now + time.Hour))...)
 		for it := q.Pop(at(now+time.Hour), nil); it != nil; it = q.Pop(at(now+time.Hour), nil) {
