--- /dev/null
+++ b/request/queue/team.go
@@ -0,0 +1,139 @@
+package queue
+
+import (
+	"slices"
+	"time"
+
+	"github.com/kingcuplatch/kingcuplatch/process/resource"
+)
+
+// Team is what the queue has to know about a team.
+type Team struct {
+	Name string
+	// Weight is the team's share when everything is full, relative to others.
+	// Values below 1 count as 1.
+	Weight int64
+	// QueueLimit is how many items of the team may wait; 0 means only the
+	// queue's own limit counts.
+	QueueLimit int
+}
+
+// TeamUsage is what a team has running.
+type TeamUsage struct {
+	Team   string
+	Amount resource.Amount
+}
+
+// Depth is how many items a team has waiting.
+type Depth struct {
+	Team    string
+	Waiting int
+	// Urgent is how many of those are urgent.
+	Urgent int
+}
+
+// teamState is a team's queue and account.
+type teamState struct {
+	name       string
+	weight     float64
+	queueLimit int
+	// configured is false for teams that only have usage or items left.
+	configured bool
+
+	// lanes holds the lanes with items, in the order of their first items.
+	lanes   []*lane
+	byKey   map[laneKey]*lane
+	queued  int
+	urgent  int
+	waiting resource.Amount
+
+	own, fleet, ownUrgent resource.Amount
+	// rate is the team's dominant share in use over its weight.
+	rate float64
+	// urgentShare is the dominant share of its running urgent work.
+	urgentShare float64
+	// virtual is the team's virtual time at charged, in seconds of the whole
+	// fleet over weight.
+	virtual float64
+	charged time.Time
+}
+
+func newTeamState(name string) *teamState {
+	return &teamState{name: name, weight: 1, byKey: make(map[laneKey]*lane)}
+}
+
+// charge brings the team's virtual time up to now.
+func (t *teamState) charge(now time.Time) {
+	if now.After(t.charged) {
+		t.virtual += t.rate * now.Sub(t.charged).Seconds()
+		t.charged = now
+	}
+}
+
+// measure recomputes the team's rate after usage, weight or capacity changed.
+func (t *teamState) measure(total resource.Amount) {
+	t.rate = t.own.Add(t.fleet).DominantShare(total) / t.weight
+	t.urgentShare = t.ownUrgent.DominantShare(total)
+}
+
+// demand is the dominant share of all the team runs and wants, over its weight.
+func (t *teamState) demand(total resource.Amount) float64 {
+	return t.own.Add(t.fleet).Add(t.waiting).DominantShare(total) / t.weight
+}
+
+func (t *teamState) add(it *Item) {
+	key := laneKey{kind: it.Kind, urgent: it.Urgent}
+	l := t.byKey[key]
+	if l == nil {
+		l = newLane(key)
+		t.byKey[key] = l
+		t.lanes = append(t.lanes, l)
+	}
+	l.add(it)
+	t.sortLanes()
+	t.queued++
+	t.waiting = t.waiting.Add(it.Amount)
+	if it.Urgent {
+		t.urgent++
+	}
+}
+
+func (t *teamState) remove(it *Item) {
+	l := t.byKey[laneKey{kind: it.Kind, urgent: it.Urgent}]
+	l.remove(it)
+	if l.first.Len() == 0 {
+		delete(t.byKey, l.key)
+		t.lanes = slices.DeleteFunc(t.lanes, func(other *lane) bool { return other == l })
+	}
+	t.sortLanes()
+	t.queued--
+	t.waiting = t.waiting.Sub(it.Amount)
+	if it.Urgent {
+		t.urgent--
+	}
+}
+
+// sortLanes restores the order after one lane's first item changed.
+func (t *teamState) sortLanes() {
+	for i := 1; i < len(t.lanes); i++ {
+		for j := i; j > 0 && before(t.lanes[j].first.top(), t.lanes[j-1].first.top()); j-- {
+			t.lanes[j], t.lanes[j-1] = t.lanes[j-1], t.lanes[j]
+		}
+	}
+}
+
+// lastItem returns the item that would start last, nil if none waits.
+func (t *teamState) lastItem() *Item {
+	var last *Item
+	for _, l := range t.lanes {
+		if it := l.last.top(); last == nil || before(last, it) {
+			last = it
+		}
+	}
+	return last
+}
+
+// idle reports whether nothing is known or wanted of the team any more.
+func (t *teamState) idle() bool {
+	return !t.configured && t.queued == 0 && t.own.IsZero() && t.fleet.IsZero()
+}
