--- a/process/capacity/ledger.go
+++ b/process/capacity/ledger.go
@@ -56,10 +56,14 @@
 	return l.worker.Connections - controlConnections - l.connections - l.strays
 }
 
-// fits returns the first dimension in which h does not fit.
+// fits returns the first dimension in which h does not fit. A dimension that h
+// takes nothing of does not count, even where the worker was found overfull.
 func (l *ledger) fits(h Holding) (dimension string, ok bool) {
-	if d, over := l.occupied().Add(h.Amount).FirstOver(l.worker.Capacity); over {
-		return d.String(), false
+	used, want, all := l.occupied().Vector(), h.Amount.Vector(), l.worker.Capacity.Vector()
+	for d := range resource.Dimensions {
+		if want[d] > 0 && used[d]+want[d] > all[d] {
+			return d.String(), false
+		}
 	}
 	if n := h.connections(); n > 0 && n > l.freeConnections() {
 		return DimensionConnections, false
--- a/process/jobs/keeper_test.go
+++ b/process/jobs/keeper_test.go
@@ -18,7 +18,7 @@
 func inWorld(t *testing.T, f func(t *testing.T, ctx context.Context)) {
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
-		defer time.Sleep(10 * time.Minute)
+		defer time.Sleep(2 * time.Hour)
 		defer cancel()
 		f(t, ctx)
 	})
--- a/process/tasks/agent.go
+++ b/process/tasks/agent.go
@@ -50,6 +50,10 @@
 	// reconciled says that the first report was taken in.
 	reconciled bool
 	closed     bool
+	// doubtful says that the outcome of the last renewal is unknown. The worker
+	// is adopted again then before the next, since renewals of unknown outcome
+	// would put off the moment at which the leases have surely ended.
+	doubtful bool
 	// leasesEnd is when every lease that this or an earlier owner gave has
 	// surely ended.
 	leasesEnd time.Time
@@ -145,7 +149,7 @@
 	ctx, cancel := context.WithTimeout(ctx, a.owner.CallTimeout)
 	defer cancel()
 	before := a.settled()
-	if !a.isAdopted() {
+	if !a.mayRenew() {
 		report, err := a.client.Adopt(ctx, a.worker.Epoch)
 		if err != nil {
 			return err
@@ -173,20 +177,21 @@
 	a.adopted = false
 }
 
-func (a *agent) isAdopted() bool {
+func (a *agent) mayRenew() bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return a.adopted
+	return a.adopted && (!a.doubtful || a.owner.policy.renewInDoubt)
 }
 
 // extendLeases notes that a call that gives leases has ended just now, so that
 // the worker may have acted on it up to now.
 func (a *agent) extendLeases(err error) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.doubtful = err != nil
 	if errors.Is(err, worker.ErrNotSent) {
 		return
 	}
-	a.mu.Lock()
-	defer a.mu.Unlock()
 	a.leasesEnd = time.Now().Add(a.owner.Lease + a.owner.Margin)
 }
 
--- a/process/tasks/owner.go
+++ b/process/tasks/owner.go
@@ -81,6 +81,8 @@
 	loseEarly bool
 	// absentWithReservation answers absent without dropping the reservation.
 	absentWithReservation bool
+	// renewInDoubt goes on renewing leases of a worker that does not answer.
+	renewInDoubt bool
 	// skipRight starts without asking for the right to the block.
 	skipRight bool
 }
@@ -176,14 +178,22 @@
 func (o *Owner) drop(name string, a *agent) {
 	delete(o.agents, name)
 	a.end()
-	for _, h := range o.Book.Close(name) {
-		if isTask(h.ID) {
-			o.Allotments.Give(h.Team, h.Amount)
-		}
-	}
+	o.giveLater(o.Book.Close(name))
 	o.outbox.dropWorker(name)
 }
 
+// giveLater returns what tasks took of their teams' allotments once the next
+// owner must have counted them or their leases have ended.
+func (o *Owner) giveLater(held []capacity.Holding) {
+	time.AfterFunc(o.Lease+o.Margin, func() {
+		for _, h := range held {
+			if isTask(h.ID) {
+				o.Allotments.Give(h.Team, h.Amount)
+			}
+		}
+	})
+}
+
 func (o *Owner) agent(name string) *agent {
 	o.mu.Lock()
 	defer o.mu.Unlock()
--- /dev/null
+++ b/process/tasks/owner_test.go
@@ -0,0 +1,245 @@
+package tasks
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/kingcuplatch/kingcuplatch/conn/worker"
+)
+
+// inWorld runs f in virtual time; tasks t/0 to t/(n-1) are kept running.
+func inWorld(t *testing.T, p policy, n int, f func(t *testing.T, w *world)) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer time.Sleep(time.Minute)
+		defer cancel()
+		w := newWorld(ctx, p)
+		time.Sleep(2 * time.Second)
+		w.keep(n)
+		f(t, w)
+	})
+}
+
+func (w *world) keep(n int) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for i := range n {
+		w.tasks[fmt.Sprintf("t/%d", i)] = &keptTask{}
+	}
+}
+
+func (w *world) settled() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, task := range w.tasks {
+		if !task.done {
+			return false
+		}
+	}
+	return w.teams["A"].sum()+w.teams["B"].sum() == 0
+}
+
+// TestNoTaskRunsTwice provokes each failure with the protocol whole and with the
+// part left out that is meant for it. The verdict is the workers' own record.
+func TestNoTaskRunsTwice(t *testing.T) {
+	cases := []struct {
+		name string
+		off  policy
+		run  func(t *testing.T, w *world)
+	}{
+		{"answer of the start lost", policy{assumeNotStarted: true}, answerLost},
+		{"unreachable worker returns with its task", policy{loseEarly: true}, workerReturns},
+		{"takeover while the worker is cut off", policy{loseEarly: true}, takeoverCutOff},
+		{"start arrives after the answer absent", policy{absentWithReservation: true}, lateStart},
+		{"right lapsed while the owner is paused", policy{skipRight: true}, pausedOwner},
+	}
+	for _, c := range cases {
+		for _, off := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%s/off=%v", c.name, off), func(t *testing.T) {
+				p := policy{}
+				if off {
+					p = c.off
+				}
+				inWorld(t, p, 0, func(t *testing.T, w *world) {
+					c.run(t, w)
+					assert.Equal(t, w.twice() != "", off, w.twice())
+				})
+			})
+		}
+	}
+}
+
+func answerLost(_ *testing.T, w *world) {
+	for _, f := range w.workers {
+		f.mu.Lock()
+		f.loseAnswers = 1
+		f.mu.Unlock()
+	}
+	w.keep(2)
+	time.Sleep(5 * time.Second)
+	w.heal()
+	time.Sleep(time.Minute)
+}
+
+// heal connects all and has owners learn which blocks they have lost.
+func (w *world) heal() {
+	for i := range w.workers {
+		w.cut(i, "AB", false)
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for block, owner := range w.ownerOf {
+		delete(w.believes[map[string]string{"A": "B", "B": "A"}[owner]], block)
+	}
+}
+
+func workerReturns(_ *testing.T, w *world) {
+	w.keep(4)
+	time.Sleep(3 * time.Second)
+	w.cut(0, "AB", true)
+	time.Sleep(time.Minute)
+	w.cut(0, "AB", false)
+	time.Sleep(time.Minute)
+}
+
+func takeoverCutOff(_ *testing.T, w *world) {
+	w.keep(4)
+	time.Sleep(3 * time.Second)
+	w.cut(0, "AB", true)
+	w.cut(1, "AB", true)
+	w.move("w0", "B")
+	w.move("w1", "B")
+	time.Sleep(time.Minute)
+	w.cut(0, "AB", false)
+	w.cut(1, "AB", false)
+	time.Sleep(time.Minute)
+}
+
+func lateStart(t *testing.T, w *world) {
+	first, ok := w.reserve("A", "t/0", 1, time.Hour)
+	assert.Assert(t, ok)
+	status := w.owners["A"].Status(w.ctx, AttemptsRequest{Attempts: []Located{first.Located}})
+	assert.Equal(t, status.Outcomes[0].State, StateAbsent)
+	second, ok := w.reserve("B", "t/0", 2, time.Hour)
+	assert.Assert(t, ok)
+	assert.Equal(t, w.start("B", second).State, StateRunning)
+	w.start("A", first)
+	time.Sleep(time.Second)
+}
+
+func pausedOwner(t *testing.T, w *world) {
+	first, ok := w.reserve("A", "t/0", 1, time.Hour)
+	assert.Assert(t, ok)
+	block := first.Block
+	w.cut(int(first.Worker[1]-'0'), "B", true)
+	w.move(block, "B")
+	time.Sleep(testLease + 10*time.Second)
+	status := w.owners["B"].Status(w.ctx, AttemptsRequest{Attempts: []Located{first.Located}})
+	assert.Equal(t, status.Outcomes[0].State, StateEnded)
+	second, ok := w.reserve("B", "t/0", 2, time.Hour)
+	assert.Assert(t, ok)
+	assert.Equal(t, w.start("B", second).State, StateRunning)
+	w.start("A", first)
+	time.Sleep(time.Second)
+}
+
+// fault is one thing that goes wrong, and the pause after it.
+type fault struct {
+	Worker int
+	Owner  string
+	Kind   int
+	Pause  time.Duration
+}
+
+func drawFault(t *rapid.T) fault {
+	return fault{
+		Worker: rapid.IntRange(0, 3).Draw(t, "worker"),
+		Owner:  rapid.SampledFrom([]string{"A", "B"}).Draw(t, "owner"),
+		Kind:   rapid.IntRange(0, 4).Draw(t, "kind"),
+		Pause:  time.Duration(rapid.IntRange(0, 15_000).Draw(t, "pause ms")) * time.Millisecond,
+	}
+}
+
+func (w *world) provoke(f fault) {
+	switch f.Kind {
+	case 0:
+		w.cut(f.Worker, "AB", true)
+	case 1:
+		w.cut(f.Worker, f.Owner, true)
+	case 2:
+		w.cut(f.Worker, "AB", false)
+	case 3:
+		w.move(w.workers[f.Worker].name, f.Owner)
+	case 4:
+		w.workers[f.Worker].mu.Lock()
+		w.workers[f.Worker].loseAnswers = 1
+		w.workers[f.Worker].mu.Unlock()
+	}
+	time.Sleep(f.Pause)
+}
+
+// TestRandomFaults runs tasks under faults drawn at random, lets all heal and
+// expects every task to end, once at a time, with nothing left occupied.
+func TestRandomFaults(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		faults := rapid.SliceOfN(rapid.Custom(drawFault), 1, 12).Draw(rt, "faults")
+		var twice string
+		var settled bool
+		inWorld(t, policy{}, 6, func(_ *testing.T, w *world) {
+			for _, f := range faults {
+				w.provoke(f)
+			}
+			w.heal()
+			for range 1200 {
+				if settled = w.settled(); settled {
+					break
+				}
+				time.Sleep(time.Second)
+			}
+			twice = w.twice()
+		})
+		assert.Equal(rt, twice, "")
+		assert.Assert(rt, settled, "a task did not end, or capacity leaked")
+	})
+}
+
+// TestUnreachableWorkerIsGivenUp has tasks of a worker that never answers again
+// run elsewhere, and their capacity freed.
+func TestUnreachableWorkerIsGivenUp(t *testing.T) {
+	for _, off := range []bool{false, true} {
+		inWorld(t, policy{renewInDoubt: off}, 6, func(t *testing.T, w *world) {
+			time.Sleep(3 * time.Second)
+			w.cut(0, "A", true)
+			time.Sleep(10 * time.Minute)
+			assert.Equal(t, w.settled(), !off)
+			assert.Equal(t, w.twice(), "")
+		})
+	}
+}
+
+// TestHoldKeepsWorkers has the older of two jobs win the workers.
+func TestHoldKeepsWorkers(t *testing.T) {
+	inWorld(t, policy{}, 0, func(t *testing.T, w *world) {
+		created := time.Now()
+		reserve := func(job string, count int, hold *Hold) int {
+			r := ReserveRequest{Job: job, Team: "t", Amount: oneTask, For: time.Second, AllOrNothing: true, Hold: hold}
+			for i := range count {
+				r.Refs = append(r.Refs, worker.TaskRef{Task: fmt.Sprintf("%s/%d", job, i), Attempt: 1})
+			}
+			return len(w.owners["A"].Reserve(w.ctx, r).Reservations)
+		}
+		assert.Equal(t, reserve("younger", 5, &Hold{Created: created, For: 4 * time.Second}), 0)
+		assert.Equal(t, reserve("small", 1, nil), 0, "the workers are kept for the younger job")
+		assert.Equal(t, reserve("older", 5, &Hold{Created: created.Add(-time.Hour), For: 4 * time.Second}), 0)
+		assert.Equal(t, reserve("younger", 4, nil), 0, "the older job has taken the workers over")
+		assert.Equal(t, reserve("older", 4, nil), 4)
+		time.Sleep(6 * time.Second)
+		assert.Equal(t, reserve("small", 4, nil), 4, "holds and reservations have expired")
+	})
+}
--- a/process/tasks/report.go
+++ b/process/tasks/report.go
@@ -129,7 +129,7 @@
 	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if a.closed || (!now.After(a.leasesEnd) && !a.owner.policy.loseEarly) {
+	if a.closed || !a.leasesOver(now) {
 		return
 	}
 	for ref, at := range a.attempts {
@@ -141,6 +141,11 @@
 	}
 }
 
+// leasesOver reports whether every lease has surely ended.
+func (a *agent) leasesOver(now time.Time) bool {
+	return now.After(a.leasesEnd) || a.owner.policy.loseEarly
+}
+
 // recorded frees what an ended attempt occupied, after its keeper has recorded
 // the end.
 func (a *agent) recorded(ref worker.TaskRef) {
--- a/process/tasks/status.go
+++ b/process/tasks/status.go
@@ -27,7 +27,7 @@
 	if a.adopted && !a.lost[ref] {
 		return a.absent(ref)
 	}
-	if now.After(a.leasesEnd) {
+	if a.leasesOver(now) {
 		a.lost[ref] = true
 		event := a.event(ref, worker.TaskStatus{State: StateLost, Error: "lease ended, worker unreachable"})
 		return Outcome{Ref: ref, State: StateEnded, Event: &event}
--- /dev/null
+++ b/process/tasks/world_test.go
@@ -0,0 +1,436 @@
+package tasks
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"os"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/kingcuplatch/kingcuplatch/conn/worker"
+	"github.com/kingcuplatch/kingcuplatch/process/capacity"
+	"github.com/kingcuplatch/kingcuplatch/process/ownership"
+	"github.com/kingcuplatch/kingcuplatch/process/platform"
+	"github.com/kingcuplatch/kingcuplatch/process/resource"
+)
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	if err := flag.Set("rapid.seed", "1"); err != nil {
+		panic(err)
+	}
+	os.Exit(m.Run())
+}
+
+const testLease = 9 * time.Second
+
+// copyRun is one attempt in a worker's own record.
+type copyRun struct {
+	task   worker.StartTask
+	state  worker.TaskState
+	from   time.Time
+	lease  time.Time
+	doneAt time.Time
+	to     time.Time
+}
+
+// fakeWorker is a worker that keeps leases and epochs.
+type fakeWorker struct {
+	mu      sync.Mutex
+	name    string
+	epoch   uint64
+	runs    map[worker.TaskRef]*copyRun
+	history []*copyRun
+	// cut names the owners that cannot reach the worker.
+	cut map[string]bool
+	// loseAnswers is how many start calls take effect and are answered as unknown;
+	// the owner is cut off then.
+	loseAnswers int
+}
+
+// advance ends what has ended by now.
+func (f *fakeWorker) advance(now time.Time) {
+	for _, r := range f.runs {
+		if r.state != worker.TaskRunning {
+			continue
+		}
+		if !r.doneAt.IsZero() && !now.Before(r.doneAt) && !r.doneAt.After(r.lease) {
+			r.state, r.to = worker.TaskDone, r.doneAt
+		} else if !now.Before(r.lease) {
+			r.state, r.to = worker.TaskLapsed, r.lease
+		}
+	}
+}
+
+func (f *fakeWorker) status(ref worker.TaskRef) worker.TaskStatus {
+	r := f.runs[ref]
+	return worker.TaskStatus{
+		Task: ref.Task, Attempt: ref.Attempt, Team: r.task.Team, Kind: r.task.Kind, State: r.state, Amount: r.task.Amount,
+	}
+}
+
+func (f *fakeWorker) report() worker.Report {
+	report := worker.Report{Worker: f.name, Epoch: f.epoch}
+	for ref := range f.runs {
+		report.Tasks = append(report.Tasks, f.status(ref))
+	}
+	return report
+}
+
+// fakeClient is an owner's way to a worker.
+type fakeClient struct {
+	worker.Client
+	*fakeWorker
+	owner string
+}
+
+func (c *fakeClient) call(epoch uint64, f func(now time.Time) error) error {
+	time.Sleep(time.Millisecond)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.cut[c.owner] {
+		return worker.ErrUnknown
+	}
+	if epoch < c.epoch {
+		return &worker.RefusedError{Code: worker.RefusedEpoch, Epoch: c.epoch}
+	}
+	now := time.Now()
+	c.advance(now)
+	return f(now)
+}
+
+func (c *fakeClient) Adopt(_ context.Context, epoch uint64) (r worker.Report, err error) {
+	err = c.call(epoch, func(time.Time) error {
+		c.epoch = epoch
+		r = c.report()
+		return nil
+	})
+	return r, err
+}
+
+func (c *fakeClient) Renew(_ context.Context, epoch uint64, lease time.Duration) (r worker.Report, err error) {
+	err = c.call(epoch, func(now time.Time) error {
+		for _, run := range c.runs {
+			if run.state == worker.TaskRunning {
+				run.lease = now.Add(lease)
+			}
+		}
+		r = c.report()
+		return nil
+	})
+	return r, err
+}
+
+func (c *fakeClient) Start(_ context.Context, epoch uint64, starts []worker.StartTask) (list []worker.TaskStatus, err error) {
+	err = c.call(epoch, func(now time.Time) error {
+		for _, s := range starts {
+			ref := worker.TaskRef{Task: s.Task, Attempt: s.Attempt}
+			if c.runs[ref] == nil {
+				c.runs[ref] = &copyRun{task: s, state: worker.TaskRunning, from: now, lease: now.Add(s.Lease)}
+				c.history = append(c.history, c.runs[ref])
+				if s.RunTime > 0 {
+					c.runs[ref].doneAt = now.Add(s.RunTime)
+				}
+			}
+			list = append(list, c.status(ref))
+		}
+		if c.loseAnswers > 0 {
+			c.loseAnswers--
+			c.cut[c.owner] = true
+			return worker.ErrUnknown
+		}
+		return nil
+	})
+	return list, err
+}
+
+func (c *fakeClient) Stop(_ context.Context, epoch uint64, refs []worker.TaskRef) (list []worker.TaskStatus, err error) {
+	err = c.call(epoch, func(now time.Time) error {
+		for _, ref := range refs {
+			r := c.runs[ref]
+			if r == nil {
+				r = &copyRun{state: worker.TaskStopped}
+				c.runs[ref] = r
+			}
+			if r.state == worker.TaskRunning {
+				r.state, r.to = worker.TaskStopped, now
+			}
+			list = append(list, c.status(ref))
+		}
+		return nil
+	})
+	return list, err
+}
+
+func (c *fakeClient) Forget(_ context.Context, epoch uint64, refs []worker.TaskRef) error {
+	return c.call(epoch, func(time.Time) error {
+		for _, ref := range refs {
+			delete(c.runs, ref)
+		}
+		return nil
+	})
+}
+
+func (c *fakeClient) Close() {}
+
+// teams counts what is taken of one large allotment.
+type teams struct {
+	mu    sync.Mutex
+	taken int64
+}
+
+func (a *teams) Take(_ string, amount resource.Amount) bool {
+	a.Force("", amount)
+	return true
+}
+
+func (a *teams) Force(_ string, amount resource.Amount) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.taken += amount.MilliCPU
+}
+
+func (a *teams) Give(_ string, amount resource.Amount) { a.Force("", amount.Times(-1)) }
+
+func (a *teams) sum() int64 {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.taken
+}
+
+// world is two owners, four workers (one a block) and a small keeper that places
+// a task anew only when its last attempt has ended or is absent.
+type world struct {
+	ctx       context.Context
+	workers   []*fakeWorker
+	instances []platform.Instance
+	owners    map[string]*Owner
+	teams     map[string]*teams
+
+	mu      sync.Mutex
+	ownerOf map[string]string
+	epochs  map[string]uint64
+	// believes says that an owner takes itself for the owner of a block still.
+	believes map[string]map[string]uint64
+	tasks    map[string]*keptTask
+}
+
+type keptTask struct {
+	attempt int
+	at      Reservation
+	// open attempts may run.
+	open bool
+	done bool
+	// owner has confirmed the attempt.
+	owner string
+}
+
+// rights is ownership.Owners of one entry.
+type rights struct {
+	*world
+	name string
+}
+
+func (r rights) MayHandOver(block string) (ownership.Grant, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return ownership.Grant{Block: block, Epoch: r.epochs[block]}, r.ownerOf[block] == r.name
+}
+
+func (r rights) Owned() []ownership.Grant {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var owned []ownership.Grant
+	for block, epoch := range r.believes[r.name] {
+		owned = append(owned, ownership.Grant{Block: block, Epoch: epoch})
+	}
+	return owned
+}
+
+func (r rights) OwnerOf(block string) (address, instance string, ok bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return "", r.ownerOf[block], true
+}
+
+func newWorld(ctx context.Context, p policy) *world {
+	w := &world{
+		ctx: ctx, owners: make(map[string]*Owner), teams: make(map[string]*teams),
+		ownerOf: make(map[string]string), epochs: make(map[string]uint64),
+		believes: map[string]map[string]uint64{"A": {}, "B": {}}, tasks: make(map[string]*keptTask),
+	}
+	for i, owner := range []string{"A", "A", "B", "B"} {
+		name := fmt.Sprintf("w%d", i)
+		w.workers = append(w.workers, &fakeWorker{
+			name: name, runs: make(map[worker.TaskRef]*copyRun), cut: make(map[string]bool),
+		})
+		w.instances = append(w.instances, platform.Instance{
+			Name: name, Role: platform.RoleWorker, Capacity: resource.Amount{MilliCPU: 2}, Connections: 64,
+		})
+		w.move(name, owner)
+	}
+	for _, name := range []string{"A", "B"} {
+		w.teams[name] = &teams{}
+		o := NewOwner(Config{
+			Owners: rights{w, name}, Book: capacity.NewBook(), Allotments: w.teams[name], Keepers: w,
+			Choose: ChooseByPlacement,
+			Dial: func(i platform.Instance) worker.Client {
+				return &fakeClient{fakeWorker: w.workers[i.Name[1]-'0'], owner: name}
+			},
+			BlockOf: func(i platform.Instance) string { return i.Name },
+			Lease:   testLease, Margin: 3 * time.Second, CallTimeout: 2 * time.Second,
+		})
+		o.policy = p
+		w.owners[name] = o
+		go o.Run(ctx)
+	}
+	go w.every(200*time.Millisecond, w.tick)
+	return w
+}
+
+func (w *world) every(d time.Duration, f func()) {
+	for w.ctx.Err() == nil {
+		f()
+		time.Sleep(d)
+	}
+}
+
+// move gives a block to an owner under a new epoch.
+func (w *world) move(block, owner string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.epochs[block]++
+	w.ownerOf[block] = owner
+	w.believes[owner][block] = w.epochs[block]
+}
+
+func (w *world) cut(i int, owners string, cut bool) {
+	w.workers[i].mu.Lock()
+	defer w.workers[i].mu.Unlock()
+	for _, o := range owners {
+		w.workers[i].cut[string(o)] = cut
+	}
+}
+
+// tick is one round of the keeper.
+func (w *world) tick() {
+	for _, o := range w.owners {
+		o.Sync(w.ctx, w.instances)
+	}
+	w.mu.Lock()
+	names := make([]string, 0, len(w.tasks))
+	for name := range w.tasks {
+		names = append(names, name)
+	}
+	w.mu.Unlock()
+	for _, name := range names {
+		w.tend(name)
+	}
+}
+
+func (w *world) tend(name string) {
+	w.mu.Lock()
+	task := *w.tasks[name]
+	owner := w.ownerOf[task.at.Block]
+	w.mu.Unlock()
+	if task.done || (task.open && task.owner == owner) {
+		return
+	}
+	if task.open {
+		reply := w.owners[owner].Status(w.ctx, AttemptsRequest{Attempts: []Located{task.at.Located}})
+		w.take(name, owner, reply.Outcomes[0])
+		return
+	}
+	for _, owner := range []string{"A", "B"} {
+		if r, ok := w.reserve(owner, name, task.attempt+1, reservationTest); ok {
+			w.mu.Lock()
+			w.tasks[name] = &keptTask{attempt: r.Attempt, at: r, open: true}
+			w.mu.Unlock()
+			w.take(name, owner, w.start(owner, r))
+			return
+		}
+	}
+}
+
+const reservationTest = 5 * time.Second
+
+var oneTask = resource.Amount{MilliCPU: 1}
+
+func (w *world) reserve(owner, name string, attempt int, d time.Duration) (Reservation, bool) {
+	reply := w.owners[owner].Reserve(w.ctx, ReserveRequest{
+		Job: JobOf(name), Team: "t", Amount: oneTask, For: d, Refs: []worker.TaskRef{{Task: name, Attempt: attempt}},
+	})
+	if len(reply.Reservations) == 0 {
+		return Reservation{}, false
+	}
+	return reply.Reservations[0], true
+}
+
+func (w *world) start(owner string, r Reservation) Outcome {
+	return w.owners[owner].Start(w.ctx, StartRequest{Starts: []Start{{
+		Worker: r.Worker, Epoch: r.Epoch, Task: worker.StartTask{
+			Task: r.Task, Attempt: r.Attempt, Team: "t", Amount: oneTask, RunTime: 2 * time.Minute,
+		},
+	}}}).Outcomes[0]
+}
+
+func (w *world) take(name, owner string, o Outcome) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	task := w.tasks[name]
+	if !task.open || task.attempt != o.Ref.Attempt {
+		return
+	}
+	switch o.State {
+	case StateRunning:
+		task.owner = owner
+	case StateAbsent:
+		task.open = false
+	case StateEnded:
+		task.end(o.Event.State)
+	}
+}
+
+func (t *keptTask) end(s worker.TaskState) { t.open, t.done = false, s == worker.TaskDone }
+
+func (w *world) Report(_ context.Context, events []Event) (ReportReply, error) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	var reply ReportReply
+	for _, e := range events {
+		reply.Recorded = append(reply.Recorded, e.TaskRef)
+		if t := w.tasks[e.Task]; t != nil && t.open && t.attempt == e.Attempt && e.State.Final() {
+			t.end(e.State)
+		}
+	}
+	return reply, nil
+}
+
+// twice returns a task of which two copies ran at one moment, by the workers'
+// own records, and a worker that ran more than it can hold.
+func (w *world) twice() (found string) {
+	now := time.Now()
+	var all []*copyRun
+	for _, f := range w.workers {
+		f.mu.Lock()
+		f.advance(now)
+		for _, r := range f.history {
+			run := *r
+			if run.to.IsZero() {
+				run.to = now
+			}
+			all = append(all, &run)
+		}
+		f.mu.Unlock()
+	}
+	for i, x := range all {
+		for _, y := range all[:i] {
+			if x.task.Task == y.task.Task && x.from.Before(y.to) && y.from.Before(x.to) {
+				return fmt.Sprintf("%s: attempts %d and %d", x.task.Task, x.task.Attempt, y.task.Attempt)
+			}
+		}
+	}
+	return ""
+}
