Add ownership of blocks with two terms and guards

Cause: every worker must be counted in one process, through crashes, pauses, cuts and outages of the table.

--- /dev/null
+++ b/process/ownership/claim.go
@@ -0,0 +1,298 @@
+package ownership
+
+import (
+	"context"
+	"errors"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/kingcuplatch/kingcuplatch/process/platform"
+)
+
+const (
+	// scanPage is how many rows one read returns.
+	scanPage = 500
+	// claimBatch is how many blocks one transaction claims.
+	claimBatch = 64
+	// claimRounds bounds the transactions of one step.
+	claimRounds = 16
+	// giveBackBatch is how many blocks are given to others in one step, each
+	// in a transaction of its own.
+	giveBackBatch = 8
+)
+
+// scanIfDue reads all rows when the period has passed or a peer told of a new
+// entry.
+func (m *Manager) scanIfDue(ctx context.Context) {
+	m.mu.Lock()
+	due := m.scanned.IsZero() || time.Since(m.scanned) >= m.ScanEvery
+	m.mu.Unlock()
+	if !due {
+		return
+	}
+	begun := time.Now()
+	if m.scanEntries(ctx) != nil || m.scanBlocks(ctx) != nil {
+		return
+	}
+	m.mu.Lock()
+	m.scanned = begun
+	m.mu.Unlock()
+}
+
+func (m *Manager) scanEntries(ctx context.Context) error {
+	return m.scan(ctx, entryPrefix, func(r platform.Row, now time.Time) error {
+		row, err := decodeEntry(r.Value)
+		if err != nil {
+			return err
+		}
+		w := m.entries[row.Instance]
+		w.observe(row, r.Version, now)
+		m.entries[row.Instance] = w
+		return nil
+	})
+}
+
+func (m *Manager) scanBlocks(ctx context.Context) error {
+	return m.scan(ctx, blockPrefix, func(r platform.Row, _ time.Time) error {
+		row, err := decodeBlock(r.Value)
+		if err != nil {
+			return err
+		}
+		id := strings.TrimPrefix(r.Key, blockPrefix)
+		m.blocks[id] = seenBlock{ID: id, Version: r.Version, Row: row}
+		return nil
+	})
+}
+
+// scan reads all rows with the prefix; take is called under m.mu.
+func (m *Manager) scan(ctx context.Context, prefix string, take func(platform.Row, time.Time) error) error {
+	after := ""
+	for {
+		rows, err := m.scanPage(ctx, prefix, after)
+		if err != nil {
+			return err
+		}
+		now := time.Now()
+		m.mu.Lock()
+		for _, r := range rows {
+			if err == nil {
+				err = take(r, now)
+			}
+		}
+		m.mu.Unlock()
+		if err != nil || len(rows) < scanPage {
+			return err
+		}
+		after = rows[len(rows)-1].Key
+	}
+}
+
+func (m *Manager) scanPage(ctx context.Context, prefix, after string) ([]platform.Row, error) {
+	ctx, cancel := m.storeContext(ctx)
+	defer cancel()
+	return m.Table.Scan(ctx, prefix, after, scanPage)
+}
+
+// claimable is a block that this entry should own, with the row of the dead
+// entry that it belongs to, if any.
+type claimable struct {
+	block seenBlock
+	dead  *platform.Condition
+}
+
+// allBlocks returns the region's blocks and the shards of keys.
+func (m *Manager) allBlocks() []Block {
+	all := slices.Clone(m.Blocks())
+	for _, id := range Shards() {
+		all = append(all, Block{ID: id})
+	}
+	return all
+}
+
+// claim takes the blocks that this entry should own and nobody does.
+func (m *Manager) claim(ctx context.Context) {
+	blocks := m.allBlocks()
+	for range claimRounds {
+		batch := m.claimables(blocks)
+		if len(batch) == 0 || !m.claimSome(ctx, batch) {
+			return
+		}
+	}
+}
+
+func (m *Manager) claimables(blocks []Block) []claimable {
+	grants := *m.grants.Load()
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if !m.term.held {
+		return nil
+	}
+	live := m.live()
+	var batch []claimable
+	for _, b := range blocks {
+		if _, granted := grants[b.ID]; granted {
+			continue
+		}
+		seen := m.blocks[b.ID]
+		seen.ID = b.ID
+		if c, ok := m.mayClaim(b, seen, live); ok {
+			batch = append(batch, c)
+		}
+		if len(batch) == claimBatch {
+			break
+		}
+	}
+	return batch
+}
+
+// mayClaim reports whether this entry should claim a block that it has no
+// grant for. Call with m.mu.
+func (m *Manager) mayClaim(b Block, seen seenBlock, live []Member) (claimable, bool) {
+	c := claimable{block: seen}
+	if seen.Row.Owner == m.self.Instance {
+		return c, true
+	}
+	if owner, ok := desiredOwner(b, live); !ok || owner.Instance != m.self.Instance {
+		return c, false
+	}
+	if seen.Row.Owner == "" {
+		return c, true
+	}
+	w := m.entries[seen.Row.Owner]
+	if w.row.Live {
+		return c, false
+	}
+	c.dead = &platform.Condition{Key: entryPrefix + seen.Row.Owner, Version: w.version}
+	return c, true
+}
+
+// claimSome claims a batch. It returns false if there is no use in going on.
+func (m *Manager) claimSome(ctx context.Context, batch []claimable) bool {
+	self := m.Self()
+	var txn platform.Txn
+	var blocks []seenBlock
+	for _, c := range batch {
+		addBlock(&txn, c.block, c.block.Row.ownedBy(self))
+		blocks = append(blocks, c.block)
+		if c.dead != nil && !slices.Contains(txn.Conditions, *c.dead) {
+			txn.Conditions = append(txn.Conditions, *c.dead)
+		}
+	}
+	version, err := m.commit(ctx, txn)
+	if err == nil {
+		m.gained(ctx, blocks, self, version)
+		return true
+	}
+	var conflict *platform.ConflictError
+	if !errors.As(err, &conflict) {
+		m.rescan()
+		return false
+	}
+	return m.refresh(ctx, conflict.Key)
+}
+
+// refresh reads again a row that was not as last seen.
+func (m *Manager) refresh(ctx context.Context, key string) bool {
+	id, isBlock := strings.CutPrefix(key, blockPrefix)
+	if !isBlock {
+		return m.scanEntries(ctx) == nil
+	}
+	found, ok, err := m.get(ctx, key)
+	if err != nil {
+		return false
+	}
+	seen := seenBlock{ID: id, Version: found.Version}
+	if ok {
+		if seen.Row, err = decodeBlock(found.Value); err != nil {
+			return false
+		}
+	}
+	m.mu.Lock()
+	m.blocks[id] = seen
+	m.mu.Unlock()
+	return true
+}
+
+// rescan makes the next step read all rows.
+func (m *Manager) rescan() {
+	m.mu.Lock()
+	m.scanned = time.Time{}
+	m.mu.Unlock()
+}
+
+// gained takes in blocks that self was confirmed to own since version.
+func (m *Manager) gained(ctx context.Context, blocks []seenBlock, self Member, version uint64) {
+	if len(blocks) == 0 {
+		return
+	}
+	now := make([]seenBlock, len(blocks))
+	grants := make([]Grant, len(blocks))
+	for i, b := range blocks {
+		now[i] = seenBlock{ID: b.ID, Version: version, Row: b.Row.ownedBy(self)}
+		grants[i] = Grant{Block: b.ID, Epoch: now[i].Row.Epoch}
+	}
+	m.remember(now)
+	m.grant(grants)
+	for _, g := range grants {
+		m.OnGain(g)
+	}
+	m.announce(ctx, changedParams{Blocks: now})
+}
+
+func (m *Manager) remember(blocks []seenBlock) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, b := range blocks {
+		m.blocks[b.ID] = b
+	}
+}
+
+// giveBack releases some of the blocks that another live entry should own.
+func (m *Manager) giveBack(ctx context.Context) {
+	given := 0
+	for _, b := range m.allBlocks() {
+		if _, granted := (*m.grants.Load())[b.ID]; !granted || !m.misplaced(b) {
+			continue
+		}
+		if m.giveOne(ctx, b.ID) {
+			given++
+		}
+		if given == giveBackBatch {
+			return
+		}
+	}
+}
+
+func (m *Manager) misplaced(b Block) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	owner, ok := desiredOwner(b, m.live())
+	return ok && owner.Instance != m.self.Instance
+}
+
+// giveOne releases a block if nothing runs in it. The grant is revoked before
+// it is known whether anything runs, so that nothing starts in between.
+func (m *Manager) giveOne(ctx context.Context, id string) bool {
+	g := m.revoke(id)
+	if !m.Idle(id) {
+		m.grant([]Grant{g})
+		return false
+	}
+	m.OnLoss(id)
+	m.mu.Lock()
+	seen := m.blocks[id]
+	m.mu.Unlock()
+	next := blockRow{Epoch: seen.Row.Epoch}
+	var txn platform.Txn
+	addBlock(&txn, seen, next)
+	version, err := m.commit(ctx, txn)
+	if err != nil {
+		m.rescan()
+		return true
+	}
+	given := []seenBlock{{ID: id, Version: version, Row: next}}
+	m.remember(given)
+	m.announce(ctx, changedParams{Blocks: given})
+	return true
+}
--- /dev/null
+++ b/process/ownership/hash.go
@@ -0,0 +1,136 @@
+package ownership
+
+import (
+	"cmp"
+	"fmt"
+	"hash/fnv"
+	"slices"
+
+	"github.com/kingcuplatch/kingcuplatch/process/platform"
+)
+
+// shardCount is how many shards the keys of jobs and requests fall into.
+const shardCount = 64
+
+// Shards returns the blocks of all shards of keys, sorted.
+func Shards() []string {
+	all := make([]string, shardCount)
+	for i := range all {
+		all[i] = fmt.Sprintf("s/%02x", i)
+	}
+	return all
+}
+
+// ShardOf returns the shard that a key falls into.
+func ShardOf(key string) string {
+	return fmt.Sprintf("s/%02x", score(key, "")%shardCount)
+}
+
+// WorkerBlock returns the block of a worker: the worker itself, or its rack.
+func WorkerBlock(worker platform.Instance, perRack bool) string {
+	if perRack {
+		return "w/" + worker.FailureDomain + "/" + worker.Rack
+	}
+	return "w/" + worker.Name
+}
+
+// score is the weight of a pair in rendezvous hashing: FNV-1a with the
+// finalizer of MurmurHash3, so that near-equal names spread.
+//
+// Source: Thaler and Ravishankar, "A Name-Based Mapping Scheme for
+// Rendezvous", 1996.
+func score(key, candidate string) uint64 {
+	h := fnv.New64a()
+	_, _ = h.Write([]byte(key))
+	_, _ = h.Write([]byte{0})
+	_, _ = h.Write([]byte(candidate))
+	x := h.Sum64()
+	x ^= x >> 33
+	x *= 0xff51afd7ed558ccd
+	x ^= x >> 33
+	x *= 0xc4ceb9fe1a85ec53
+	return x ^ x>>33
+}
+
+// ranked returns the members in the order of their weight for key.
+func ranked(key string, members []Member) []Member {
+	all := slices.Clone(members)
+	slices.SortFunc(all, func(a, b Member) int {
+		return cmp.Or(
+			cmp.Compare(score(key, b.Instance), score(key, a.Instance)),
+			cmp.Compare(a.Instance, b.Instance),
+		)
+	})
+	return all
+}
+
+// desiredOwner returns which live entry should own the block: one of the
+// block's failure domain if there is any.
+func desiredOwner(b Block, live []Member) (Member, bool) {
+	var best Member
+	var bestScore uint64
+	var bestNear, found bool
+	for _, m := range live {
+		near := b.FailureDomain != "" && m.FailureDomain == b.FailureDomain
+		s := score(b.ID, m.Instance)
+		if found && (bestNear && !near || bestNear == near && bestScore >= s) {
+			continue
+		}
+		best, bestScore, bestNear, found = m, s, near, true
+	}
+	return best, found
+}
+
+// guardCount is how many guards an entry has, if there are that many others.
+const guardCount = 2
+
+// chooseGuards returns the guards that self should have: entries of its region
+// by rendezvous hash, of other failure domains and of unlike ones first.
+// refused lists instances that won't ack this incarnation again.
+func chooseGuards(self Member, others []Member, refused map[string]bool) []Member {
+	candidates := slices.DeleteFunc(ranked(self.Instance, others), func(m Member) bool {
+		return m.Instance == self.Instance || m.Region != self.Region || refused[m.Instance]
+	})
+	chosen := make([]Member, 0, guardCount)
+	used := map[string]bool{self.FailureDomain: true}
+	for _, fresh := range []bool{true, false} {
+		for _, m := range candidates {
+			if len(chosen) == guardCount {
+				return chosen
+			}
+			taken := slices.ContainsFunc(chosen, func(c Member) bool { return c.Instance == m.Instance })
+			if taken || fresh && used[m.FailureDomain] {
+				continue
+			}
+			used[m.FailureDomain] = true
+			chosen = append(chosen, m)
+		}
+	}
+	return chosen
+}
+
+// watcherCount is how many entries besides its guards watch an entry's row.
+const watcherCount = 2
+
+// watches reports whether self watches the row of the other entry.
+func watches(self Member, row entryRow, live []Member) bool {
+	if row.Region != self.Region || row.Instance == self.Instance {
+		return false
+	}
+	if slices.ContainsFunc(row.Guards, func(m Member) bool { return m.Instance == self.Instance }) {
+		return true
+	}
+	n := 0
+	for _, m := range ranked("watch/"+row.Instance, live) {
+		if m.Instance == row.Instance {
+			continue
+		}
+		if m.Instance == self.Instance {
+			return true
+		}
+		if n++; n == watcherCount {
+			return false
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/process/ownership/manager_test.go
@@ -0,0 +1,327 @@
+package ownership
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/kingcuplatch/kingcuplatch/conn/peer"
+	"github.com/kingcuplatch/kingcuplatch/process/platform"
+	"gotest.tools/v3/assert"
+)
+
+// fakeTable is a table in memory that can be down.
+type fakeTable struct {
+	mu      sync.Mutex
+	rows    map[string]platform.Row
+	version uint64
+	down    bool
+}
+
+func (f *fakeTable) Get(_ context.Context, key string) (platform.Row, bool, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.down {
+		return platform.Row{}, false, platform.ErrUnavailable
+	}
+	row, ok := f.rows[key]
+	return row, ok, nil
+}
+
+func (f *fakeTable) Scan(_ context.Context, prefix, after string, limit int) ([]platform.Row, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.down {
+		return nil, platform.ErrUnavailable
+	}
+	var rows []platform.Row
+	for key, row := range f.rows {
+		if strings.HasPrefix(key, prefix) && key > after {
+			rows = append(rows, row)
+		}
+	}
+	slices.SortFunc(rows, func(a, b platform.Row) int { return strings.Compare(a.Key, b.Key) })
+	return rows[:min(limit, len(rows))], nil
+}
+
+func (f *fakeTable) Commit(_ context.Context, txn platform.Txn) (uint64, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.down {
+		return 0, platform.ErrUnavailable
+	}
+	for _, c := range txn.Conditions {
+		if v := f.rows[c.Key].Version; v != c.Version {
+			return 0, &platform.ConflictError{Key: c.Key, Version: v}
+		}
+	}
+	f.version++
+	for _, w := range txn.Writes {
+		f.rows[w.Key] = platform.Row{Key: w.Key, Version: f.version, Value: w.Value}
+	}
+	return f.version, nil
+}
+
+func (f *fakeTable) setDown(down bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.down = down
+}
+
+// fakeFleet is a set of entries with a network between them.
+type fakeFleet struct {
+	t        *testing.T
+	table    *fakeTable
+	mu       sync.Mutex
+	handlers map[string]map[string]peer.Handler
+	members  []Member
+	blocks   []Block
+}
+
+type fakeEntry struct {
+	*Manager
+	cancel context.CancelFunc
+	done   chan error
+	events []string
+}
+
+func newFleet(t *testing.T, entries int) *fakeFleet {
+	f := &fakeFleet{t: t, table: &fakeTable{rows: map[string]platform.Row{}}, handlers: map[string]map[string]peer.Handler{}}
+	for i := range entries {
+		f.members = append(f.members, Member{Instance: fmt.Sprintf("e%d", i), Address: fmt.Sprintf("10.0.0.%d:1", i), FailureDomain: fmt.Sprintf("fd%d", i%3)})
+	}
+	for i := range 12 {
+		f.blocks = append(f.blocks, Block{ID: fmt.Sprintf("w/%d", i), FailureDomain: fmt.Sprintf("fd%d", i%3)})
+	}
+	return f
+}
+
+// Call implements peer.Caller; a stopped entry can't be reached.
+func (f *fakeFleet) Call(ctx context.Context, address, method string, params, result any) error {
+	f.mu.Lock()
+	handler := f.handlers[address][method]
+	f.mu.Unlock()
+	if handler == nil {
+		return peer.ErrNotSent
+	}
+	answer, err := handler(ctx, encode(params))
+	if err != nil {
+		return err
+	}
+	return json.Unmarshal(encode(answer), result)
+}
+
+func (f *fakeFleet) start(i, life int) *fakeEntry {
+	self := f.members[i]
+	self.Incarnation = fmt.Sprintf("%s.%d", self.Instance, life)
+	e := &fakeEntry{done: make(chan error, 1)}
+	e.Manager = New(Options{
+		Self: self, Table: f.table, Peers: f,
+		Blocks:  func() []Block { return f.blocks },
+		Members: func() []Member { return f.members },
+		OnGain:  func(g Grant) { e.events = append(e.events, "gain "+g.Block) },
+		OnLoss:  func(b string) { e.events = append(e.events, "loss "+b) },
+		OnTakeover: func(dead Member, all []json.RawMessage) {
+			for _, a := range all {
+				e.events = append(e.events, fmt.Sprintf("takeover %s %s", dead.Instance, a))
+			}
+		},
+		Attachment: func() json.RawMessage { return json.RawMessage(`"usage"`) },
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	e.cancel = func() { f.handle(self.Address, nil); cancel() }
+	f.handle(self.Address, e.Handlers())
+	go func() { e.done <- e.Run(ctx) }()
+	return e
+}
+
+func (f *fakeFleet) handle(address string, handlers map[string]peer.Handler) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.handlers[address] = handlers
+}
+
+// startAll starts all entries and waits until the blocks are spread.
+func (f *fakeFleet) startAll() []*fakeEntry {
+	var all []*fakeEntry
+	for i := range f.members {
+		all = append(all, f.start(i, 1))
+	}
+	time.Sleep(40 * time.Second)
+	assert.Equal(f.t, f.usable(all), len(f.blocks)+shardCount)
+	return all
+}
+
+// usable counts blocks that some entry may use, and fails if two may use one.
+func (f *fakeFleet) usable(entries []*fakeEntry) int {
+	by := map[string]string{}
+	for _, e := range entries {
+		for _, g := range e.Owned() {
+			if _, ok := e.MayHandOver(g.Block); !ok {
+				continue
+			}
+			assert.Equal(f.t, by[g.Block], "", "block %s", g.Block)
+			by[g.Block] = e.Self().Instance
+		}
+	}
+	return len(by)
+}
+
+// waitUsable returns how long it took until all blocks are usable.
+func (f *fakeFleet) waitUsable(entries ...*fakeEntry) time.Duration {
+	begun := time.Now()
+	for f.usable(entries) < len(f.blocks)+shardCount {
+		assert.Assert(f.t, time.Since(begun) < time.Minute, "%d usable", f.usable(entries))
+		time.Sleep(100 * time.Millisecond)
+	}
+	return time.Since(begun)
+}
+
+func inFleet(t *testing.T, entries int, test func(t *testing.T, f *fakeFleet, all []*fakeEntry)) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, entries)
+		all := f.startAll()
+		test(t, f, all)
+		for _, e := range all {
+			e.cancel()
+		}
+		synctest.Wait()
+	})
+}
+
+func TestBlocksSpreadOverEntries(t *testing.T) {
+	inFleet(t, 3, func(t *testing.T, f *fakeFleet, all []*fakeEntry) {
+		for i, e := range all {
+			for _, g := range e.Owned() {
+				address, instance, ok := all[(i+1)%3].OwnerOf(g.Block)
+				assert.Assert(t, ok)
+				assert.Equal(t, instance, e.Self().Instance)
+				assert.Equal(t, address, e.Self().Address)
+			}
+			near := slices.ContainsFunc(e.Owned(), func(g Grant) bool { return g.Block == fmt.Sprintf("w/%d", i) })
+			assert.Assert(t, near, "block of the same failure domain")
+			assert.Assert(t, len(e.Owned()) > 10)
+			assert.Equal(t, len(e.Members()[i].Guards), 2)
+		}
+	})
+}
+
+func TestCrashIsTakenOverAfterTheShortTerm(t *testing.T) {
+	inFleet(t, 3, func(t *testing.T, f *fakeFleet, all []*fakeEntry) {
+		for _, body := range []string{`"one"`, `"two"`} {
+			assert.NilError(t, all[0].Replicate(t.Context(), json.RawMessage(body)))
+		}
+		all[0].cancel()
+		took := f.waitUsable(all[1], all[2])
+		t.Logf("all blocks usable again after %s", took)
+		assert.Assert(t, took > 4*time.Second && took < 9*time.Second, "%s", took)
+		events := slices.Concat(all[1].events, all[2].events)
+		i := slices.Index(events, `takeover e0 "usage"`)
+		assert.Assert(t, i >= 0)
+		assert.DeepEqual(t, events[i+1:i+3], []string{`takeover e0 "one"`, `takeover e0 "two"`})
+		assert.Assert(t, strings.HasPrefix(events[len(events)-1], "gain") || strings.HasPrefix(events[len(events)-1], "loss"))
+	})
+}
+
+func TestReleaseIsTakenAtOnce(t *testing.T) {
+	inFleet(t, 3, func(t *testing.T, f *fakeFleet, all []*fakeEntry) {
+		assert.NilError(t, all[0].Release(t.Context()))
+		assert.NilError(t, <-all[0].done)
+		all[0].cancel()
+		took := f.waitUsable(all[1], all[2])
+		t.Logf("all blocks usable again after %s", took)
+		assert.Assert(t, took < time.Second, "%s", took)
+	})
+}
+
+func TestRestartTakesItsPredecessorsAtOnce(t *testing.T) {
+	inFleet(t, 3, func(t *testing.T, f *fakeFleet, all []*fakeEntry) {
+		all[0].cancel()
+		next := f.start(0, 2)
+		defer next.cancel()
+		took := f.waitUsable(next, all[1], all[2])
+		t.Logf("all blocks usable again after %s", took)
+		assert.Assert(t, took < 3*time.Second, "%s", took)
+		assert.Equal(t, next.events[0], `takeover e0 "usage"`)
+	})
+}
+
+func TestGuardsCarryAnOutageOfTheTable(t *testing.T) {
+	for _, entries := range []int{1, 3} {
+		inFleet(t, entries, func(t *testing.T, f *fakeFleet, all []*fakeEntry) {
+			f.table.setDown(true)
+			for range 600 {
+				time.Sleep(time.Second)
+				assert.Equal(t, f.usable(all), len(f.blocks)+shardCount)
+			}
+			for _, e := range all[1:] {
+				e.cancel()
+			}
+			time.Sleep(6 * time.Second)
+			// A lone entry keeps its right; one without its guards loses it.
+			lone := entries == 1
+			assert.Equal(t, f.usable(all[:1]) > 0, lone)
+			f.table.setDown(false)
+			// Two of three died at once: theirs come back with their instances.
+			for i := 1; i < entries; i++ {
+				all[i] = f.start(i, 2)
+			}
+			assert.Assert(t, f.waitUsable(all...) < 5*time.Second)
+		})
+	}
+}
+
+// A frozen owner's goroutines don't run: its heartbeats and renewals stop, its
+// memory stays.
+func TestFrozenOwnerCannotHandOverAfterThaw(t *testing.T) {
+	inFleet(t, 3, func(t *testing.T, f *fakeFleet, all []*fakeEntry) {
+		frozen := all[0]
+		owned := frozen.Owned()
+		frozen.cancel()
+		for range 90 {
+			time.Sleep(100 * time.Millisecond)
+			f.usable(all)
+		}
+		assert.Equal(t, f.usable(all[1:]), len(f.blocks)+shardCount)
+		assert.Assert(t, len(owned) > 0)
+		for _, g := range owned {
+			_, ok := frozen.MayHandOver(g.Block)
+			assert.Assert(t, !ok)
+		}
+	})
+}
+
+func BenchmarkMayHandOver(b *testing.B) {
+	m := New(Options{Self: Member{Instance: "e0", Incarnation: "1"}})
+	var grants []Grant
+	for i := range 200 {
+		grants = append(grants, Grant{Block: fmt.Sprintf("w/worker-%d", i), Epoch: 1})
+	}
+	m.grant(grants)
+	m.until.Store(int64(time.Hour))
+	b.RunParallel(func(pb *testing.PB) {
+		for pb.Next() {
+			if _, ok := m.MayHandOver("w/worker-77"); !ok {
+				b.Error("no right")
+			}
+		}
+	})
+}
+
+func BenchmarkRowBytes(b *testing.B) {
+	m := Member{Instance: "entry-0001", Incarnation: "0123456789abcdef", Address: "10.0.0.1:7003", FailureDomain: "perth-a", Region: "perth"}
+	entry := entryRow{Member: m, Live: true, Guards: []Member{m, m}, Attempt: 100000}
+	for b.Loop() {
+		_ = encode(entry)
+	}
+	b.ReportMetric(float64(len(encode(entry))), "B/entry-row")
+	b.ReportMetric(float64(len(encode(blockRow{}.ownedBy(m)))), "B/block-row")
+	b.ReportMetric(float64(len(encode(heartbeatParams{Owner: m, Confirmed: 100000}))), "B/heartbeat")
+	b.ReportMetric(float64(len(encode(heartbeatResult{Incarnation: m.Incarnation}))), "B/ack")
+}
