Count a closed worker connection until the worker has closed it too

Cause: under faults the worker saw 6 to 7 connections where the client was bound to 5. The client itself never had more than 4 open; the worker still held those whose callers had left, and dials whose caller left halfway.

Change: a closed connection is half closed and drained, and keeps its permit until the worker closes it or the drain time is over; a dial goes on when its caller leaves. Control connections drain for a second at most, so that a silent one doesn't hold up the renewal of leases. The stand-in takes connections that it cuts out of its count at once.

Ruled out: a margin under the bound, which a burst of abandoned calls exceeds.

--- a/conn/worker/httpworker/client.go
+++ b/conn/worker/httpworker/client.go
@@ -17,20 +17,29 @@
 	dialTimeout        = 2 * time.Second
 	idleConnTimeout    = time.Minute
 	defaultFreshWithin = time.Second
-	defaultMaxAnswer   = 64 << 20
-	maxHeaderBytes     = 64 << 10
+	defaultDrainFor    = 30 * time.Second
+	// controlDrainFor is shorter, since control calls are short on the worker
+	// and a silent connection must not hold up the renewal of leases.
+	controlDrainFor  = time.Second
+	defaultMaxAnswer = 64 << 20
+	maxHeaderBytes   = 64 << 10
 )
 
 // Options are the settings of a Client.
 type Options struct {
 	// Address is the worker's IP and port.
 	Address string
-	// MaxConnections bounds the open connections. One of them is kept for
-	// control calls; with a bound of 1, control and requests share it.
+	// MaxConnections bounds the connections that are open, also as the worker
+	// counts them. One of them is kept for control calls; with a bound of 1,
+	// control and requests share it.
 	MaxConnections int
 	// FreshWithin is how recently a connection must have been heard from to
 	// carry a fresh call; 0 means one second.
 	FreshWithin time.Duration
+	// DrainFor is how long a closed connection counts against MaxConnections
+	// unless the worker closes it sooner; 0 means 30 seconds. For the control
+	// connection it is one second at most.
+	DrainFor time.Duration
 	// MaxAnswerBytes bounds the body of an answer; 0 means 64 MiB.
 	MaxAnswerBytes int64
 }
@@ -52,24 +61,27 @@
 	if options.FreshWithin <= 0 {
 		options.FreshWithin = defaultFreshWithin
 	}
+	if options.DrainFor <= 0 {
+		options.DrainFor = defaultDrainFor
+	}
 	if options.MaxAnswerBytes <= 0 {
 		options.MaxAnswerBytes = defaultMaxAnswer
 	}
 	c := &Client{
 		options:  options,
-		requests: newPool(max(1, options.MaxConnections-1)),
+		requests: newPool(max(1, options.MaxConnections-1), options.DrainFor),
 	}
 	c.control = c.requests
 	if options.MaxConnections > 1 {
-		c.control = newPool(1)
+		c.control = newPool(1, min(options.DrainFor, controlDrainFor))
 	}
 	return c
 }
 
 // Close implements worker.Client. Calls under way end with worker.ErrUnknown.
 func (c *Client) Close() {
-	c.requests.close()
-	c.control.close()
+	c.requests.shut()
+	c.control.shut()
 }
 
 // Do implements worker.Client. An answer of the worker with any status is a
--- a/conn/worker/httpworker/lane.go
+++ b/conn/worker/httpworker/lane.go
@@ -2,15 +2,16 @@
 
 import (
 	"context"
-	"errors"
 	"net"
 	"net/http"
 	"sync"
 	"time"
 )
 
-// lane holds at most one connection and carries one call at a time.
+// lane holds at most one connection that takes calls, and carries one call at a
+// time.
 type lane struct {
+	pool      *pool
 	transport *http.Transport
 	dialer    net.Dialer
 
@@ -21,8 +22,8 @@
 	wrote bool
 }
 
-func newLane() *lane {
-	l := &lane{dialer: net.Dialer{Timeout: dialTimeout}}
+func newLane(p *pool) *lane {
+	l := &lane{pool: p, dialer: net.Dialer{Timeout: dialTimeout}}
 	l.transport = &http.Transport{
 		DialContext:            l.dial,
 		MaxConnsPerHost:        1,
@@ -34,15 +35,26 @@
 	return l
 }
 
+// dial opens a connection once the pool permits one more. It goes on when the
+// caller leaves: a connection that was given up halfway might be open for the
+// worker.
 func (l *lane) dial(ctx context.Context, network, address string) (net.Conn, error) {
-	raw, err := l.dialer.DialContext(ctx, network, address)
+	if err := l.pool.permit(ctx); err != nil {
+		return nil, err
+	}
+	raw, err := l.dialer.DialContext(context.WithoutCancel(ctx), network, address)
 	if err != nil {
+		l.pool.returnPermit()
 		return nil, err
 	}
-	dialled := &conn{Conn: raw, lane: l, heard: time.Now()}
+	dialled := newConn(raw, l)
 	l.mu.Lock()
-	defer l.mu.Unlock()
 	l.conn = dialled
+	l.mu.Unlock()
+	if l.pool.open.Err() != nil {
+		_ = dialled.Close()
+		return nil, errClosed
+	}
 	return dialled, nil
 }
 
@@ -74,63 +86,14 @@
 	l.mu.Lock()
 	current := l.conn
 	l.conn = nil
-	if current != nil {
-		current.closed = true
-	}
-	wrote = l.wrote
 	l.mu.Unlock()
 
 	if current != nil {
-		_ = current.Conn.Close()
+		_ = current.Close()
 	}
 	l.transport.CloseIdleConnections()
-	return wrote
-}
-
-var errDropped = errors.New("connection was dropped")
-
-// conn notes when its lane's connection was heard from and written to. closed
-// and heard are guarded by the lane's lock.
-type conn struct {
-	net.Conn
-	lane   *lane
-	closed bool
-	heard  time.Time
-}
 
-// Read implements net.Conn.
-func (c *conn) Read(p []byte) (int, error) {
-	n, err := c.Conn.Read(p)
-	if n > 0 {
-		c.lane.mu.Lock()
-		c.heard = time.Now()
-		c.lane.mu.Unlock()
-	}
-	return n, err
-}
-
-// Write implements net.Conn.
-func (c *conn) Write(p []byte) (int, error) {
-	if !c.mayWrite() {
-		return 0, errDropped
-	}
-	return c.Conn.Write(p)
-}
-
-func (c *conn) mayWrite() bool {
-	c.lane.mu.Lock()
-	defer c.lane.mu.Unlock()
-	if c.closed {
-		return false
-	}
-	c.lane.wrote = true
-	return true
-}
-
-// Close implements net.Conn.
-func (c *conn) Close() error {
-	c.lane.mu.Lock()
-	c.closed = true
-	c.lane.mu.Unlock()
-	return c.Conn.Close()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.wrote
 }
--- a/conn/worker/httpworker/pool.go
+++ b/conn/worker/httpworker/pool.go
@@ -5,49 +5,73 @@
 	"errors"
 	"slices"
 	"sync"
+	"time"
 )
 
 var errClosed = errors.New("client is closed")
 
-// pool is a bounded set of lanes.
+// pool is a bounded set of lanes and of the connections that they open.
 type pool struct {
 	// tokens holds one token for each lane in use.
 	tokens chan struct{}
+	// permits holds one token for each connection, also while it drains.
+	permits  chan struct{}
+	drainFor time.Duration
+	// open ends when the pool is closed.
+	open  context.Context
+	close context.CancelFunc
 
-	mu     sync.Mutex
-	closed bool
-	idle   []*lane
-	all    []*lane
+	mu   sync.Mutex
+	idle []*lane
+	all  []*lane
 }
 
-func newPool(size int) *pool {
-	return &pool{tokens: make(chan struct{}, size)}
+func newPool(size int, drainFor time.Duration) *pool {
+	p := &pool{
+		tokens:   make(chan struct{}, size),
+		permits:  make(chan struct{}, size),
+		drainFor: drainFor,
+	}
+	p.open, p.close = context.WithCancel(context.Background())
+	return p
 }
 
+// permit waits until one more connection may be opened.
+func (p *pool) permit(ctx context.Context) error {
+	select {
+	case p.permits <- struct{}{}:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-p.open.Done():
+		return errClosed
+	}
+}
+
+func (p *pool) returnPermit() { <-p.permits }
+
 // acquire waits for a lane, and prefers the one that was heard from last.
 func (p *pool) acquire(ctx context.Context) (*lane, error) {
+	if p.open.Err() != nil {
+		return nil, errClosed
+	}
 	select {
 	case p.tokens <- struct{}{}:
+		return p.take(), nil
 	case <-ctx.Done():
 		return nil, ctx.Err()
+	case <-p.open.Done():
+		return nil, errClosed
 	}
-	l, err := p.take()
-	if err != nil {
-		<-p.tokens
-	}
-	return l, err
 }
 
-func (p *pool) take() (*lane, error) {
+func (p *pool) take() *lane {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.closed {
-		return nil, errClosed
-	}
 	if len(p.idle) == 0 {
-		l := newLane()
+		l := newLane(p)
 		p.all = append(p.all, l)
-		return l, nil
+		return l
 	}
 	best := 0
 	for i, l := range p.idle {
@@ -57,24 +81,23 @@
 	}
 	l := p.idle[best]
 	p.idle = slices.Delete(p.idle, best, best+1)
-	return l, nil
+	return l
 }
 
 func (p *pool) release(l *lane) {
+	if p.open.Err() != nil {
+		l.drop()
+	}
 	p.mu.Lock()
-	closed := p.closed
 	p.idle = append(p.idle, l)
 	p.mu.Unlock()
-	if closed {
-		l.drop()
-	}
 	<-p.tokens
 }
 
-// close drops all connections, also those in use.
-func (p *pool) close() {
+// shut drops all connections, also those in use, and permits no more.
+func (p *pool) shut() {
+	p.close()
 	p.mu.Lock()
-	p.closed = true
 	lanes := slices.Clone(p.all)
 	p.mu.Unlock()
 	for _, l := range lanes {
--- a/conn/worker/httpworker/protocol.go
+++ b/conn/worker/httpworker/protocol.go
@@ -9,7 +9,9 @@
 //
 // Connections. A connection carries one call at a time. It is closed and never
 // used again after any call on it that did not end in a whole answer, so that a
-// late answer has no reader and a silent connection harms one call only.
+// late answer has no reader and a silent connection harms one call only. A
+// closed connection counts as open until the worker has closed it too, or the
+// drain time is over.
 // Nothing is sent twice: net/http repeats a POST only if its body can be read
 // again, and the bodies of this package can't.
 package httpworker
--- a/internal/standin/workerstandin/listener.go
+++ b/internal/standin/workerstandin/listener.go
@@ -88,8 +88,13 @@
 // Close implements net.Conn.
 func (c *conn) Close() error {
 	c.w.mu.Lock()
-	delete(c.w.conns, c)
-	c.w.record.Connections = len(c.w.conns)
+	c.w.closedLocked(c)
 	c.w.mu.Unlock()
 	return c.Conn.Close()
 }
+
+// closedLocked takes a connection out of the count.
+func (w *Worker) closedLocked(c *conn) {
+	delete(w.conns, c)
+	w.record.Connections = len(w.conns)
+}
--- a/internal/standin/workerstandin/worker.go
+++ b/internal/standin/workerstandin/worker.go
@@ -113,6 +113,7 @@
 		}
 		if now.Unreachable {
 			cut = append(cut, c.Conn)
+			w.closedLocked(c)
 		}
 	}
 	w.mu.Unlock()
