Mend the test of platform writes whose caller leaves

Cause: the test cancelled the call while the platform went on to answer, and failed once in ten runs when the answer came before the cancellation was seen. The adapter was right both times.

Change: the platform answers only once the caller has left, so that the outcome must be unknown. The other faults no longer run the platform behind them. All cases are kept, and as strict.

--- a/internal/standin/platformstandin/platform_test.go
+++ b/internal/standin/platformstandin/platform_test.go
@@ -151,30 +151,40 @@
 }
 
 func TestHTTPWriteIsUnknownOnceSent(t *testing.T) {
-	p := New()
-	var fault atomic.Value
-	fault.Store(func(http.ResponseWriter) {})
-	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		fault.Load().(func(http.ResponseWriter))(w)
-		p.Handler().ServeHTTP(w, r)
-	}))
-	client := httpplatform.New(server.URL)
 	ctx, cancel := context.WithCancel(t.Context())
-	faults := map[string]func(w http.ResponseWriter){
-		"caller gone": func(http.ResponseWriter) { cancel() },
-		"cut short": func(w http.ResponseWriter) {
+	left := make(chan struct{})
+	faults := []struct {
+		name   string
+		answer func(w http.ResponseWriter)
+	}{
+		{"cut short", func(w http.ResponseWriter) {
 			w.Header().Set("Content-Length", "100")
 			_, _ = w.Write([]byte(`{"version":1}`))
 			panic(http.ErrAbortHandler)
-		},
-		"no length":   func(w http.ResponseWriter) { w.(http.Flusher).Flush() },
-		"not its own": func(w http.ResponseWriter) { http.Error(w, "busy", http.StatusServiceUnavailable) },
+		}},
+		{"no length", func(w http.ResponseWriter) {
+			w.(http.Flusher).Flush()
+			_, _ = w.Write([]byte(`{"version":1}`))
+		}},
+		{"not the platform's", func(w http.ResponseWriter) {
+			http.Error(w, "busy", http.StatusServiceUnavailable)
+		}},
+		{"caller gone", func(http.ResponseWriter) {
+			cancel()
+			<-left
+		}},
 	}
-	for _, name := range []string{"cut short", "no length", "not its own", "caller gone"} {
-		fault.Store(faults[name])
+	var next atomic.Int64
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		faults[next.Load()].answer(w)
+	}))
+	client := httpplatform.New(server.URL)
+	for i, fault := range faults {
+		next.Store(int64(i))
 		_, err := client.Commit(ctx, put("k", "v", 0))
-		assert.ErrorIs(t, err, platform.ErrUnknown, name)
+		assert.Check(t, errors.Is(err, platform.ErrUnknown), "%s: %v", fault.name, err)
 	}
+	close(left)
 	server.Close()
 	_, err := client.Commit(t.Context(), put("k", "v", 0))
 	assert.ErrorIs(t, err, platform.ErrUnavailable)
