--- a/version/store/apply.go
+++ b/version/store/apply.go
@@ -202,10 +202,14 @@
 	if _, err := records.Compile(edited, number); err != nil {
 		return nil, err
 	}
-	body, err := records.Encode(edited)
+	text, err := records.Encode(edited)
 	if err != nil {
 		return nil, err
 	}
+	body, err := pack(text)
+	if err != nil {
+		return nil, eris.Wrapf(err, "pack version %d", number)
+	}
 	return load(Version{Number: number, Object: objectName(body), Body: body})
 }
 
--- /dev/null
+++ b/version/store/bench_test.go
@@ -0,0 +1,40 @@
+package store
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/kingcuplatch/kingcuplatch/version/records"
+)
+
+// BenchmarkLoad is what each change costs each entry: checking the body and
+// compiling it. Every team has two keys and its own kind of work.
+func BenchmarkLoad(b *testing.B) {
+	for _, teams := range []int{6, 60, 180} {
+		b.Run(fmt.Sprintf("teams=%d", teams), func(b *testing.B) {
+			r := &records.Records{}
+			for i := range teams {
+				name := fmt.Sprintf("team-%d", i)
+				r.Teams = append(r.Teams, records.Team{Name: name, Share: int64(i + 1), QueueLimit: 100})
+				for _, id := range []string{name + "-a", name + "-b"} {
+					r.Keys = append(r.Keys, records.Key{ID: id, Team: name, SHA256: records.HashKey(id)})
+				}
+				kind := records.Kind{Name: name + "-work", Policy: "batch", RunTime: time.Minute, Teams: []string{name}}
+				kind.Amount.MilliCPU, kind.Amount.MemoryMB = 1000, 1000
+				r.Kinds = append(r.Kinds, kind)
+			}
+			made, err := build(r, 1)
+			if err != nil {
+				b.Fatal(err)
+			}
+			b.ReportAllocs()
+			for b.Loop() {
+				if _, err := load(made.version); err != nil {
+					b.Fatal(err)
+				}
+			}
+			b.ReportMetric(float64(len(made.version.Body)), "body-bytes")
+		})
+	}
+}
--- a/version/store/rows.go
+++ b/version/store/rows.go
@@ -1,10 +1,13 @@
 package store
 
 import (
+	"bytes"
+	"compress/gzip"
 	"context"
 	"crypto/sha256"
 	"encoding/hex"
 	"encoding/json"
+	"io"
 	"regexp"
 
 	"github.com/kingcuplatch/kingcuplatch/process/platform"
@@ -98,7 +101,11 @@
 	if got := objectName(v.Body); got != v.Object {
 		return nil, eris.Errorf("body of version %d has hash %s, not %s", v.Number, got, v.Object)
 	}
-	parsed, err := records.Decode(v.Body)
+	text, err := unpack(v.Body)
+	if err != nil {
+		return nil, eris.Wrapf(err, "unpack version %d", v.Number)
+	}
+	parsed, err := records.Decode(text)
 	if err != nil {
 		return nil, eris.Wrapf(err, "decode version %d", v.Number)
 	}
@@ -109,6 +116,29 @@
 	return &inForce{snapshot: snapshot, records: parsed, version: v}, nil
 }
 
+// pack compresses encoded records. Every entry fetches every body, so its size
+// decides what a change costs on the wire.
+func pack(text []byte) ([]byte, error) {
+	var body bytes.Buffer
+	writer := gzip.NewWriter(&body)
+	if _, err := writer.Write(text); err != nil {
+		return nil, err
+	}
+	if err := writer.Close(); err != nil {
+		return nil, err
+	}
+	return body.Bytes(), nil
+}
+
+// unpack is the inverse of pack. It reads no more than records.Decode takes.
+func unpack(body []byte) ([]byte, error) {
+	reader, err := gzip.NewReader(bytes.NewReader(body))
+	if err != nil {
+		return nil, err
+	}
+	return io.ReadAll(io.LimitReader(reader, records.MaxFileBytes+1))
+}
+
 // fetch returns the version that the head names.
 func (s *Store) fetch(ctx context.Context, h head) (*inForce, error) {
 	if h.Number == 0 {
--- a/version/store/store.go
+++ b/version/store/store.go
@@ -50,7 +50,7 @@
 	Number uint64 `json:"number"`
 	// Object is the hex SHA-256 of Body.
 	Object string `json:"object"`
-	// Body is what records.Encode returned.
+	// Body is what records.Encode returned, compressed by gzip.
 	Body []byte `json:"body"`
 }
 
