Exchange usage as totals that peers fill in between reports

Cause: with 9 entries and usage as of the last exchange, every entry corrects the same error by itself. Change: entries exchange each team's usage over time, as totals with a version. In between, a peer is taken to use in proportion to this queue's own use, by the ratio of its last reports.

--- a/internal/policytrial/baselines_test.go
+++ b/internal/policytrial/baselines_test.go
@@ -126,7 +126,9 @@
 	return expired
 }
 
-func (b *baseline) SetFleetUsage(time.Time, []queue.TeamUsage) {}
+func (b *baseline) Totals(time.Time) []queue.TeamTotal { return nil }
+
+func (b *baseline) SetPeerTotals(time.Time, string, uint64, []queue.TeamTotal) {}
 
 func (b *baseline) SetClosed(worker int, closed bool) { b.workers[worker].Closed = closed }
 
--- a/internal/policytrial/own.go
+++ b/internal/policytrial/own.go
@@ -57,8 +57,10 @@
 
 func (o *own) Expire(now time.Time) []*queue.Item { return o.queue.Expire(now) }
 
-func (o *own) SetFleetUsage(now time.Time, usage []queue.TeamUsage) {
-	o.queue.SetFleetUsage(now, usage)
+func (o *own) Totals(now time.Time) []queue.TeamTotal { return o.queue.Totals(now) }
+
+func (o *own) SetPeerTotals(now time.Time, peer string, version uint64, totals []queue.TeamTotal) {
+	o.queue.SetPeerTotals(now, peer, version, totals)
 }
 
 func (o *own) SetClosed(worker int, closed bool) { o.index.SetClosed(worker, closed) }
--- a/internal/policytrial/setup.go
+++ b/internal/policytrial/setup.go
@@ -82,7 +82,9 @@
 	// Finished follows Started; ok tells whether the work succeeded.
 	Finished(now time.Time, it *queue.Item, worker int, ok bool)
 	Expire(now time.Time) []*queue.Item
-	SetFleetUsage(now time.Time, usage []queue.TeamUsage)
+	// Totals and SetPeerTotals exchange the usage of teams between entries.
+	Totals(now time.Time) []queue.TeamTotal
+	SetPeerTotals(now time.Time, peer string, version uint64, totals []queue.TeamTotal)
 	SetClosed(worker int, closed bool)
 	// Waiting reports whether the team has items queued.
 	Waiting(team string) bool
--- a/internal/policytrial/trial.go
+++ b/internal/policytrial/trial.go
@@ -38,9 +38,10 @@
 	// Portions is each team's part of arrivals; events may change it.
 	Portions []float64
 	// Rate is arrivals a second; events may change it.
-	Rate   float64
-	items  int
-	result *recorder
+	Rate      float64
+	items     int
+	result    *recorder
+	exchanges uint64
 }
 
 // Run runs the trial.
@@ -191,14 +192,16 @@
 	t.at(t.now+tick, t.tick)
 }
 
-// exchange tells every entry what teams have running at the others.
+// exchange tells every entry what teams used at the others.
 func (t *Trial) exchange() {
-	for _, e := range t.entries {
-		var usage []queue.TeamUsage
-		for _, team := range t.setup.Teams {
-			usage = append(usage, queue.TeamUsage{Team: team.Name, Amount: t.usage(team.Name).Sub(e.usage[team.Name])})
+	t.exchanges++
+	for i, from := range t.entries {
+		totals := from.scheduler.Totals(t.clock())
+		for _, to := range t.entries {
+			if to != from {
+				to.scheduler.SetPeerTotals(t.clock(), fmt.Sprint(i), t.exchanges, totals)
+			}
 		}
-		e.scheduler.SetFleetUsage(t.clock(), usage)
 	}
 	t.at(t.now+t.setup.Exchange, t.exchange)
 }
--- a/request/queue/pop.go
+++ b/request/queue/pop.go
@@ -30,12 +30,12 @@
 	it := q.firstUrgent(now, admit)
 	if it == nil {
 		it = q.firstOfAll(now, admit)
-	}
-	if it == nil {
-		return nil
+		if it == nil {
+			return nil
+		}
+		q.virtual = q.teams[it.Team].virtual
 	}
 	q.drop(it)
-	q.virtual = max(q.virtual, q.teams[it.Team].virtual)
 	q.drained.count(now)
 	return it
 }
@@ -75,7 +75,7 @@
 		}
 		t.charge(now)
 		q.bound(t)
-		tag := t.virtual + t.rate*lookahead.Seconds()
+		tag := t.virtual + t.rate()*lookahead.Seconds()
 		q.ranking.entries = append(q.ranking.entries, ranked{team: t, tag: tag, order: i})
 	}
 	q.ranking.prepare()
@@ -115,21 +115,6 @@
 	t.measure(q.total)
 }
 
-// SetFleetUsage replaces what peers report of the rest of the fleet: everything
-// that teams have running and that was not reported to this queue by Started.
-func (q *Queue) SetFleetUsage(now time.Time, usage []TeamUsage) {
-	now = q.advance(now)
-	for _, t := range q.order {
-		t.charge(now)
-		t.fleet = resource.Amount{}
-	}
-	for _, u := range usage {
-		t := q.team(u.Team)
-		t.fleet = t.fleet.Add(u.Amount)
-	}
-	q.measure()
-}
-
 // SetTeams replaces weights and queue limits. Items of teams that are gone stay
 // queued, with weight 1.
 func (q *Queue) SetTeams(now time.Time, teams []Team) {
--- a/request/queue/queue.go
+++ b/request/queue/queue.go
@@ -26,6 +26,7 @@
 	// not depend on map order.
 	order    []*teamState
 	items    map[string]*Item
+	peers    map[string]*peerState
 	sequence uint64
 	// virtual is the virtual time of the team started last.
 	virtual float64
@@ -48,6 +49,7 @@
 		limit: max(1, config.Limit),
 		teams: make(map[string]*teamState),
 		items: make(map[string]*Item),
+		peers: make(map[string]*peerState),
 		expiry: itemHeap{
 			less:  func(a, b *Item) bool { return a.startBy.Before(b.startBy) },
 			place: func(it *Item) *int { return &it.expiry },
--- a/request/queue/team.go
+++ b/request/queue/team.go
@@ -18,12 +18,6 @@
 	QueueLimit int
 }
 
-// TeamUsage is what a team has running.
-type TeamUsage struct {
-	Team   string
-	Amount resource.Amount
-}
-
 // Depth is how many items a team has waiting.
 type Depth struct {
 	Team    string
@@ -47,11 +41,14 @@
 	urgent  int
 	waiting resource.Amount
 
-	own, fleet, ownUrgent resource.Amount
-	// rate is the team's dominant share in use over its weight.
-	rate float64
-	// urgentShare is the dominant share of its running urgent work.
-	urgentShare float64
+	own, ownUrgent resource.Amount
+	// share is the dominant share of its running work, urgentShare that of the
+	// urgent part.
+	share, urgentShare float64
+	// total is the sum of share over time at charged, in seconds of the fleet.
+	total float64
+	// peerRatio is what peers use for each unit used here.
+	peerRatio float64
 	// virtual is the team's virtual time at charged, in seconds of the whole
 	// fleet over weight.
 	virtual float64
@@ -65,20 +62,27 @@
 // charge brings the team's virtual time up to now.
 func (t *teamState) charge(now time.Time) {
 	if now.After(t.charged) {
-		t.virtual += t.rate * now.Sub(t.charged).Seconds()
+		elapsed := now.Sub(t.charged).Seconds()
+		t.total += t.share * elapsed
+		t.virtual += t.rate() * elapsed
 		t.charged = now
 	}
 }
 
-// measure recomputes the team's rate after usage, weight or capacity changed.
+// rate is how fast the team's virtual time grows.
+func (t *teamState) rate() float64 {
+	return t.share * (1 + t.peerRatio) / t.weight
+}
+
+// measure recomputes the team's shares after usage or capacity changed.
 func (t *teamState) measure(total resource.Amount) {
-	t.rate = t.own.Add(t.fleet).DominantShare(total) / t.weight
+	t.share = t.own.DominantShare(total)
 	t.urgentShare = t.ownUrgent.DominantShare(total)
 }
 
 // demand is the dominant share of all the team runs and wants, over its weight.
 func (t *teamState) demand(total resource.Amount) float64 {
-	return t.own.Add(t.fleet).Add(t.waiting).DominantShare(total) / t.weight
+	return t.own.Add(t.waiting).DominantShare(total) / t.weight
 }
 
 func (t *teamState) add(it *Item) {
@@ -135,5 +139,5 @@
 
 // idle reports whether nothing is known or wanted of the team any more.
 func (t *teamState) idle() bool {
-	return !t.configured && t.queued == 0 && t.own.IsZero() && t.fleet.IsZero()
+	return !t.configured && t.queued == 0 && t.own.IsZero()
 }
