Charge work in advance by its mean run time

Cause: at the design size tasks run for minutes and half a second charged in advance let the sum over time overshoot. Change: the time charged in advance is the mean run time by Little's law; a team that was idle for a moment keeps half a second of credit.

--- a/request/queue/pop.go
+++ b/request/queue/pop.go
@@ -8,9 +8,13 @@
 )
 
 const (
-	// lookahead is the running time that a start is charged for in advance, so
-	// that starts made at the same instant already count against each other.
-	lookahead = 500 * time.Millisecond
+	// minLookahead and maxLookahead bound the running time that work is charged
+	// for in advance.
+	minLookahead = 200 * time.Millisecond
+	maxLookahead = time.Minute
+	// idleCredit is how far a team may lie behind when it has work again, in
+	// time at the rate of a fully shared fleet.
+	idleCredit = 500 * time.Millisecond
 	// maxCredit and maxDebt bound how far a team's virtual time may lie behind
 	// and ahead of the queue's, in time at the rate of a fully shared fleet.
 	maxCredit = 2 * time.Second
@@ -69,23 +73,42 @@
 // rank fills the ranking with the teams that take part.
 func (q *Queue) rank(now time.Time, takesPart func(*teamState) bool) {
 	q.ranking.entries = q.ranking.entries[:0]
+	ahead := q.lookahead(now).Seconds()
 	for i, t := range q.order {
 		if !takesPart(t) {
 			continue
 		}
 		t.charge(now)
 		q.bound(t)
-		tag := t.virtual + t.rate()*lookahead.Seconds()
+		tag := t.virtual + t.rate()*ahead
 		q.ranking.entries = append(q.ranking.entries, ranked{team: t, tag: tag, order: i})
 	}
 	q.ranking.prepare()
 }
 
+// lookahead is the running time that work in progress is charged for in advance, so
+// that starts made at the same instant count against each other, and long work
+// counts before it has run for long. It is the mean run time by Little's law
+// (Little, "A Proof for the Queuing Formula L = λW", Operations Research 1961).
+func (q *Queue) lookahead(now time.Time) time.Duration {
+	rate := q.drained.perSecond(now)
+	if float64(q.running) >= rate*maxLookahead.Seconds() {
+		return maxLookahead
+	}
+	mean := time.Duration(float64(q.running) / rate * float64(time.Second))
+	return max(mean, minLookahead)
+}
+
 // bound keeps the team's virtual time near the queue's.
 func (q *Queue) bound(t *teamState) {
-	perSecond := 1 / max(q.weights, t.weight)
-	t.virtual = max(t.virtual, q.virtual-maxCredit.Seconds()*perSecond)
-	t.virtual = min(t.virtual, q.virtual+maxDebt.Seconds()*perSecond)
+	t.virtual = max(t.virtual, q.virtual-q.atFairRate(maxCredit, t))
+	t.virtual = min(t.virtual, q.virtual+q.atFairRate(maxDebt, t))
+}
+
+// atFairRate returns how far virtual times move in d when the whole fleet is shared
+// by all teams.
+func (q *Queue) atFairRate(d time.Duration, t *teamState) float64 {
+	return d.Seconds() / max(q.weights, t.weight)
 }
 
 // urgentWithinShare reports whether the team's running urgent work is within its
@@ -108,6 +131,7 @@
 func (q *Queue) change(now time.Time, c Charge, sign int64) {
 	t := q.team(c.Team)
 	t.charge(now)
+	q.running += sign
 	t.own = t.own.Add(c.Amount.Times(sign))
 	if c.Urgent {
 		t.ownUrgent = t.ownUrgent.Add(c.Amount.Times(sign))
--- a/request/queue/queue.go
+++ b/request/queue/queue.go
@@ -33,6 +33,8 @@
 	// weights is the sum of the weights of configured teams.
 	weights float64
 	drained rateMeter
+	// running counts charges started and not finished.
+	running int64
 	now     time.Time
 	// ranking is scratch space of Pop.
 	ranking ranking
@@ -82,7 +84,7 @@
 func (q *Queue) enter(now time.Time, t *teamState) {
 	t.charge(now)
 	if t.queued == 0 {
-		t.virtual = max(t.virtual, q.virtual)
+		t.virtual = max(t.virtual, q.virtual-q.atFairRate(idleCredit, t))
 	}
 }
 
