Hold a worker for items that were passed over

Cause: an item that fits nowhere is passed over by smaller ones for as long as these keep coming. Change: package dispatch joins queue and placement and keeps one worker, and one more for every 50, for the items first passed over. Ruled out: that passing over is the whole cause of the shortfall.

--- a/internal/policytrial/own.go
+++ b/internal/policytrial/own.go
@@ -1,31 +1,27 @@
 package policytrial
 
 import (
-	"math/rand/v2"
 	"time"
 
+	"github.com/kingcuplatch/kingcuplatch/process/dispatch"
 	"github.com/kingcuplatch/kingcuplatch/process/placement"
 	"github.com/kingcuplatch/kingcuplatch/request/queue"
 )
 
 // own is the project's scheduler.
 type own struct {
-	queue *queue.Queue
-	index *placement.Index
-	rand  *rand.Rand
+	*dispatch.Dispatcher
 }
 
 // NewOwn returns the project's own decisions.
 func NewOwn(config SchedulerConfig) Scheduler {
-	return &own{
-		queue: queue.New(queue.Config{Total: config.Total, Limit: config.QueueLimit, Teams: config.Teams}),
-		index: placement.NewIndex(config.Workers),
-		rand:  config.Rand,
-	}
+	q := queue.New(queue.Config{Total: config.Total, Limit: config.QueueLimit, Teams: config.Teams})
+	policy := dispatch.Policy{Ask: askOf}
+	return &own{dispatch.New(q, placement.NewIndex(config.Workers), policy, config.Rand)}
 }
 
 func (o *own) Push(now time.Time, it *queue.Item) []*queue.Item {
-	shed, err := o.queue.Push(now, it)
+	shed, err := o.Queue.Push(now, it)
 	if err != nil {
 		return append(shed, it)
 	}
@@ -33,12 +29,8 @@
 }
 
 func (o *own) Next(now time.Time) (*queue.Item, int) {
-	worker := -1
-	it := o.queue.Pop(now, func(it *queue.Item) bool {
-		worker, _ = placement.Choose(askOf(it), o.index, o.rand)
-		return worker >= 0
-	})
-	return it, worker
+	start, _ := o.Dispatcher.Next(now)
+	return start.Item, start.Worker
 }
 
 func askOf(it *queue.Item) placement.Ask {
@@ -46,23 +38,23 @@
 }
 
 func (o *own) Started(now time.Time, it *queue.Item, worker int) {
-	o.index.Take(worker, it.Amount)
-	o.queue.Started(now, it.Charge())
+	o.Index.Take(worker, it.Amount)
+	o.Queue.Started(now, it.Charge())
 }
 
 func (o *own) Finished(now time.Time, it *queue.Item, worker int, _ bool) {
-	o.index.Give(worker, it.Amount)
-	o.queue.Finished(now, it.Charge())
+	o.Index.Give(worker, it.Amount)
+	o.Queue.Finished(now, it.Charge())
 }
 
-func (o *own) Expire(now time.Time) []*queue.Item { return o.queue.Expire(now) }
+func (o *own) Expire(now time.Time) []*queue.Item { return o.Queue.Expire(now) }
 
-func (o *own) Totals(now time.Time) []queue.TeamTotal { return o.queue.Totals(now) }
+func (o *own) Totals(now time.Time) []queue.TeamTotal { return o.Queue.Totals(now) }
 
 func (o *own) SetPeerTotals(now time.Time, peer string, version uint64, totals []queue.TeamTotal) {
-	o.queue.SetPeerTotals(now, peer, version, totals)
+	o.Queue.SetPeerTotals(now, peer, version, totals)
 }
 
-func (o *own) SetClosed(worker int, closed bool) { o.index.SetClosed(worker, closed) }
+func (o *own) SetClosed(worker int, closed bool) { o.Index.SetClosed(worker, closed) }
 
-func (o *own) Waiting(team string) bool { return o.queue.Waiting(team) > 0 }
+func (o *own) Waiting(team string) bool { return o.Queue.Waiting(team) > 0 }
--- a/process/placement/index.go
+++ b/process/placement/index.go
@@ -28,6 +28,8 @@
 	// tasks and requests link the workers in the grids of either family.
 	tasks, requests []link
 	misses          misses
+	// held names workers kept for one ask.
+	held map[string]bool
 }
 
 // upstreamIndex holds the grids of one upstream's workers.
@@ -43,6 +45,7 @@
 	ix := &Index{
 		positions: make(map[string]int, len(workers)),
 		byName:    make(map[string]*upstreamIndex),
+		held:      make(map[string]bool),
 	}
 	for _, c := range workers {
 		ix.reference = ix.reference.Max(c.Capacity)
@@ -105,6 +108,7 @@
 	ix.unlink(i)
 	ix.unlink(last)
 	delete(ix.positions, ix.workers[i].Worker)
+	delete(ix.held, ix.workers[i].Worker)
 	moved := ix.workers[last]
 	ix.workers[last] = Candidate{}
 	ix.workers = ix.workers[:last]
@@ -149,8 +153,8 @@
 	unlink(ix.requests, i)
 }
 
-// insert links worker i where its free capacity belongs. Closed workers are in no
-// grid. Anything may fit then that didn't before.
+// insert links worker i where its free capacity belongs. Closed and held workers are
+// in no grid. Anything may fit then that didn't before.
 func (ix *Index) insert(i int) {
 	ix.misses.clear()
 	ix.link(i)
@@ -158,7 +162,7 @@
 
 func (ix *Index) link(i int) {
 	c := &ix.workers[i]
-	if c.Closed {
+	if !ix.open(c) {
 		return
 	}
 	u := ix.upstream(c.Upstream)
@@ -181,6 +185,11 @@
 	}
 }
 
+// open reports whether the worker may be chosen.
+func (ix *Index) open(c *Candidate) bool {
+	return !c.Closed && (len(ix.held) == 0 || !ix.held[c.Worker])
+}
+
 func (ix *Index) upstream(name string) *upstreamIndex {
 	u := ix.byName[name]
 	if u == nil {
@@ -236,7 +245,7 @@
 	for range sampleSize {
 		i := rng.IntN(len(ix.workers))
 		c := &ix.workers[i]
-		if !ask.takes(c) {
+		if !ask.takes(c) || !ix.open(c) {
 			continue
 		}
 		if s := scoreOf(ask, c); best == none || s.less(bestScore) {
--- a/request/queue/queue.go
+++ b/request/queue/queue.go
@@ -182,6 +182,9 @@
 	}
 }
 
+// Holds reports whether this very item waits.
+func (q *Queue) Holds(it *Item) bool { return q.items[it.ID] == it }
+
 // Len returns how many items wait.
 func (q *Queue) Len() int { return len(q.items) }
 
