Count a team in its dominant dimension of the whole fleet

Cause: a team whose rosters run at one entry and whose checks at another has another dominant dimension at each, and the sum of both is more than its share of the fleet. Change: totals are exchanged by dimension; with peers, a team is counted in the dimension that it used most of in the fleet.

--- a/request/queue/peers.go
+++ b/request/queue/peers.go
@@ -1,6 +1,10 @@
 package queue
 
-import "time"
+import (
+	"time"
+
+	"github.com/kingcuplatch/kingcuplatch/process/resource"
+)
 
 const (
 	// firstRatio is how much of a team a peer is taken to run, relative to this
@@ -10,18 +14,52 @@
 	maxRatio = 16
 )
 
-// TeamTotal is a team's usage over all of a queue's life: the sum over time of the
-// dominant share, of the whole fleet, that its work took. It only grows.
+// TeamTotal is a team's usage over all of a queue's life. It only grows.
 type TeamTotal struct {
 	Team string `json:"team"`
-	// ShareSeconds is usage in seconds of the whole fleet.
-	ShareSeconds float64 `json:"share_seconds"`
+	// Used is, by dimension, the sum over time of the fraction of the fleet that
+	// its work took, in seconds of the whole fleet.
+	Used Usage `json:"used"`
+}
+
+// Usage is fractions of the fleet's capacity over time, by dimension, in seconds.
+type Usage [resource.Dimensions]float64
+
+// add adds fractions of total that amount takes for some seconds.
+func (u *Usage) add(amount, total resource.Amount, seconds float64) {
+	part, whole := amount.Vector(), total.Vector()
+	for d := range resource.Dimensions {
+		if whole[d] > 0 {
+			u[d] += float64(part[d]) / float64(whole[d]) * seconds
+		}
+	}
+}
+
+// since returns u less an earlier usage, never below zero.
+func (u Usage) since(earlier Usage) Usage {
+	for d := range u {
+		u[d] = max(0, u[d]-earlier[d])
+	}
+	return u
+}
+
+// dominant returns the dimension most used.
+func (u Usage) dominant() resource.Dimension {
+	most := resource.Dimension(0)
+	for d := range resource.Dimensions {
+		if u[d] > u[most] {
+			most = d
+		}
+	}
+	return most
 }
 
 // peerAccount is what is known of one team's usage at one peer.
 type peerAccount struct {
 	// total is the peer's last report, ownAt this queue's own total then.
-	total, ownAt float64
+	total, ownAt Usage
+	// recent is what the peer used between its last two reports.
+	recent Usage
 	// ratio is the peer's usage relative to this queue's own. Until the next
 	// report the peer is taken to use this much for each unit used here, so that
 	// peers who all correct the same error do not correct it several times over.
@@ -40,8 +78,8 @@
 	now = q.advance(now)
 	totals := make([]TeamTotal, 0, len(q.order))
 	for _, t := range q.order {
-		t.charge(now)
-		totals = append(totals, TeamTotal{Team: t.name, ShareSeconds: t.total})
+		t.charge(now, q.total)
+		totals = append(totals, TeamTotal{Team: t.name, Used: t.total})
 	}
 	return totals
 }
@@ -68,28 +106,49 @@
 }
 
 // takeIn replaces what the peer was taken to use of a team by what it did use.
-func (q *Queue) takeIn(now time.Time, p *peerState, total TeamTotal, first bool) {
-	t := q.team(total.Team)
-	t.charge(now)
-	account := p.teams[total.Team]
+func (q *Queue) takeIn(now time.Time, p *peerState, report TeamTotal, first bool) {
+	t := q.team(report.Team)
+	t.charge(now, q.total)
+	account := p.teams[report.Team]
 	if account == nil {
-		account = &peerAccount{ratio: firstRatio}
-		p.teams[total.Team] = account
+		account = &peerAccount{ratio: firstRatio, ownAt: t.total}
+		p.teams[report.Team] = account
 		t.peerRatio += firstRatio
+		t.peers++
 		if first {
-			account.total = total.ShareSeconds
+			account.total = report.Used
 		}
-		account.ownAt = t.total
 	}
-	used := max(0, total.ShareSeconds-account.total)
-	ownUsed := t.total - account.ownAt
-	t.virtual += (used - ownUsed*account.ratio) / t.weight
-	account.total, account.ownAt = total.ShareSeconds, t.total
-	if ownUsed > 0 {
-		ratio := (account.ratio + min(used/ownUsed, maxRatio)) / 2
-		t.peerRatio += ratio - account.ratio
-		account.ratio = ratio
+	used, ownUsed := report.Used.since(account.total), t.total.since(account.ownAt)
+	d := t.dominant
+	t.virtual += (used[d] - ownUsed[d]*account.ratio) / t.weight
+	account.total, account.ownAt = report.Used, t.total
+	if ownUsed[d] > 0 {
+		t.setRatio(account, (account.ratio+min(used[d]/ownUsed[d], maxRatio))/2)
+	}
+	t.setRecent(account, used)
+	t.dominant = t.fleetDominant(ownUsed)
+	t.measure(q.total)
+}
+
+func (t *teamState) setRatio(account *peerAccount, ratio float64) {
+	t.peerRatio += ratio - account.ratio
+	account.ratio = ratio
+}
+
+func (t *teamState) setRecent(account *peerAccount, recent Usage) {
+	for d := range recent {
+		t.peerRecent[d] += recent[d] - account.recent[d]
+	}
+	account.recent = recent
+}
+
+// fleetDominant returns the dimension that the team used most of, in all the fleet.
+func (t *teamState) fleetDominant(own Usage) resource.Dimension {
+	for d := range own {
+		own[d] += t.peerRecent[d]
 	}
+	return own.dominant()
 }
 
 // ForgetPeer drops a peer that is gone. What it used stays counted.
@@ -102,8 +161,11 @@
 	delete(q.peers, peer)
 	for name, account := range p.teams {
 		if t := q.teams[name]; t != nil {
-			t.charge(now)
-			t.peerRatio -= account.ratio
+			t.charge(now, q.total)
+			t.setRatio(account, 0)
+			t.setRecent(account, Usage{})
+			t.peers--
+			t.measure(q.total)
 		}
 	}
 }
--- a/request/queue/pop.go
+++ b/request/queue/pop.go
@@ -78,7 +78,7 @@
 		if !takesPart(t) {
 			continue
 		}
-		t.charge(now)
+		t.charge(now, q.total)
 		q.bound(t)
 		tag := t.virtual + t.rate()*ahead
 		q.ranking.entries = append(q.ranking.entries, ranked{team: t, tag: tag, order: i})
@@ -130,7 +130,7 @@
 
 func (q *Queue) change(now time.Time, c Charge, sign int64) {
 	t := q.team(c.Team)
-	t.charge(now)
+	t.charge(now, q.total)
 	q.running += sign
 	t.own = t.own.Add(c.Amount.Times(sign))
 	if c.Urgent {
@@ -144,7 +144,7 @@
 func (q *Queue) SetTeams(now time.Time, teams []Team) {
 	now = q.advance(now)
 	for _, t := range q.order {
-		t.charge(now)
+		t.charge(now, q.total)
 		t.weight, t.queueLimit, t.configured = 1, 0, false
 	}
 	q.weights = 0
@@ -162,7 +162,7 @@
 func (q *Queue) SetTotal(now time.Time, total resource.Amount) {
 	now = q.advance(now)
 	for _, t := range q.order {
-		t.charge(now)
+		t.charge(now, q.total)
 	}
 	q.total = total
 	q.measure()
--- a/request/queue/queue.go
+++ b/request/queue/queue.go
@@ -82,7 +82,7 @@
 
 // enter brings a team without waiting items back into the order.
 func (q *Queue) enter(now time.Time, t *teamState) {
-	t.charge(now)
+	t.charge(now, q.total)
 	if t.queued == 0 {
 		t.virtual = max(t.virtual, q.virtual-q.atFairRate(idleCredit, t))
 	}
--- a/request/queue/queue_test.go
+++ b/request/queue/queue_test.go
@@ -114,9 +114,9 @@
 		return it.ID
 	}
 	assert.DeepEqual(t, []string{pop(), pop(), pop(), pop()}, []string{"a0", "a1", "b0", "b1"})
-	q.SetPeerTotals(start, "peer", 1, []TeamTotal{{Team: "b", ShareSeconds: 100}})
-	q.SetPeerTotals(start, "peer", 2, []TeamTotal{{Team: "b", ShareSeconds: 101}})
-	q.SetPeerTotals(start, "peer", 2, []TeamTotal{{Team: "a", ShareSeconds: 999}})
+	q.SetPeerTotals(start, "peer", 1, []TeamTotal{{Team: "b", Used: Usage{resource.Slots: 100}}})
+	q.SetPeerTotals(start, "peer", 2, []TeamTotal{{Team: "b", Used: Usage{resource.Slots: 101}}})
+	q.SetPeerTotals(start, "peer", 2, []TeamTotal{{Team: "a", Used: Usage{resource.Slots: 999}}})
 	assert.DeepEqual(t, []string{pop(), pop()}, []string{"a2", "a3"})
 	skipped := q.Pop(start, func(it *Item) bool { return it.ID != "b2" })
 	assert.Assert(t, skipped == nil)
--- a/request/queue/team.go
+++ b/request/queue/team.go
@@ -43,12 +43,18 @@
 
 	own, ownUrgent resource.Amount
 	// share is the dominant share of its running work, urgentShare that of the
-	// urgent part.
+	// urgent part. With peers, dominant is the dimension that the team uses most
+	// of in the whole fleet, so that the shares of all queues add up to the
+	// fleet's.
 	share, urgentShare float64
-	// total is the sum of share over time at charged, in seconds of the fleet.
-	total float64
-	// peerRatio is what peers use for each unit used here.
-	peerRatio float64
+	dominant           resource.Dimension
+	// total is all usage until charged.
+	total Usage
+	// peers counts the peers that reported the team; peerRatio is what they use
+	// for each unit used here, peerRecent what they used lately.
+	peers      int
+	peerRatio  float64
+	peerRecent Usage
 	// virtual is the team's virtual time at charged, in seconds of the whole
 	// fleet over weight.
 	virtual float64
@@ -60,10 +66,12 @@
 }
 
 // charge brings the team's virtual time up to now.
-func (t *teamState) charge(now time.Time) {
+func (t *teamState) charge(now time.Time, total resource.Amount) {
 	if now.After(t.charged) {
 		elapsed := now.Sub(t.charged).Seconds()
-		t.total += t.share * elapsed
+		if !t.own.IsZero() {
+			t.total.add(t.own, total, elapsed)
+		}
 		t.virtual += t.rate() * elapsed
 		t.charged = now
 	}
@@ -77,6 +85,9 @@
 // measure recomputes the team's shares after usage or capacity changed.
 func (t *teamState) measure(total resource.Amount) {
 	t.share = t.own.DominantShare(total)
+	if t.peers > 0 {
+		t.share = fractionOf(t.own, total, t.dominant)
+	}
 	t.urgentShare = t.ownUrgent.DominantShare(total)
 }
 
@@ -141,3 +152,12 @@
 func (t *teamState) idle() bool {
 	return !t.configured && t.queued == 0 && t.own.IsZero()
 }
+
+// fractionOf returns the fraction of total that amount takes in one dimension.
+func fractionOf(amount, total resource.Amount, d resource.Dimension) float64 {
+	whole := total.Vector()[d]
+	if whole <= 0 {
+		return 0
+	}
+	return float64(amount.Vector()[d]) / float64(whole)
+}
