Smooth the ratios between peers, integrate usage exactly in the trial

Cause: the mean of ratios of single intervals is noisy and biased upward. Change: ratios of decayed sums. The trial adds up usage at every change in place of sampling it.

--- a/internal/policytrial/result.go
+++ b/internal/policytrial/result.go
@@ -40,7 +40,8 @@
 	trial                            *Trial
 	started, refused, failed, inTime int
 	waits                            map[string][]time.Duration
-	// used is the sum of samples of dominant share in the current window.
+	integrated                       []time.Duration
+	// used is dominant share over time in the current window, up to integrated.
 	used      []float64
 	backlog   []bool
 	samples   int
@@ -50,7 +51,7 @@
 }
 
 func newRecorder(t *Trial) *recorder {
-	r := &recorder{trial: t, waits: make(map[string][]time.Duration)}
+	r := &recorder{trial: t, waits: make(map[string][]time.Duration), integrated: make([]time.Duration, len(t.setup.Teams))}
 	r.reset()
 	return r
 }
@@ -86,7 +87,17 @@
 	}
 }
 
-// sample adds the usage of this tick to the window.
+// integrate adds what the team used since it was last integrated to the window.
+func (r *recorder) integrate(team int) {
+	from := max(r.integrated[team], r.trial.setup.Warmup)
+	if r.trial.now > from {
+		share := r.trial.usage(r.trial.setup.Teams[team].Name).DominantShare(r.trial.total)
+		r.used[team] += share * (r.trial.now - from).Seconds()
+	}
+	r.integrated[team] = r.trial.now
+}
+
+// sample brings the window up to date and looks who is backlogged.
 func (r *recorder) sample() {
 	if !r.measuring() {
 		return
@@ -95,7 +106,7 @@
 	for i, team := range r.trial.setup.Teams {
 		usage := r.trial.usage(team.Name)
 		all = all.Add(usage)
-		r.used[i] += usage.DominantShare(r.trial.total)
+		r.integrate(i)
 		r.backlog[i] = r.backlog[i] && r.waiting(team.Name)
 	}
 	r.fullness += all.DominantShare(r.trial.total)
--- a/internal/policytrial/trial.go
+++ b/internal/policytrial/trial.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/kingcuplatch/kingcuplatch/process/resource"
@@ -162,7 +163,7 @@
 
 func (t *Trial) begin(e *entry, it *queue.Item, worker int) {
 	e.scheduler.Started(t.clock(), it, worker)
-	e.usage[it.Team] = e.usage[it.Team].Add(it.Amount)
+	t.use(e, it.Team, it.Amount)
 	t.result.start(it)
 	k := it.Value.(*Kind)
 	ok := !e.broken[worker]
@@ -178,7 +179,7 @@
 
 func (t *Trial) finish(e *entry, it *queue.Item, worker int, ok bool) {
 	e.scheduler.Finished(t.clock(), it, worker, ok)
-	e.usage[it.Team] = e.usage[it.Team].Sub(it.Amount)
+	t.use(e, it.Team, it.Amount.Times(-1))
 	t.result.finish(it, ok)
 	t.dispatch(e)
 }
@@ -206,6 +207,11 @@
 	t.at(t.now+t.setup.Exchange, t.exchange)
 }
 
+func (t *Trial) use(e *entry, team string, amount resource.Amount) {
+	t.result.integrate(slices.IndexFunc(t.setup.Teams, func(other Team) bool { return other.Name == team }))
+	e.usage[team] = e.usage[team].Add(amount)
+}
+
 func (t *Trial) usage(team string) resource.Amount {
 	var sum resource.Amount
 	for _, e := range t.entries {
--- a/request/queue/peers.go
+++ b/request/queue/peers.go
@@ -12,6 +12,8 @@
 	firstRatio = 1
 	// maxRatio bounds what is made of very uneven reports.
 	maxRatio = 16
+	// recentDecay is what a report still counts after the next one.
+	recentDecay = 0.8
 )
 
 // TeamTotal is a team's usage over all of a queue's life. It only grows.
@@ -43,6 +45,20 @@
 	return u
 }
 
+func (u Usage) plus(v Usage) Usage {
+	for d := range u {
+		u[d] += v[d]
+	}
+	return u
+}
+
+func (u Usage) decayed() Usage {
+	for d := range u {
+		u[d] *= recentDecay
+	}
+	return u
+}
+
 // dominant returns the dimension most used.
 func (u Usage) dominant() resource.Dimension {
 	most := resource.Dimension(0)
@@ -58,8 +74,9 @@
 type peerAccount struct {
 	// total is the peer's last report, ownAt this queue's own total then.
 	total, ownAt Usage
-	// recent is what the peer used between its last two reports.
-	recent Usage
+	// recent is what the peer used lately, ownRecent what this queue did: sums
+	// over reports, each counting less by recentDecay with every later one.
+	recent, ownRecent Usage
 	// ratio is the peer's usage relative to this queue's own. Until the next
 	// report the peer is taken to use this much for each unit used here, so that
 	// peers who all correct the same error do not correct it several times over.
@@ -123,11 +140,13 @@
 	d := t.dominant
 	t.virtual += (used[d] - ownUsed[d]*account.ratio) / t.weight
 	account.total, account.ownAt = report.Used, t.total
-	if ownUsed[d] > 0 {
-		t.setRatio(account, (account.ratio+min(used[d]/ownUsed[d], maxRatio))/2)
+	account.ownRecent = account.ownRecent.decayed().plus(ownUsed)
+	t.setRecent(account, account.recent.decayed().plus(used))
+	t.dominant = t.fleetDominant(account.ownRecent)
+	d = t.dominant
+	if account.ownRecent[d] > 0 {
+		t.setRatio(account, min(account.recent[d]/account.ownRecent[d], maxRatio))
 	}
-	t.setRecent(account, used)
-	t.dominant = t.fleetDominant(ownUsed)
 	t.measure(q.total)
 }
 
@@ -145,10 +164,7 @@
 
 // fleetDominant returns the dimension that the team used most of, in all the fleet.
 func (t *teamState) fleetDominant(own Usage) resource.Dimension {
-	for d := range own {
-		own[d] += t.peerRecent[d]
-	}
-	return own.dominant()
+	return own.plus(t.peerRecent).dominant()
 }
 
 // ForgetPeer drops a peer that is gone. What it used stays counted.
