--- a/internal/policytrial/trial.go
+++ b/internal/policytrial/trial.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/kingcuplatch/kingcuplatch/process/resource"
@@ -38,9 +39,10 @@
 	// Portions is each team's part of arrivals; events may change it.
 	Portions []float64
 	// Rate is arrivals a second; events may change it.
-	Rate   float64
-	items  int
-	result *recorder
+	Rate      float64
+	items     int
+	result    *recorder
+	exchanges uint64
 }
 
 // Run runs the trial.
@@ -161,7 +163,7 @@
 
 func (t *Trial) begin(e *entry, it *queue.Item, worker int) {
 	e.scheduler.Started(t.clock(), it, worker)
-	e.usage[it.Team] = e.usage[it.Team].Add(it.Amount)
+	t.use(e, it.Team, it.Amount)
 	t.result.start(it)
 	k := it.Value.(*Kind)
 	ok := !e.broken[worker]
@@ -177,7 +179,7 @@
 
 func (t *Trial) finish(e *entry, it *queue.Item, worker int, ok bool) {
 	e.scheduler.Finished(t.clock(), it, worker, ok)
-	e.usage[it.Team] = e.usage[it.Team].Sub(it.Amount)
+	t.use(e, it.Team, it.Amount.Times(-1))
 	t.result.finish(it, ok)
 	t.dispatch(e)
 }
@@ -191,18 +193,25 @@
 	t.at(t.now+tick, t.tick)
 }
 
-// exchange tells every entry what teams have running at the others.
+// exchange tells every entry what teams used at the others.
 func (t *Trial) exchange() {
-	for _, e := range t.entries {
-		var usage []queue.TeamUsage
-		for _, team := range t.setup.Teams {
-			usage = append(usage, queue.TeamUsage{Team: team.Name, Amount: t.usage(team.Name).Sub(e.usage[team.Name])})
+	t.exchanges++
+	for i, from := range t.entries {
+		totals := from.scheduler.Totals(t.clock())
+		for _, to := range t.entries {
+			if to != from {
+				to.scheduler.SetPeerTotals(t.clock(), fmt.Sprint(i), t.exchanges, totals)
+			}
 		}
-		e.scheduler.SetFleetUsage(t.clock(), usage)
 	}
 	t.at(t.now+t.setup.Exchange, t.exchange)
 }
 
+func (t *Trial) use(e *entry, team string, amount resource.Amount) {
+	t.result.integrate(slices.IndexFunc(t.setup.Teams, func(other Team) bool { return other.Name == team }))
+	e.usage[team] = e.usage[team].Add(amount)
+}
+
 func (t *Trial) usage(team string) resource.Amount {
 	var sum resource.Amount
 	for _, e := range t.entries {
--- a/request/queue/team.go
+++ b/request/queue/team.go
@@ -18,12 +18,6 @@
 	QueueLimit int
 }
 
-// TeamUsage is what a team has running.
-type TeamUsage struct {
-	Team   string
-	Amount resource.Amount
-}
-
 // Depth is how many items a team has waiting.
 type Depth struct {
 	Team    string
@@ -47,11 +41,20 @@
 	urgent  int
 	waiting resource.Amount
 
-	own, fleet, ownUrgent resource.Amount
-	// rate is the team's dominant share in use over its weight.
-	rate float64
-	// urgentShare is the dominant share of its running urgent work.
-	urgentShare float64
+	own, ownUrgent resource.Amount
+	// share is the dominant share of its running work, urgentShare that of the
+	// urgent part. With peers, dominant is the dimension that the team uses most
+	// of in the whole fleet, so that the shares of all queues add up to the
+	// fleet's.
+	share, urgentShare float64
+	dominant           resource.Dimension
+	// total is all usage until charged.
+	total Usage
+	// peers counts the peers that reported the team; peerRatio is what they use
+	// for each unit used here, peerRecent what they used lately.
+	peers      int
+	peerRatio  float64
+	peerRecent Usage
 	// virtual is the team's virtual time at charged, in seconds of the whole
 	// fleet over weight.
 	virtual float64
@@ -63,22 +66,34 @@
 }
 
 // charge brings the team's virtual time up to now.
-func (t *teamState) charge(now time.Time) {
+func (t *teamState) charge(now time.Time, total resource.Amount) {
 	if now.After(t.charged) {
-		t.virtual += t.rate * now.Sub(t.charged).Seconds()
+		elapsed := now.Sub(t.charged).Seconds()
+		if !t.own.IsZero() {
+			t.total.add(t.own, total, elapsed)
+		}
+		t.virtual += t.rate() * elapsed
 		t.charged = now
 	}
 }
 
-// measure recomputes the team's rate after usage, weight or capacity changed.
+// rate is how fast the team's virtual time grows.
+func (t *teamState) rate() float64 {
+	return t.share * (1 + t.peerRatio) / t.weight
+}
+
+// measure recomputes the team's shares after usage or capacity changed.
 func (t *teamState) measure(total resource.Amount) {
-	t.rate = t.own.Add(t.fleet).DominantShare(total) / t.weight
+	t.share = t.own.DominantShare(total)
+	if t.peers > 0 {
+		t.share = fractionOf(t.own, total, t.dominant)
+	}
 	t.urgentShare = t.ownUrgent.DominantShare(total)
 }
 
 // demand is the dominant share of all the team runs and wants, over its weight.
 func (t *teamState) demand(total resource.Amount) float64 {
-	return t.own.Add(t.fleet).Add(t.waiting).DominantShare(total) / t.weight
+	return t.own.Add(t.waiting).DominantShare(total) / t.weight
 }
 
 func (t *teamState) add(it *Item) {
@@ -135,5 +150,14 @@
 
 // idle reports whether nothing is known or wanted of the team any more.
 func (t *teamState) idle() bool {
-	return !t.configured && t.queued == 0 && t.own.IsZero() && t.fleet.IsZero()
+	return !t.configured && t.queued == 0 && t.own.IsZero()
+}
+
+// fractionOf returns the fraction of total that amount takes in one dimension.
+func fractionOf(amount, total resource.Amount, d resource.Dimension) float64 {
+	whole := total.Vector()[d]
+	if whole <= 0 {
+		return 0
+	}
+	return float64(amount.Vector()[d]) / float64(whole)
 }
