Keep teams within their limit by allotments

Cause: a team's upper limit holds across the fleet, while each entry has to decide by itself and the answers of the table can be lost.

Change: Ledger splits a limit into grants by entry incarnation, one row a team. A smaller grant is in force before it is written, a larger one after the write is confirmed, and the least of all undecided ones counts. Grants are kept with the limit at which they were written and scale by it, so that a lowered limit is in force everywhere without a write; a row is valid if its shares add up to at most one, which holds for every limit. Step writes all changed teams in one transaction; entries that are refused level out.

Ruled out: rescaling the grants of others in the row. Two roundings down differ from one, and an entry that missed a raised limit would hold its old grant while others count it as scaled.

Lending during an outage is not there.

--- /dev/null
+++ b/process/allotment/grant.go
@@ -0,0 +1,184 @@
+package allotment
+
+import (
+	"math/big"
+	"math/bits"
+
+	"github.com/kingcuplatch/kingcuplatch/process/resource"
+	"github.com/kingcuplatch/kingcuplatch/version"
+)
+
+// grant is an amount under the limit at which it was written.
+type grant struct {
+	Amount resource.Amount `json:"amount"`
+	Limit  resource.Amount `json:"limit"`
+}
+
+// entry is one incarnation's part of a team's row.
+type entry struct {
+	Incarnation string `json:"incarnation"`
+	grant
+	// Want is what the incarnation was refused lately.
+	Want resource.Amount `json:"want,omitzero"`
+}
+
+// row is the value of allotment/<team>.
+type row struct {
+	Entries []entry `json:"entries"`
+}
+
+// own returns the incarnation's grant and the other entries.
+func (r row) own(incarnation string) (entry, []entry) {
+	mine := entry{Incarnation: incarnation}
+	others := make([]entry, 0, len(r.Entries))
+	for _, e := range r.Entries {
+		if e.Incarnation == incarnation {
+			mine = e
+			continue
+		}
+		others = append(others, e)
+	}
+	return mine, others
+}
+
+// at returns what the grant allows under a limit.
+func (g grant) at(limit resource.Amount) resource.Amount {
+	amount, old, now := g.Amount.Vector(), g.Limit.Vector(), limit.Vector()
+	for d := range amount {
+		amount[d] = scale(amount[d], old[d], now[d])
+	}
+	return resource.FromVector(amount)
+}
+
+// scale returns floor(amount*now/old) if now is the lower limit.
+func scale(amount, old, now int64) int64 {
+	switch {
+	case now >= version.NoLimit:
+		return version.NoLimit
+	case amount <= 0 || now <= 0:
+		return 0
+	case now >= old:
+		return amount
+	}
+	hi, lo := bits.Mul64(uint64(amount), uint64(now))
+	quotient, _ := bits.Div64(hi, lo, uint64(old))
+	return int64(quotient)
+}
+
+// room returns the largest amount under limit that leaves the shares of the
+// row at one or less.
+func room(others []entry, limit resource.Amount) resource.Amount {
+	now := limit.Vector()
+	for d := range now {
+		if now[d] < version.NoLimit {
+			now[d] = roomIn(others, resource.Dimension(d), now[d])
+		}
+	}
+	return resource.FromVector(now)
+}
+
+func roomIn(others []entry, d resource.Dimension, limit int64) int64 {
+	same := limit
+	for _, o := range others {
+		amount, old := o.Amount.Vector()[d], o.Limit.Vector()[d]
+		if amount > 0 && old != limit {
+			return unlikeRoom(others, d, limit)
+		}
+		same -= amount
+	}
+	return max(same, 0)
+}
+
+// unlikeRoom is roomIn for grants that were written under unlike limits.
+func unlikeRoom(others []entry, d resource.Dimension, limit int64) int64 {
+	free := big.NewRat(1, 1)
+	for _, o := range others {
+		amount, old := o.Amount.Vector()[d], o.Limit.Vector()[d]
+		if amount > 0 && old > 0 {
+			free.Sub(free, big.NewRat(amount, old))
+		}
+	}
+	if free.Sign() <= 0 {
+		return 0
+	}
+	free.Mul(free, big.NewRat(limit, 1))
+	return new(big.Int).Quo(free.Num(), free.Denom()).Int64()
+}
+
+// demand is what a team asks of this entry.
+type demand struct {
+	used resource.Amount
+	// peak is the most that was in use since the last plan.
+	peak resource.Amount
+	// want is what was refused since the last plan.
+	want resource.Amount
+	// idle says that nothing was refused for a while, so that no headroom is
+	// kept.
+	idle bool
+}
+
+// headroomPart is the part of the use that is granted on top of it.
+const headroomPart = 4
+
+// plan returns the grant that the entry should have, and the ceiling above
+// which it takes no new work even within its grant.
+//
+// Where others want more, entries that want are levelled: each gets at most an
+// equal part of what the contented ones leave.
+func plan(dm demand, others []entry, limit resource.Amount) (grant, resource.Amount) {
+	used, peak, want := dm.used.Vector(), dm.peak.Vector(), dm.want.Vector()
+	now, free := limit.Vector(), room(others, limit).Vector()
+	var next, ceiling [resource.Dimensions]int64
+	for d := range now {
+		if now[d] >= version.NoLimit {
+			ceiling[d] = version.NoLimit
+			continue
+		}
+		wish := peak[d] + want[d]
+		if !dm.idle {
+			wish += (peak[d] + headroomPart - 1) / headroomPart
+		}
+		ceiling[d] = now[d]
+		if part, contested := fairPart(others, resource.Dimension(d), limit); contested {
+			wish = min(wish, part)
+			ceiling[d] = part
+		}
+		next[d] = min(max(wish, used[d]), free[d])
+	}
+	return grant{Amount: resource.FromVector(next), Limit: limit}, resource.FromVector(ceiling)
+}
+
+// fairPart returns an equal part for this entry and the others that want more.
+func fairPart(others []entry, d resource.Dimension, limit resource.Amount) (int64, bool) {
+	left := limit.Vector()[d]
+	sharers := int64(1)
+	for _, o := range others {
+		if o.Want.Vector()[d] > 0 {
+			sharers++
+			continue
+		}
+		left -= o.at(limit).Vector()[d]
+	}
+	return max(left/sharers, 1), sharers > 1
+}
+
+// worthWriting reports whether the row should change: any growth, a change of
+// the limit, a change of what is wanted from nothing to something or back, and
+// a shrink by more than the headroom or when others want.
+func worthWriting(old entry, next grant, want resource.Amount, others []entry) bool {
+	if old.Limit != next.Limit && !old.Amount.IsZero() || old.Want.IsZero() != want.IsZero() {
+		return true
+	}
+	have, will := old.Amount.Vector(), next.Amount.Vector()
+	for d := range have {
+		shrink := have[d] - will[d]
+		contested := false
+		for _, o := range others {
+			contested = contested || o.Want.Vector()[d] > 0
+		}
+		if shrink < 0 || shrink > have[d]/headroomPart || shrink > 0 && contested {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/process/allotment/ledger_test.go
@@ -0,0 +1,332 @@
+package allotment
+
+import (
+	"context"
+	"encoding/json"
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/kingcuplatch/kingcuplatch/process/platform"
+	"github.com/kingcuplatch/kingcuplatch/process/resource"
+	"github.com/kingcuplatch/kingcuplatch/version"
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+)
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	_ = flag.Set("rapid.seed", "1")
+	os.Exit(m.Run())
+}
+
+// fate is what becomes of a commit.
+type fate int
+
+const (
+	fateDone fate = iota
+	fateLostAnswer
+	fateLost
+	fateLate // takes effect later, if its conditions still hold
+	fateDown
+	fates
+)
+
+type fakeTable struct {
+	rows    map[string]platform.Row
+	version uint64
+	next    fate
+	late    []platform.Txn
+	commits int
+}
+
+func (f *fakeTable) Get(_ context.Context, key string) (platform.Row, bool, error) {
+	if f.next == fateDown {
+		return platform.Row{}, false, platform.ErrUnavailable
+	}
+	row, ok := f.rows[key]
+	return row, ok, nil
+}
+
+func (f *fakeTable) Scan(context.Context, string, string, int) ([]platform.Row, error) {
+	return nil, platform.ErrUnavailable
+}
+
+func (f *fakeTable) Commit(_ context.Context, txn platform.Txn) (uint64, error) {
+	f.commits++
+	now := f.next
+	f.next = fateDone
+	switch now {
+	case fateLostAnswer:
+		_, _ = f.apply(txn)
+	case fateLate:
+		f.late = append(f.late, txn)
+	case fateDown:
+		return 0, platform.ErrUnavailable
+	case fateDone:
+		return f.apply(txn)
+	}
+	return 0, platform.ErrUnknown
+}
+
+func (f *fakeTable) apply(txn platform.Txn) (uint64, error) {
+	for _, c := range txn.Conditions {
+		if v := f.rows[c.Key].Version; v != c.Version {
+			return 0, &platform.ConflictError{Key: c.Key, Version: v}
+		}
+	}
+	f.version++
+	for _, w := range txn.Writes {
+		f.rows[w.Key] = platform.Row{Key: w.Key, Version: f.version, Value: w.Value}
+	}
+	return f.version, nil
+}
+
+const teamName = "trentvale"
+
+// node is one ledger with the tasks that it counts and its own, maybe lagging,
+// view of the limit.
+type node struct {
+	*Ledger
+	limit resource.Amount
+	tasks []resource.Amount
+}
+
+func newNode(table platform.Table, name string, limit resource.Amount, omit omissions) *node {
+	n := &node{limit: limit}
+	n.Ledger = New(Options{Incarnation: name, Table: table, Limits: func() []TeamLimit {
+		return []TeamLimit{{Team: teamName, Limit: n.limit}}
+	}})
+	n.omit = omit
+	n.Refresh()
+	return n
+}
+
+func limitOf(running int64) resource.Amount {
+	return resource.Amount{Running: running, MilliCPU: running * 700, MemoryMB: version.NoLimit, Accelerators: version.NoLimit, Slots: version.NoLimit}
+}
+
+// simulate runs ledgers through operations drawn with draw, and returns the
+// first violation of the limit.
+func simulate(draw func(n int) int, omit omissions) error {
+	table := &fakeTable{rows: map[string]platform.Row{}}
+	limit, lowered, lives := limitOf(int64(5+draw(60))), false, 0
+	var nodes []*node
+	for range 3 + draw(7) {
+		lives++
+		nodes = append(nodes, newNode(table, fmt.Sprint(lives), limit, omit))
+	}
+	for range 200 {
+		n := nodes[draw(len(nodes))]
+		switch op := draw(20); {
+		case op < 8:
+			n.take(draw)
+		case op < 10 && len(n.tasks) > 0:
+			n.Give(teamName, n.tasks[0])
+			n.tasks = n.tasks[1:]
+		case op < 15:
+			time.Sleep(time.Second)
+			_ = n.Step(context.Background())
+		case op == 15:
+			table.next = fate(draw(int(fates)))
+		case op == 16 && len(table.late) > 0:
+			_, _ = table.apply(table.late[0])
+			table.late = table.late[1:]
+		case op == 17:
+			next := limitOf(int64(5 + draw(60)))
+			lowered = lowered || next.Running < limit.Running
+			limit = next
+		case op == 18:
+			changed := nodes
+			if draw(2) == 0 {
+				changed = []*node{n}
+			}
+			for _, n := range changed {
+				n.limit = limit
+				n.Refresh()
+			}
+		case op == 19 && draw(4) == 0:
+			lives++
+			crash(nodes, n, newNode(table, fmt.Sprint(lives), limit, omit), draw)
+		}
+		if err := check(nodes, lowered); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (n *node) take(draw func(n int) int) {
+	a := resource.Amount{Running: 1, MilliCPU: int64(100 + draw(900)), MemoryMB: 10}
+	if n.Take(teamName, a) {
+		n.tasks = append(n.tasks, a)
+	}
+}
+
+// crash replaces a node by its next life; another inherits its tasks.
+func crash(nodes []*node, dead, next *node, draw func(n int) int) {
+	used, name, tasks := dead.Used(teamName), dead.Incarnation, dead.tasks
+	*dead = *next
+	dead.Options.Limits = func() []TeamLimit { return []TeamLimit{{Team: teamName, Limit: dead.limit}} }
+	taker := nodes[draw(len(nodes))]
+	taker.tasks = append(taker.tasks, tasks...)
+	ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
+	defer cancel()
+	_ = taker.Inherit(ctx, name, []TeamUsage{{Team: teamName, Used: used}})
+}
+
+func check(nodes []*node, lowered bool) error {
+	var held, used, limit resource.Amount
+	for _, n := range nodes {
+		held, used = held.Add(n.Held(teamName)), used.Add(n.Used(teamName))
+		limit = limit.Max(n.limit)
+	}
+	held.MemoryMB, held.Accelerators, held.Slots = 0, 0, 0
+	if d, over := held.FirstOver(limit); over {
+		return fmt.Errorf("%s: held %+v over limit %+v", d, held, limit)
+	}
+	if d, over := used.FirstOver(limit); over && !lowered {
+		return fmt.Errorf("%s: used %+v over limit %+v", d, used, limit)
+	}
+	return nil
+}
+
+func TestSumStaysWithinTheLimit(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		for seed := range uint64(2000) {
+			rnd := rand.New(rand.NewPCG(seed, 3))
+			assert.NilError(t, simulate(rnd.IntN, omissions{}), "seed %d", seed)
+		}
+	})
+	rapid.Check(t, func(rt *rapid.T) {
+		synctest.Test(t, func(*testing.T) {
+			draw := func(n int) int { return rapid.IntRange(0, n-1).Draw(rt, "") }
+			if err := simulate(draw, omissions{}); err != nil {
+				rt.Fatal(err)
+			}
+		})
+	})
+}
+
+func TestEachMechanismIsNeeded(t *testing.T) {
+	cases := []struct {
+		name string
+		omit omissions
+	}{
+		{"growth after the write", omissions{growFirst: true}},
+		{"shrink before the write", omissions{shrinkLate: true}},
+		{"scaling under a lower limit", omissions{scale: true}},
+	}
+	const runs = 200
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				for seed := range uint64(runs) {
+					rnd := rand.New(rand.NewPCG(seed, 3))
+					if err := simulate(rnd.IntN, c.omit); err != nil {
+						t.Logf("violation in run %d: %v", seed+1, err)
+						return
+					}
+				}
+				t.Errorf("no violation in %d runs", runs)
+			})
+		})
+	}
+}
+
+// One team floods all entries: the whole limit is put to use, levelled over the
+// entries, also after an entry that held most of it.
+func TestDemandLevelsTheGrants(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		table := &fakeTable{rows: map[string]platform.Row{}}
+		var nodes []*node
+		for i := range 9 {
+			nodes = append(nodes, newNode(table, fmt.Sprint(i), limitOf(90), omissions{}))
+		}
+		one := resource.Amount{Running: 1}
+		round := func(flooded []*node) {
+			for _, n := range flooded {
+				for n.Take(teamName, one) {
+				}
+				_ = n.Step(context.Background())
+				if n.Used(teamName).Running > 0 {
+					n.Give(teamName, one)
+				}
+			}
+			time.Sleep(time.Second)
+		}
+		for range 20 {
+			round(nodes[:1])
+		}
+		assert.Assert(t, nodes[0].Held(teamName).Running >= 89)
+		for range 200 {
+			round(nodes)
+		}
+		sum := int64(0)
+		for _, n := range nodes {
+			held := n.Held(teamName).Running
+			assert.Assert(t, held >= 8 && held <= 12, "%d", held)
+			sum += held
+		}
+		assert.Assert(t, sum >= 85, "%d", sum)
+		commits := table.commits
+		for _, n := range nodes {
+			for n.Used(teamName).Running > 0 {
+				n.Give(teamName, one)
+			}
+			assert.NilError(t, n.Release(context.Background()))
+			assert.Equal(t, n.Held(teamName).Running, int64(0))
+		}
+		assert.Assert(t, table.commits > commits)
+		assert.Equal(t, len(nodes[8].Incarnations()), 0)
+	})
+}
+
+func TestLoweredLimitIsReported(t *testing.T) {
+	table := &fakeTable{rows: map[string]platform.Row{}}
+	n := newNode(table, "1", limitOf(10), omissions{})
+	for range 12 {
+		_ = n.Take(teamName, resource.Amount{Running: 1})
+		_ = n.Step(t.Context())
+	}
+	assert.Equal(t, n.Used(teamName).Running, int64(10))
+	n.limit = limitOf(4)
+	n.Refresh()
+	assert.DeepEqual(t, n.Over(), []OverLimit{{Team: teamName, Excess: resource.Amount{Running: 6}}})
+	assert.Assert(t, !n.Take(teamName, resource.Amount{Running: 1}))
+}
+
+func BenchmarkTakeGive(b *testing.B) {
+	n := newNode(&fakeTable{rows: map[string]platform.Row{}}, "1", limitOf(1000), omissions{})
+	n.with(teamName, func(t *team) { t.bound = limitOf(1000) })
+	one := resource.Amount{Running: 1, MilliCPU: 500, MemoryMB: 100}
+	for b.Loop() {
+		if !n.Take(teamName, one) {
+			b.Fatal("refused")
+		}
+		n.Give(teamName, one)
+	}
+}
+
+func BenchmarkRowBytes(b *testing.B) {
+	for _, entries := range []int{1, 9} {
+		b.Run(fmt.Sprintf("entries=%d", entries), func(b *testing.B) {
+			var r row
+			for i := range entries {
+				g := grant{Amount: limitOf(100), Limit: limitOf(1000)}
+				r.Entries = append(r.Entries, entry{Incarnation: fmt.Sprintf("entry-0001-%08d", i), grant: g})
+			}
+			var size int
+			for b.Loop() {
+				body, err := json.Marshal(r)
+				assert.NilError(b, err)
+				size = len(body)
+			}
+			b.ReportMetric(float64(size), "B/row")
+		})
+	}
+}
--- /dev/null
+++ b/process/allotment/step.go
@@ -0,0 +1,318 @@
+package allotment
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/kingcuplatch/kingcuplatch/process/platform"
+	"github.com/kingcuplatch/kingcuplatch/process/resource"
+	"github.com/rotisserie/eris"
+)
+
+const (
+	rowPrefix = "allotment/"
+	// maxCandidates bounds how many writes of a team may be undecided.
+	maxCandidates = 8
+	// rounds is how often a step tries again after a conflict.
+	rounds = 4
+	// callTimeout bounds one call to the table.
+	callTimeout = 2 * time.Second
+)
+
+// Run steps until ctx ends.
+func (l *Ledger) Run(ctx context.Context) {
+	ticker := time.NewTicker(l.Every)
+	defer ticker.Stop()
+	for {
+		// A failed step changes nothing; the next one reads back.
+		_ = l.Step(ctx)
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+// change is one team's part of a batch.
+type change struct {
+	team    string
+	version uint64
+	next    row
+}
+
+// Step fits the grants to the demand, all teams in one transaction. An error
+// leaves everything within the limits.
+func (l *Ledger) Step(ctx context.Context) error {
+	l.Refresh()
+	select {
+	case l.stepping <- struct{}{}:
+	case <-ctx.Done():
+		return eris.Wrap(ctx.Err(), "step")
+	}
+	defer func() { <-l.stepping }()
+	names := l.names()
+	defer l.newWindow(names)
+	for range rounds {
+		if err := l.readStale(ctx, names); err != nil {
+			return err
+		}
+		again, err := l.write(ctx, l.changes(names))
+		if err != nil || !again {
+			return err
+		}
+	}
+	return nil
+}
+
+// Inherit folds the grants of a dead incarnation into this entry's, once what
+// runs of it is known. Call it only when the right of that incarnation has
+// ended. Its use counts here from the start. It is retried until ctx ends.
+func (l *Ledger) Inherit(ctx context.Context, dead string, used []TeamUsage) error {
+	l.Refresh()
+	for _, u := range used {
+		l.with(u.Team, func(t *team) {
+			t.used = t.used.Add(u.Used)
+			t.peak = t.peak.Max(t.used)
+		})
+	}
+	for _, name := range l.names() {
+		l.with(name, func(t *team) {
+			t.folds = append(t.folds, dead)
+			t.stale = true
+		})
+	}
+	for {
+		err := l.Step(ctx)
+		if err == nil && !l.folding(dead) {
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return eris.Wrapf(ctx.Err(), "inherit from %s", dead)
+		case <-time.After(l.Every):
+		}
+	}
+}
+
+// Release gives back all that isn't in use; nothing can be taken any more. Call
+// it when nothing runs, before the entry's right is released. Errors: those of
+// the table; what isn't given back is inherited like that of a dead entry.
+func (l *Ledger) Release(ctx context.Context) error {
+	for _, name := range l.names() {
+		l.with(name, func(t *team) {
+			t.closed = true
+			t.stale = true
+		})
+	}
+	return l.Step(ctx)
+}
+
+// Incarnations returns all that hold grants, as the rows were last seen,
+// sorted. Those that are dead must be inherited from.
+func (l *Ledger) Incarnations() []string {
+	var all []string
+	for _, name := range l.names() {
+		l.with(name, func(t *team) {
+			for _, e := range t.row.Entries {
+				all = append(all, e.Incarnation)
+			}
+		})
+	}
+	slices.Sort(all)
+	return slices.Compact(all)
+}
+
+func (l *Ledger) folding(dead string) bool {
+	found := false
+	for _, name := range l.names() {
+		l.with(name, func(t *team) { found = found || slices.Contains(t.folds, dead) })
+	}
+	return found
+}
+
+// names returns all teams, sorted.
+func (l *Ledger) names() []string {
+	var all []string
+	for i := range l.shards {
+		s := &l.shards[i]
+		s.mu.Lock()
+		for name := range s.teams {
+			all = append(all, name)
+		}
+		s.mu.Unlock()
+	}
+	slices.Sort(all)
+	return all
+}
+
+// newWindow starts the next observation of the demand.
+func (l *Ledger) newWindow(names []string) {
+	for _, name := range names {
+		l.with(name, func(t *team) {
+			// Who was refused looks at the row again, where others may have
+			// left room or want some.
+			t.stale = t.stale || !t.want.IsZero()
+			t.want = resource.Amount{}
+			t.peak = t.used
+		})
+	}
+}
+
+// readStale reads the rows that have to be read before they are written.
+func (l *Ledger) readStale(ctx context.Context, names []string) error {
+	for _, name := range names {
+		stale := false
+		l.with(name, func(t *team) { stale = t.stale })
+		if !stale {
+			continue
+		}
+		if err := l.read(ctx, name); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (l *Ledger) read(ctx context.Context, name string) error {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	found, ok, err := l.Table.Get(ctx, rowPrefix+name)
+	if err != nil {
+		return eris.Wrapf(err, "read allotments of %s", name)
+	}
+	var r row
+	if ok {
+		if err := json.Unmarshal(found.Value, &r); err != nil {
+			return eris.Wrapf(err, "decode allotments of %s", name)
+		}
+	}
+	l.with(name, func(t *team) { t.readBack(r, found.Version, l.Incarnation, l.omit) })
+	return nil
+}
+
+// readBack takes in the row. If its version has moved, no undecided write can
+// take effect any more, and the row tells which one did.
+func (t *team) readBack(r row, version uint64, self string, omit omissions) {
+	t.stale = false
+	if version == t.version {
+		return
+	}
+	mine, _ := r.own(self)
+	t.row = r
+	t.version = version
+	t.candidates = []grant{mine.grant}
+	t.settle(omit)
+	t.folds = slices.DeleteFunc(t.folds, func(dead string) bool { return !r.has(dead) })
+}
+
+func (r row) has(incarnation string) bool {
+	return slices.ContainsFunc(r.Entries, func(e entry) bool { return e.Incarnation == incarnation })
+}
+
+// changes plans all teams and puts what shrinks into force.
+func (l *Ledger) changes(names []string) []change {
+	var all []change
+	for _, name := range names {
+		l.with(name, func(t *team) {
+			if next, ok := t.change(l.Incarnation, time.Now(), l.omit); ok {
+				all = append(all, change{team: name, version: t.version, next: next})
+			}
+		})
+	}
+	return all
+}
+
+// change plans one team's row.
+func (t *team) change(self string, now time.Time, omit omissions) (row, bool) {
+	if len(t.candidates) >= maxCandidates {
+		return row{}, false
+	}
+	t.idle = now.Sub(t.refused) > idleAfter
+	mine, others := t.row.own(self)
+	others = slices.DeleteFunc(others, func(e entry) bool { return slices.Contains(t.folds, e.Incarnation) })
+	folded := len(others) < len(t.row.Entries) && len(t.folds) > 0
+	if t.closed {
+		t.demand = demand{used: t.used, idle: true}
+	}
+	next, ceiling := plan(t.demand, others, t.limit)
+	if t.closed {
+		ceiling = resource.Amount{}
+	}
+	t.ceiling = ceiling
+	want := t.want
+	write := folded || len(t.candidates) > 1 || worthWriting(mine, next, want, others)
+	if !write {
+		t.settle(omit)
+		return row{}, false
+	}
+	t.candidates = append(t.candidates, next)
+	t.settle(omit)
+	r := row{Entries: others}
+	if !next.Amount.IsZero() || !want.IsZero() {
+		r.Entries = append(r.Entries, entry{Incarnation: self, grant: next, Want: want})
+	}
+	return r, true
+}
+
+// write commits the changes. It returns true if another round may do better.
+func (l *Ledger) write(ctx context.Context, changes []change) (bool, error) {
+	if len(changes) == 0 {
+		return false, nil
+	}
+	var txn platform.Txn
+	for _, c := range changes {
+		value, err := json.Marshal(c.next)
+		if err != nil {
+			return false, eris.Wrapf(err, "encode allotments of %s", c.team)
+		}
+		txn.Conditions = append(txn.Conditions, platform.Condition{Key: rowPrefix + c.team, Version: c.version})
+		txn.Writes = append(txn.Writes, platform.Write{Key: rowPrefix + c.team, Value: value})
+	}
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	version, err := l.Table.Commit(ctx, txn)
+	var conflict *platform.ConflictError
+	switch {
+	case err == nil:
+		l.confirm(changes, version)
+		return false, nil
+	case errors.As(err, &conflict):
+		l.drop(changes, strings.TrimPrefix(conflict.Key, rowPrefix))
+		return true, nil
+	case errors.Is(err, platform.ErrUnavailable):
+		l.drop(changes, "")
+	default:
+		l.doubt(changes)
+	}
+	return false, eris.Wrap(err, "write allotments")
+}
+
+// confirm takes in a batch that took effect.
+func (l *Ledger) confirm(changes []change, version uint64) {
+	for _, c := range changes {
+		l.with(c.team, func(t *team) { t.readBack(c.next, version, l.Incarnation, l.omit) })
+	}
+}
+
+// drop takes back a batch that surely had no effect.
+func (l *Ledger) drop(changes []change, conflicting string) {
+	for _, c := range changes {
+		l.with(c.team, func(t *team) {
+			t.candidates = t.candidates[:len(t.candidates)-1]
+			t.stale = t.stale || c.team == conflicting
+			t.settle(l.omit)
+		})
+	}
+}
+
+// doubt leaves a batch with unknown outcome to be read back.
+func (l *Ledger) doubt(changes []change) {
+	for _, c := range changes {
+		l.with(c.team, func(t *team) { t.stale = true })
+	}
+}
