Run the keeper's proofs against real owners, hold for large jobs

Cause: the keeper was tested against a made-up owner, so that nothing ran the keeper, the owner, the book and placement together, nor their messages as JSON.

Change: the tests' owners are tasks.Owner over a small worker. New: a job that needs the whole fleet behind a stream of small ones, and calls from an entry that does not keep the shard. A pass builds nothing for a job that cannot fit, and rests four times as long as it took.

Ruled out: a shorter queue (it would lose the order over all teams).

Without holds the large job does not end within a minute.

--- /dev/null
+++ b/process/jobs/bench_test.go
@@ -0,0 +1,88 @@
+package jobs
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/kingcuplatch/kingcuplatch/process/platform"
+	"github.com/kingcuplatch/kingcuplatch/process/resource"
+)
+
+// benchKeeper keeps jobs of tasks tasks each, all in one state, on a full fleet.
+func benchKeeper(b *testing.B, jobs, tasks int, state TaskState) *Keeper {
+	b.Helper()
+	w := newWorld(b.Context(), 9, 1)
+	w.full = true
+	k := NewKeeper(w.config(func(string) (platform.Condition, bool) { return platform.Condition{}, true }))
+	w.do(func() { w.keeper = k })
+	for i := range Shards {
+		name := fmt.Sprintf("s/%02x", i)
+		k.shards[name] = &shard{
+			name: name, jobs: make(map[string]*job), waiting: make(map[string]*job), ended: make(map[string]*job),
+		}
+	}
+	for i := range jobs {
+		j := newJob(Spec{
+			ID: fmt.Sprintf("job-%d", i), Team: []string{"a", "b"}[i%2], Kind: "batch", Policy: testSnapshot.Kinds["batch"].Policy,
+			Tasks: tasks, Amount: resource.Amount{Running: 1, MilliCPU: 1}, Created: time.Unix(int64(i), 0),
+		})
+		j.version = 1
+		for n := range j.tasks {
+			t := &j.tasks[n]
+			t.state = state
+			if state.active() {
+				t.attempt, t.worker = 1, fmt.Sprintf("worker-%d", n%100)
+				t.block, t.owner, t.since = "block-e1", "e1", time.Now()
+			}
+		}
+		s := k.shards[ShardOf(j.spec.ID)]
+		s.jobs[j.spec.ID] = j
+		s.sort(j, time.Now())
+	}
+	return k
+}
+
+// BenchmarkPass is one pass over a queue of which nothing fits.
+func BenchmarkPass(b *testing.B) {
+	for _, jobs := range []int{50, 5000} {
+		b.Run(fmt.Sprintf("waiting=%d", jobs), func(b *testing.B) {
+			k := benchKeeper(b, jobs, 10, Pending)
+			for b.Loop() {
+				k.pass(context.Background())
+			}
+		})
+	}
+}
+
+// BenchmarkSweep is one look at running tasks of which none is doubtful.
+func BenchmarkSweep(b *testing.B) {
+	for _, jobs := range []int{10, 1000} {
+		b.Run(fmt.Sprintf("tasks=%d", jobs*25), func(b *testing.B) {
+			k := benchKeeper(b, jobs, 25, Running)
+			for b.Loop() {
+				k.sweep(context.Background(), time.Now())
+			}
+		})
+	}
+}
+
+// BenchmarkEncode reports the size of a row with all tasks running.
+func BenchmarkEncode(b *testing.B) {
+	for _, tasks := range []int{1, 25, 1000} {
+		b.Run(fmt.Sprintf("tasks=%d", tasks), func(b *testing.B) {
+			k := benchKeeper(b, 1, tasks, Running)
+			j := k.shards[ShardOf("job-0")].jobs["job-0"]
+			var size int
+			for b.Loop() {
+				value, err := j.encode()
+				if err != nil {
+					b.Fatal(err)
+				}
+				size = len(value)
+			}
+			b.ReportMetric(float64(size), "B/row")
+		})
+	}
+}
--- a/process/jobs/job.go
+++ b/process/jobs/job.go
@@ -151,6 +151,20 @@
 // unsaved reports whether the row may lack the job's state.
 func (j *job) unsaved() bool { return j.dirty || len(j.sent) > 0 }
 
+// pendingTasks counts, up to limit, the tasks that may start at now.
+func (j *job) pendingTasks(now time.Time, limit int) int {
+	count := 0
+	for i := range j.tasks {
+		if count == limit {
+			break
+		}
+		if j.tasks[i].state == Pending && !now.Before(j.tasks[i].notBefore) {
+			count++
+		}
+	}
+	return count
+}
+
 func (j *job) waits() bool {
 	if j.cancelled || j.version == 0 || j.deleting {
 		return false
--- a/process/jobs/keeper.go
+++ b/process/jobs/keeper.go
@@ -84,6 +84,8 @@
 	retryUnknown bool
 	// unfenced writes without the shard's condition.
 	unfenced bool
+	// noHold never has owners keep workers for a job.
+	noHold bool
 	// keepPartial keeps the reservations of an incomplete set.
 	keepPartial bool
 }
--- a/process/jobs/keeper_test.go
+++ b/process/jobs/keeper_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"sync"
 	"sync/atomic"
@@ -26,7 +27,7 @@
 
 func TestSubmitIsDurableAndTrue(t *testing.T) {
 	inWorld(t, func(t *testing.T, ctx context.Context) {
-		w := newWorld(2, 8)
+		w := newWorld(ctx, 2, 8)
 		k := w.takeOver(ctx, t, policy{})
 		spec := Spec{ID: "j1", Team: "a", Kind: "batch", Tasks: 20}
 		_, err := k.Submit(ctx, spec)
@@ -60,7 +61,7 @@
 		assert.NilError(t, err, "read back")
 		waitFor(t, time.Minute, "j3 ends", w.ended("a", "j3"))
 		assert.Equal(t, len(w.violated()), 0)
-		assert.Equal(t, w.leaked(), 0)
+		waitFor(t, time.Minute, "nothing held", func() bool { return w.leaked() == 0 })
 	})
 }
 
@@ -97,8 +98,8 @@
 			}
 			t.Run(fmt.Sprintf("%s/off=%v", c.name, off), func(t *testing.T) {
 				inWorld(t, func(t *testing.T, ctx context.Context) {
-					w := newWorld(2, 1)
-					w.runTime = 5 * time.Minute
+					w := newWorld(ctx, 2, 1)
+					w.do(func() { w.runTime = 5 * time.Minute })
 					p := policy{}
 					if off {
 						p = c.off
@@ -191,8 +192,8 @@
 	for _, off := range []bool{false, true} {
 		t.Run(fmt.Sprintf("off=%v", off), func(t *testing.T) {
 			inWorld(t, func(t *testing.T, ctx context.Context) {
-				w := newWorld(2, 500)
-				w.runTime, w.startDelay, w.full = time.Hour, time.Second, true
+				w := newWorld(ctx, 2, 500)
+				w.do(func() { w.runTime, w.startDelay, w.full = time.Hour, time.Second, true })
 				k := w.takeOver(ctx, t, policy{ackAtOnce: off})
 				eachJob(jobs, func(id string) {
 					_, err := k.Submit(ctx, Spec{ID: id, Team: "a", Kind: "batch", Tasks: 1})
@@ -231,7 +232,7 @@
 	for _, off := range []bool{false, true} {
 		t.Run(fmt.Sprintf("off=%v", off), func(t *testing.T) {
 			inWorld(t, func(t *testing.T, ctx context.Context) {
-				w := newWorld(3, 8)
+				w := newWorld(ctx, 3, 8)
 				k := w.takeOver(ctx, t, policy{keepPartial: off})
 				eachJob(gangs, func(id string) {
 					_, err := k.Submit(ctx, Spec{ID: id, Team: "a", Kind: "gang", Tasks: 6 + len(id)*5})
@@ -253,3 +254,68 @@
 		})
 	}
 }
+
+// TestLargeGangIsNotStarved has a job that needs the whole fleet at once wait
+// behind a stream of small jobs.
+func TestLargeGangIsNotStarved(t *testing.T) {
+	for _, off := range []bool{false, true} {
+		t.Run(fmt.Sprintf("off=%v", off), func(t *testing.T) {
+			inWorld(t, func(t *testing.T, ctx context.Context) {
+				w := newWorld(ctx, 3, 8)
+				w.do(func() { w.runTime = 4 * time.Second })
+				k := w.takeOver(ctx, t, policy{noHold: off})
+				go func() {
+					for i := 0; ctx.Err() == nil; i++ {
+						_, err := k.Submit(ctx, Spec{ID: fmt.Sprintf("small-%d", i), Team: "b", Kind: "batch", Tasks: 1})
+						assert.Check(t, err == nil || ctx.Err() != nil)
+						time.Sleep(200 * time.Millisecond)
+					}
+				}()
+				time.Sleep(10 * time.Second)
+				_, err := k.Submit(ctx, Spec{ID: "large", Team: "a", Kind: "gang", Tasks: 24})
+				assert.NilError(t, err)
+				time.Sleep(time.Minute)
+				assert.Equal(t, w.ended("a", "large")(), !off)
+			})
+		})
+	}
+}
+
+// TestOtherEntry calls the keeper from an entry that does not keep the shard,
+// and has a job wait for a fleet that can carry it.
+func TestOtherEntry(t *testing.T) {
+	inWorld(t, func(t *testing.T, ctx context.Context) {
+		w := newWorld(ctx, 2, 8)
+		w.takeOver(ctx, t, policy{})
+		elsewhere := NewKeeper(Config{Instance: "e1"})
+		c := &Client{Keeper: elsewhere, Directory: w, Fleet: w, Caller: w}
+		_, err := c.Submit(ctx, Spec{ID: "j", Team: "a", Kind: "gang", Tasks: 16})
+		assert.NilError(t, err)
+		_, err = c.Submit(ctx, Spec{ID: "j", Team: "b", Kind: "batch", Tasks: 1})
+		assert.ErrorIs(t, err, ErrForbidden)
+		var never *NeverFitsError
+		_, err = c.Submit(ctx, Spec{ID: "n", Team: "a", Kind: "gang", Tasks: 17})
+		assert.Assert(t, errors.As(err, &never) && never.Dimension == "milli_cpu")
+		var invalid *InvalidError
+		_, err = c.Submit(ctx, Spec{ID: "n", Team: "a", Kind: "none", Tasks: 17})
+		assert.Assert(t, errors.As(err, &invalid) && invalid.Field == "kind")
+		waitFor(t, time.Minute, "j ends", w.ended("a", "j"))
+		list, err := c.List(ctx, "a")
+		assert.NilError(t, err)
+		assert.Equal(t, len(list), 1)
+
+		w.do(func() { w.full = true })
+		_, err = c.Submit(ctx, Spec{ID: "k", Team: "a", Kind: "gang", Tasks: 16})
+		assert.NilError(t, err)
+		w.owners["e1"].Book.Close("worker-e1")
+		time.Sleep(10 * time.Second)
+		e, err := c.Explain(ctx, "a", "k")
+		assert.NilError(t, err)
+		assert.Assert(t, e.NeverRunnable && e.Limit == "fleet" && e.Place == 1 && e.Waiting == 1)
+		w.do(func() { w.full = false })
+		w.addOwner(ctx, "e2", 8)
+		waitFor(t, time.Minute, "k ends on the larger fleet", w.ended("a", "k"))
+		assert.NilError(t, c.Cancel(ctx, "a", "k"))
+		assert.ErrorIs(t, c.Cancel(ctx, "b", "k"), ErrForbidden)
+	})
+}
--- a/process/jobs/place.go
+++ b/process/jobs/place.go
@@ -89,7 +89,7 @@
 		Job: p.spec.ID, Team: p.spec.Team, Kind: p.spec.Kind, Policy: p.spec.Policy,
 		Amount: p.spec.Amount, Refs: refs, For: reservationFor,
 	}
-	if p.spec.Policy == version.PolicyAllAtOnce && p.tries >= triesBeforeHold {
+	if p.spec.Policy == version.PolicyAllAtOnce && p.tries >= triesBeforeHold && !k.policy.noHold {
 		request.Hold = &tasks.Hold{Created: p.spec.Created, For: holdFor}
 	}
 	return k.Workers.Reserve(ctx, to, request)
--- a/process/jobs/schedule.go
+++ b/process/jobs/schedule.go
@@ -14,6 +14,9 @@
 	passInterval = 200 * time.Millisecond
 	// passPause is the least pause between two passes.
 	passPause = 5 * time.Millisecond
+	// passRest is how many times the duration of a pass the next one waits, so
+	// that a long queue doesn't take the processor from requests.
+	passRest = 4
 	// partTasks is the most tasks of one job that are started in one part.
 	partTasks = 128
 	// passFailures ends a pass after that many jobs that did not fit.
@@ -32,8 +35,9 @@
 		case <-ticker.C:
 		case <-k.wake:
 		}
+		began := time.Now()
 		k.pass(ctx)
-		sleep(ctx, passPause)
+		sleep(ctx, max(passPause, passRest*time.Since(began)))
 	}
 }
 
@@ -56,7 +60,7 @@
 	for id, j := range s.waiting {
 		waiting = append(waiting, Waiting{
 			ID: id, Team: j.spec.Team, Urgent: j.spec.Urgent, Deadline: j.spec.Deadline,
-			Created: j.spec.Created, Amount: j.spec.Amount, Tasks: len(j.pending(now, partTasks)),
+			Created: j.spec.Created, Amount: j.spec.Amount, Tasks: j.pendingTasks(now, partTasks),
 		})
 	}
 	return waiting
@@ -107,6 +111,9 @@
 }
 
 func (f *shortfalls) covers(spec *Spec) bool {
+	if spec.Policy == version.PolicyAllAtOnce {
+		return false
+	}
 	if f.teams[spec.Team] {
 		return true
 	}
@@ -138,14 +145,10 @@
 		if ctx.Err() != nil || failures == passFailures {
 			return
 		}
-		p := k.claim(w.ID, size, time.Now())
+		p := k.claim(w.ID, size, &short, time.Now())
 		if p == nil {
 			continue
 		}
-		if p.spec.Policy != version.PolicyAllAtOnce && short.covers(&p.spec) {
-			k.unclaim(p)
-			continue
-		}
 		limit, placed := k.place(ctx, p)
 		if !placed {
 			failures++
@@ -170,7 +173,7 @@
 }
 
 // claim takes tasks of a job for placing; nil if there is nothing to place.
-func (k *Keeper) claim(id string, size FleetSize, now time.Time) *part {
+func (k *Keeper) claim(id string, size FleetSize, short *shortfalls, now time.Time) *part {
 	s := k.shard(ShardOf(id))
 	if s == nil {
 		return nil
@@ -178,7 +181,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	j := s.waiting[id]
-	if j == nil || s.lost || j.placing || now.Before(j.notBefore) || k.neverNow(j, size) {
+	if j == nil || s.lost || j.placing || now.Before(j.notBefore) || short.covers(&j.spec) || k.neverNow(j, size) {
 		return nil
 	}
 	places := j.pending(now, j.partSize())
--- a/process/jobs/world_test.go
+++ b/process/jobs/world_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"encoding/json"
 	"flag"
 	"fmt"
+	"maps"
 	"os"
 	"slices"
 	"strings"
@@ -16,6 +18,7 @@
 	"github.com/kingcuplatch/kingcuplatch/conn/peer"
 	"github.com/kingcuplatch/kingcuplatch/conn/worker"
 	"github.com/kingcuplatch/kingcuplatch/process/capacity"
+	"github.com/kingcuplatch/kingcuplatch/process/ownership"
 	"github.com/kingcuplatch/kingcuplatch/process/platform"
 	"github.com/kingcuplatch/kingcuplatch/process/resource"
 	"github.com/kingcuplatch/kingcuplatch/process/tasks"
@@ -99,252 +102,268 @@
 	return f.version, nil
 }
 
-// fakeOwner is an entry with one worker. started attempts that have a
-// reservation run for the run time of the world.
-type fakeOwner struct {
-	reserved map[worker.TaskRef]time.Time
-	starting map[worker.TaskRef]bool
-	running  map[worker.TaskRef]bool
-	ended    map[worker.TaskRef]tasks.Event
-	capacity int
+// fakeRun is one attempt on a worker.
+type fakeRun struct {
+	task  worker.StartTask
+	state worker.TaskState
+	due   time.Time
 }
 
-func (o *fakeOwner) used() int {
-	return len(o.reserved) + len(o.starting) + len(o.running) + len(o.ended)
+// fakeWorker runs each attempt for the run time of the world. It notes when two
+// copies of a task run, and when one starts after the acknowledged cancellation
+// of its job. The world's lock guards it.
+type fakeWorker struct {
+	worker.Client
+	world *world
+	runs  map[worker.TaskRef]*fakeRun
 }
 
-// world is everything around keepers. It checks that no task runs twice and
-// that none starts after its job's cancellation was acknowledged.
+func (f *fakeWorker) advance() {
+	now := time.Now()
+	for _, r := range f.runs {
+		if r.state == worker.TaskRunning && !now.Before(r.due) {
+			r.state = worker.TaskDone
+		}
+	}
+}
+
+func (f *fakeWorker) status(ref worker.TaskRef) worker.TaskStatus {
+	r := f.runs[ref]
+	return worker.TaskStatus{Task: ref.Task, Attempt: ref.Attempt, Team: r.task.Team, State: r.state, Amount: r.task.Amount}
+}
+
+func (f *fakeWorker) Adopt(context.Context, uint64) (worker.Report, error) {
+	f.world.mu.Lock()
+	defer f.world.mu.Unlock()
+	f.advance()
+	var report worker.Report
+	for ref := range f.runs {
+		report.Tasks = append(report.Tasks, f.status(ref))
+	}
+	return report, nil
+}
+
+func (f *fakeWorker) Renew(ctx context.Context, epoch uint64, _ time.Duration) (worker.Report, error) {
+	return f.Adopt(ctx, epoch)
+}
+
+func (f *fakeWorker) Start(_ context.Context, _ uint64, starts []worker.StartTask) ([]worker.TaskStatus, error) {
+	w := f.world
+	var delay time.Duration
+	w.do(func() { delay = w.startDelay })
+	time.Sleep(delay)
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	var list []worker.TaskStatus
+	for _, s := range starts {
+		w.check(s)
+		ref := worker.TaskRef{Task: s.Task, Attempt: s.Attempt}
+		f.runs[ref] = &fakeRun{task: s, state: worker.TaskRunning, due: time.Now().Add(w.runTime)}
+		list = append(list, f.status(ref))
+	}
+	return list, nil
+}
+
+func (f *fakeWorker) Stop(_ context.Context, _ uint64, refs []worker.TaskRef) ([]worker.TaskStatus, error) {
+	f.world.mu.Lock()
+	defer f.world.mu.Unlock()
+	f.advance()
+	var list []worker.TaskStatus
+	for _, ref := range refs {
+		if f.runs[ref] == nil {
+			f.runs[ref] = &fakeRun{state: worker.TaskStopped}
+		}
+		if f.runs[ref].state == worker.TaskRunning {
+			f.runs[ref].state = worker.TaskStopped
+		}
+		list = append(list, f.status(ref))
+	}
+	return list, nil
+}
+
+func (f *fakeWorker) Forget(context.Context, uint64, []worker.TaskRef) error { return nil }
+
+func (f *fakeWorker) Close() {}
+
+// world is the table, owners of one worker each, and the keeper at entry e0.
 type world struct {
+	*tasks.Client
 	table   *fakeTable
 	runTime time.Duration
 	// startDelay is how long a worker takes to start a task.
 	startDelay time.Duration
-	// full has owners refuse all reservations.
-	full bool
-	// beforeStart is asked when a start call arrives, afterStart when it is
-	// about to be answered.
+	// beforeStart is asked when a start call is sent, afterStart when it was
+	// answered.
 	beforeStart func()
 	afterStart  func() error
+	owners      map[string]*tasks.Owner
+	workers     []*fakeWorker
 
-	mu         sync.Mutex
-	owners     map[string]*fakeOwner
+	mu sync.Mutex
+	// full has owners refuse all reservations.
+	full       bool
 	acked      map[string]bool
 	violations []string
 	firstStart map[string]time.Time
 	lastStart  map[string]time.Time
 	starts     int
 	keeper     *Keeper
-	ctx        context.Context
 }
 
-func newWorld(owners, capacity int) *world {
+// unlimited is a team's allotment without bound.
+type unlimited struct{}
+
+func (unlimited) Take(string, resource.Amount) bool { return true }
+func (unlimited) Force(string, resource.Amount)     {}
+func (unlimited) Give(string, resource.Amount)      {}
+
+// entry is the right of one entry to the block of its worker.
+type entry string
+
+func (e entry) block() string { return "block-" + string(e) }
+
+func (e entry) MayHandOver(block string) (ownership.Grant, bool) {
+	return ownership.Grant{Block: block, Epoch: 1}, block == e.block()
+}
+
+func (e entry) Owned() []ownership.Grant { return []ownership.Grant{{Block: e.block(), Epoch: 1}} }
+
+func (e entry) OwnerOf(string) (address, instance string, ok bool) { return "", "", false }
+
+func newWorld(ctx context.Context, owners, cpus int) *world {
 	w := &world{
 		table:      &fakeTable{rows: make(map[string]platform.Row)},
 		runTime:    time.Second,
 		startDelay: 20 * time.Millisecond,
-		owners:     make(map[string]*fakeOwner),
+		owners:     make(map[string]*tasks.Owner),
 		acked:      make(map[string]bool),
 		firstStart: make(map[string]time.Time),
 		lastStart:  make(map[string]time.Time),
 	}
 	for i := range owners {
-		w.owners[fmt.Sprintf("e%d", i)] = &fakeOwner{
-			reserved: make(map[worker.TaskRef]time.Time),
-			starting: make(map[worker.TaskRef]bool),
-			running:  make(map[worker.TaskRef]bool),
-			ended:    make(map[worker.TaskRef]tasks.Event),
-			capacity: capacity,
-		}
+		w.addOwner(ctx, entry(fmt.Sprintf("e%d", i)), cpus)
 	}
+	w.Client = &tasks.Client{Instance: "e0", Owner: w.owners["e0"], Caller: w}
 	return w
 }
 
-func (w *world) violate(format string, args ...any) {
-	w.violations = append(w.violations, fmt.Sprintf(format, args...))
+func (w *world) addOwner(ctx context.Context, e entry, cpus int) {
+	f := &fakeWorker{world: w, runs: make(map[worker.TaskRef]*fakeRun)}
+	o := tasks.NewOwner(tasks.Config{
+		Owners: e, Book: capacity.NewBook(), Allotments: unlimited{}, Keepers: w, Choose: tasks.ChooseByPlacement,
+		Dial:    func(platform.Instance) worker.Client { return f },
+		BlockOf: func(platform.Instance) string { return e.block() },
+		Lease:   9 * time.Second, Margin: 3 * time.Second, CallTimeout: 2 * time.Second,
+	})
+	w.do(func() {
+		w.workers = append(w.workers, f)
+		w.owners[string(e)] = o
+	})
+	o.Sync(ctx, []platform.Instance{{
+		Name: "worker-" + string(e), Role: platform.RoleWorker, Capacity: resource.Amount{MilliCPU: int64(cpus)},
+	}})
+	go o.Run(ctx)
 }
 
-func (w *world) Owners() []OwnerInfo {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	var infos []OwnerInfo
-	for name, o := range w.owners {
-		all := resource.Amount{Running: 1 << 40, MilliCPU: int64(o.capacity)}
-		free := resource.Amount{Running: 1 << 40, MilliCPU: int64(o.capacity - o.used())}
-		infos = append(infos, OwnerInfo{Peer: tasks.Peer{Instance: name}, Free: capacity.Summary{
-			Workers: 1, Total: free, Largest: free, LargestCapacity: all, TotalCapacity: all,
-		}})
+// check notes what must not happen when an attempt starts.
+func (w *world) check(s worker.StartTask) {
+	job := tasks.JobOf(s.Task)
+	if w.acked[job] {
+		w.violations = append(w.violations, s.Task+" started after its cancellation was acknowledged")
 	}
-	return infos
-}
-
-// OwnerOf takes the block of a worker for the name of its owner.
-func (w *world) OwnerOf(block string) (address, instance string, ok bool) {
-	return "", strings.TrimPrefix(block, "block-"), true
-}
-
-func (w *world) Reserve(_ context.Context, to tasks.Peer, r tasks.ReserveRequest) (tasks.ReserveReply, error) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	o := w.owners[to.Instance]
-	for ref, until := range o.reserved {
-		if time.Now().After(until) {
-			delete(o.reserved, ref)
+	for _, f := range w.workers {
+		f.advance()
+		for ref, r := range f.runs {
+			if ref.Task == s.Task && r.state == worker.TaskRunning {
+				w.violations = append(w.violations, s.Task+" runs twice")
+			}
 		}
 	}
-	var reply tasks.ReserveReply
-	for _, ref := range r.Refs {
-		if w.full || o.used() >= o.capacity {
-			reply.Limit = tasks.LimitCapacity
-			break
-		}
-		o.reserved[ref] = time.Now().Add(r.For)
-		reply.Reservations = append(reply.Reservations, tasks.Reservation{
-			Located: tasks.Located{TaskRef: ref, Worker: "worker-" + to.Instance}, Block: "block-" + to.Instance, Epoch: 1,
-		})
+	w.starts++
+	if w.firstStart[job].IsZero() {
+		w.firstStart[job] = time.Now()
 	}
-	return reply, nil
+	w.lastStart[job] = time.Now()
 }
 
-func (w *world) Start(_ context.Context, to tasks.Peer, r tasks.StartRequest) (tasks.Outcomes, error) {
-	if w.beforeStart != nil {
-		w.beforeStart()
-	}
-	o := w.owners[to.Instance]
-	var reply tasks.Outcomes
-	for _, s := range r.Starts {
-		reply.Outcomes = append(reply.Outcomes, w.claim(o, s.Ref()))
-	}
-	w.mu.Lock()
-	delay := w.startDelay
-	w.mu.Unlock()
-	time.Sleep(delay)
-	for _, s := range r.Starts {
-		w.run(o, s.Ref())
-	}
-	if w.afterStart != nil {
-		return reply, w.afterStart()
+func (w *world) Owners() []OwnerInfo {
+	var owners map[string]*tasks.Owner
+	w.do(func() { owners = maps.Clone(w.owners) })
+	var infos []OwnerInfo
+	for name, o := range owners {
+		infos = append(infos, OwnerInfo{Peer: tasks.Peer{Instance: name, Address: name}, Free: o.Book.Free()})
 	}
-	return reply, nil
+	return infos
 }
 
-func (w *world) claim(o *fakeOwner, ref worker.TaskRef) tasks.Outcome {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	until, ok := o.reserved[ref]
-	delete(o.reserved, ref)
-	if !ok || time.Now().After(until) {
-		return tasks.Outcome{Ref: ref, State: tasks.StateAbsent}
+// OwnerOf takes the block of a worker for the name of its owner; all shards are
+// kept at e0.
+func (w *world) OwnerOf(block string) (address, instance string, ok bool) {
+	name, isWorker := strings.CutPrefix(block, "block-")
+	if !isWorker {
+		name = "e0"
 	}
-	o.starting[ref] = true
-	return tasks.Outcome{Ref: ref, State: tasks.StateRunning}
+	return name, name, true
 }
 
-func (w *world) run(o *fakeOwner, ref worker.TaskRef) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	if !o.starting[ref] {
-		return
+// Call carries a call to an entry as JSON.
+func (w *world) Call(ctx context.Context, address, method string, params, result any) error {
+	raw, err := json.Marshal(params)
+	if err != nil {
+		return err
 	}
-	job := tasks.JobOf(ref.Task)
-	if w.acked[job] {
-		w.violate("%s started after its cancellation was acknowledged", ref.Task)
+	var o *tasks.Owner
+	w.do(func() { o = w.owners[address] })
+	handler := o.Handlers()[method]
+	if handler == nil {
+		handler = w.current().Handlers()[method]
 	}
-	for name, other := range w.owners {
-		for running := range other.running {
-			if running.Task == ref.Task {
-				w.violate("%s runs twice: attempt %d at %s", ref.Task, running.Attempt, name)
-			}
-		}
-	}
-	delete(o.starting, ref)
-	o.running[ref] = true
-	w.starts++
-	if w.firstStart[job].IsZero() {
-		w.firstStart[job] = time.Now()
+	reply, err := handler(ctx, raw)
+	if err != nil {
+		return err
 	}
-	w.lastStart[job] = time.Now()
-	if w.runTime > 0 {
-		go func() {
-			time.Sleep(w.runTime)
-			w.end(o, ref, worker.TaskDone)
-		}()
+	if raw, err = json.Marshal(reply); err != nil {
+		return err
 	}
+	return json.Unmarshal(raw, result)
 }
 
-// end ends an attempt and reports it until the keeper has recorded it.
-func (w *world) end(o *fakeOwner, ref worker.TaskRef, state worker.TaskState) {
-	w.mu.Lock()
-	if !o.running[ref] {
-		w.mu.Unlock()
-		return
-	}
-	delete(o.running, ref)
-	event := tasks.Event{Located: tasks.Located{TaskRef: ref}, State: state}
-	o.ended[ref] = event
-	ctx := w.ctx
-	w.mu.Unlock()
-	for ctx.Err() == nil {
-		call, cancel := context.WithTimeout(ctx, 5*time.Second)
-		w.mu.Lock()
-		keeper := w.keeper
-		w.mu.Unlock()
-		reply := keeper.Report(call, []tasks.Event{event})
-		cancel()
-		if len(reply.Recorded) == 1 {
-			w.mu.Lock()
-			delete(o.ended, ref)
-			w.mu.Unlock()
-			return
-		}
-		time.Sleep(time.Second)
-	}
+func (w *world) current() (k *Keeper) {
+	w.do(func() { k = w.keeper })
+	return k
 }
 
-func (w *world) Cancel(_ context.Context, to tasks.Peer, r tasks.AttemptsRequest) (tasks.Outcomes, error) {
-	o := w.owners[to.Instance]
-	for _, at := range r.Attempts {
-		go w.end(o, at.TaskRef, worker.TaskStopped)
-	}
-	return w.Status(context.Background(), to, r)
+func (w *world) Report(ctx context.Context, events []tasks.Event) (tasks.ReportReply, error) {
+	return w.current().Report(ctx, events), nil
 }
 
-func (w *world) Status(_ context.Context, to tasks.Peer, r tasks.AttemptsRequest) (tasks.Outcomes, error) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	o := w.owners[to.Instance]
-	var reply tasks.Outcomes
-	for _, at := range r.Attempts {
-		outcome := tasks.Outcome{Ref: at.TaskRef, State: tasks.StateAbsent}
-		if event, ended := o.ended[at.TaskRef]; ended {
-			outcome = tasks.Outcome{Ref: at.TaskRef, State: tasks.StateEnded, Event: &event}
-		} else if o.running[at.TaskRef] {
-			outcome.State = tasks.StateRunning
-		} else if o.starting[at.TaskRef] {
-			outcome.State = tasks.StateUnknown
-		}
-		delete(o.reserved, at.TaskRef)
-		reply.Outcomes = append(reply.Outcomes, outcome)
+func (w *world) Reserve(ctx context.Context, to tasks.Peer, r tasks.ReserveRequest) (tasks.ReserveReply, error) {
+	var full bool
+	w.do(func() { full = w.full })
+	if full {
+		return tasks.ReserveReply{Limit: tasks.LimitCapacity}, nil
 	}
-	return reply, nil
+	return w.Client.Reserve(ctx, to, r)
 }
 
-func (w *world) Release(_ context.Context, to tasks.Peer, r tasks.AttemptsRequest) error {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	for _, at := range r.Attempts {
-		delete(w.owners[to.Instance].reserved, at.TaskRef)
+func (w *world) Start(ctx context.Context, to tasks.Peer, r tasks.StartRequest) (tasks.Outcomes, error) {
+	if w.beforeStart != nil {
+		w.beforeStart()
 	}
-	return nil
+	reply, err := w.Client.Start(ctx, to, r)
+	if w.afterStart != nil {
+		err = w.afterStart()
+	}
+	return reply, err
 }
 
 // leaked counts what the owners still hold.
-func (w *world) leaked() int {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	sum := 0
+func (w *world) leaked() int64 {
+	var sum int64
 	for _, o := range w.owners {
-		sum += o.used()
+		for _, u := range o.Book.TeamUsage() {
+			sum += u.Amount.MilliCPU
+		}
 	}
 	return sum
 }
@@ -356,8 +375,8 @@
 		"b": {Name: "b", Share: 3, Limit: resource.Amount{Running: version.NoLimit, MilliCPU: version.NoLimit}},
 	},
 	Kinds: map[string]*version.Kind{
-		"batch": {Name: "batch", Policy: version.PolicyBatch, Amount: resource.Amount{MilliCPU: 1}, Attempts: 3},
-		"gang":  {Name: "gang", Policy: version.PolicyAllAtOnce, Amount: resource.Amount{MilliCPU: 1}, Attempts: 3},
+		"batch": {Name: "batch", Policy: version.PolicyBatch, Amount: resource.Amount{MilliCPU: 1}, Attempts: 3, RunTime: time.Second},
+		"gang":  {Name: "gang", Policy: version.PolicyAllAtOnce, Amount: resource.Amount{MilliCPU: 1}, Attempts: 3, RunTime: time.Second},
 	},
 }
 
@@ -376,21 +395,24 @@
 		assert.NilError(t, err)
 		fences[name] = platform.Condition{Key: "block/" + name, Version: v}
 	}
-	k := NewKeeper(Config{
-		Instance: "e0", Table: w.table, Directory: w, Fleet: w, Workers: w,
-		Fence:       func(s string) (platform.Condition, bool) { return fences[s], true },
-		Snapshot:    func() *version.Snapshot { return testSnapshot },
-		CallTimeout: 2 * time.Second, Retention: time.Hour,
-	})
+	k := NewKeeper(w.config(func(s string) (platform.Condition, bool) { return fences[s], true }))
 	k.policy = p
 	for name := range fences {
 		assert.NilError(t, k.Gain(ctx, name))
 	}
-	w.do(func() { w.keeper, w.ctx = k, ctx })
+	w.do(func() { w.keeper = k })
 	go k.Run(ctx)
 	return k
 }
 
+func (w *world) config(fence func(string) (platform.Condition, bool)) Config {
+	return Config{
+		Instance: "e0", Table: w.table, Directory: w, Fleet: w, Workers: w, Fence: fence,
+		Snapshot:    func() *version.Snapshot { return testSnapshot },
+		CallTimeout: 2 * time.Second, Retention: time.Hour,
+	}
+}
+
 var errLost = fmt.Errorf("lost: %w", peer.ErrUnknown)
 
 // waitFor polls in virtual time.
@@ -405,7 +427,7 @@
 
 func (w *world) ended(team, id string) func() bool {
 	return func() bool {
-		j, err := w.keeper.Get(context.Background(), team, id)
+		j, err := w.current().Get(context.Background(), team, id)
 		return err == nil && j.Ended
 	}
 }
@@ -413,7 +435,7 @@
 // endedOf counts the team's ended jobs.
 func (w *world) endedOf(team string) int {
 	n := 0
-	for _, j := range w.keeper.List(context.Background(), team) {
+	for _, j := range w.current().List(context.Background(), team) {
 		if j.Ended {
 			n++
 		}
