--- a/request/queue/queue.go
+++ b/request/queue/queue.go
@@ -26,12 +26,15 @@
 	// not depend on map order.
 	order    []*teamState
 	items    map[string]*Item
+	peers    map[string]*peerState
 	sequence uint64
 	// virtual is the virtual time of the team started last.
 	virtual float64
 	// weights is the sum of the weights of configured teams.
 	weights float64
 	drained rateMeter
+	// running counts charges started and not finished.
+	running int64
 	now     time.Time
 	// ranking is scratch space of Pop.
 	ranking ranking
@@ -48,6 +51,7 @@
 		limit: max(1, config.Limit),
 		teams: make(map[string]*teamState),
 		items: make(map[string]*Item),
+		peers: make(map[string]*peerState),
 		expiry: itemHeap{
 			less:  func(a, b *Item) bool { return a.startBy.Before(b.startBy) },
 			place: func(it *Item) *int { return &it.expiry },
@@ -78,9 +82,9 @@
 
 // enter brings a team without waiting items back into the order.
 func (q *Queue) enter(now time.Time, t *teamState) {
-	t.charge(now)
+	t.charge(now, q.total)
 	if t.queued == 0 {
-		t.virtual = max(t.virtual, q.virtual)
+		t.virtual = max(t.virtual, q.virtual-q.atFairRate(idleCredit, t))
 	}
 }
 
@@ -178,6 +182,9 @@
 	}
 }
 
+// Holds reports whether this very item waits.
+func (q *Queue) Holds(it *Item) bool { return q.items[it.ID] == it }
+
 // Len returns how many items wait.
 func (q *Queue) Len() int { return len(q.items) }
 
