Ask again about tasks of an owner that was started anew

Cause: a keeper told owners apart by instance name only. An owner that was restarted, or whose worker came back on another address, forgot tasks that the keeper held to be running for ever.

Change: a book's summary carries a generation that changes whenever a worker enters; keepers ask for the state of the tasks of an owner whose generation has changed. A worker that does not answer is closed by a flag of its own, apart from workers set aside. Rows are written at most every 40 ms.

Ruled out: asking for every task every few minutes (it costs messages at rest and finds a lost task late).

Figures: with the mechanism left out the test's job does not end in 5 minutes; with it, it does.

--- a/process/capacity/book.go
+++ b/process/capacity/book.go
@@ -2,7 +2,9 @@
 
 import (
 	"hash/maphash"
+	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/kingcuplatch/kingcuplatch/process/placement"
@@ -34,6 +36,8 @@
 	seed   maphash.Seed
 	shards [shardCount]shard
 	all    *index
+	// generation starts at random and counts the workers that entered.
+	generation atomic.Uint64
 	// membership is held while a worker enters or leaves the book.
 	membership sync.Mutex
 
@@ -50,6 +54,7 @@
 		all:       &index{place: func(l *ledger) *int { return &l.all }},
 		upstreams: make(map[string]*index),
 	}
+	b.generation.Store(rand.Uint64())
 	for i := range b.shards {
 		s := &b.shards[i]
 		s.ledgers = make(map[string]*ledger)
@@ -93,6 +98,7 @@
 		b.unindex(replaced)
 	}
 	if entered != nil {
+		b.generation.Add(1)
 		b.all.insert(entered)
 		b.upstream(w.Upstream).insert(entered)
 	}
@@ -253,6 +259,15 @@
 	})
 }
 
+// SetSilent says whether the worker does not answer its owner.
+func (b *Book) SetSilent(worker string, silent bool) {
+	b.with(worker, func(_ *shard, l *ledger) {
+		if l != nil {
+			l.silent = silent
+		}
+	})
+}
+
 // SetAside says whether the worker is set aside for failing what it starts.
 func (b *Book) SetAside(worker string, aside bool) {
 	b.with(worker, func(_ *shard, l *ledger) {
--- a/process/capacity/ledger.go
+++ b/process/capacity/ledger.go
@@ -23,6 +23,7 @@
 	adopted     bool
 	leaving     bool
 	aside       bool
+	silent      bool
 	// all and upstream are the places in the indexes.
 	all, upstream int
 }
@@ -34,7 +35,7 @@
 	return &ledger{shard: s, worker: w, holdings: make(map[string]Holding), leaving: w.Leaving}
 }
 
-func (l *ledger) closed() bool { return !l.adopted || l.leaving || l.aside }
+func (l *ledger) closed() bool { return !l.adopted || l.leaving || l.aside || l.silent }
 
 // occupied is what holdings and stray requests take together.
 func (l *ledger) occupied() resource.Amount {
--- a/process/capacity/types.go
+++ b/process/capacity/types.go
@@ -57,6 +57,9 @@
 
 // Summary is the free capacity of the open workers.
 type Summary struct {
+	// Generation changes whenever a worker enters the book, and with each new
+	// book: what an owner was known to hold before must be asked for again.
+	Generation uint64 `json:"generation"`
 	// Workers counts the open workers.
 	Workers int `json:"workers"`
 	// Total is the sum of what is free.
--- a/process/capacity/view.go
+++ b/process/capacity/view.go
@@ -57,7 +57,7 @@
 
 // Free returns the free capacity of the open workers.
 func (b *Book) Free() Summary {
-	var sum Summary
+	sum := Summary{Generation: b.generation.Load()}
 	for i := range b.shards {
 		b.shards[i].sumFree(&sum)
 	}
--- a/process/jobs/commit.go
+++ b/process/jobs/commit.go
@@ -15,7 +15,7 @@
 	// commitRows is the most job rows in one transaction.
 	commitRows = 128
 	// commitInterval is the least pause between two transactions of a keeper.
-	commitInterval = 20 * time.Millisecond
+	commitInterval = 40 * time.Millisecond
 	// commitRetryMin and commitRetryMax bound the pause after a failed one.
 	commitRetryMin = 100 * time.Millisecond
 	commitRetryMax = 2 * time.Second
--- a/process/jobs/keeper.go
+++ b/process/jobs/keeper.go
@@ -72,6 +72,10 @@
 
 	mu     sync.RWMutex
 	shards map[string]*shard
+
+	// generations are those of the owners' books at the last sweep; only the
+	// sweep uses them.
+	generations map[string]uint64
 }
 
 // policy leaves out parts of the protocol, for tests that must see it fail.
@@ -84,6 +88,8 @@
 	retryUnknown bool
 	// unfenced writes without the shard's condition.
 	unfenced bool
+	// trustOwners never asks again about tasks that an owner has confirmed.
+	trustOwners bool
 	// noHold never has owners keep workers for a job.
 	noHold bool
 	// keepPartial keeps the reservations of an incomplete set.
@@ -109,6 +115,7 @@
 		c.Order = ByShare
 	}
 	k := &Keeper{Config: c, wake: make(chan struct{}, 1), shards: make(map[string]*shard)}
+	k.generations = make(map[string]uint64)
 	k.commit.init(k)
 	k.stops.init(k)
 	return k
--- a/process/jobs/keeper_test.go
+++ b/process/jobs/keeper_test.go
@@ -319,3 +319,23 @@
 		assert.ErrorIs(t, c.Cancel(ctx, "b", "k"), ErrForbidden)
 	})
 }
+
+// TestOwnerStartsAnew has an owner and its worker forget their tasks while the
+// owner keeps its name.
+func TestOwnerStartsAnew(t *testing.T) {
+	for _, off := range []bool{false, true} {
+		inWorld(t, func(t *testing.T, ctx context.Context) {
+			w := newWorld(ctx, 1, 8)
+			k := w.takeOver(ctx, t, policy{trustOwners: off})
+			w.do(func() { w.runTime = time.Minute })
+			_, err := k.Submit(ctx, Spec{ID: "j", Team: "a", Kind: "batch", Tasks: 8})
+			assert.NilError(t, err)
+			time.Sleep(20 * time.Second)
+			w.do(func() { clear(w.workers[0].runs) })
+			w.addOwner(ctx, "e0", 8)
+			w.Owner = w.owners["e0"]
+			time.Sleep(5 * time.Minute)
+			assert.Equal(t, w.ended("a", "j")(), !off)
+		})
+	}
+}
--- a/process/jobs/sweep.go
+++ b/process/jobs/sweep.go
@@ -32,18 +32,36 @@
 func (k *Keeper) sweep(ctx context.Context, now time.Time) {
 	doubtful := make(map[string][]tasks.Located)
 	cancelled := make(map[string][]tasks.Located)
+	renewed := k.renewedOwners()
 	for _, s := range k.all() {
-		k.sweepShard(s, now, doubtful, cancelled)
+		k.sweepShard(s, now, renewed, doubtful, cancelled)
 	}
 	k.eachOwner(ctx, doubtful, k.Workers.Status)
 	k.eachOwner(ctx, cancelled, k.Workers.Cancel)
 }
 
-func (k *Keeper) sweepShard(s *shard, now time.Time, doubtful, cancelled map[string][]tasks.Located) {
+// renewedOwners returns the owners that have workers which they had not at the
+// last sweep: what they confirmed before may be forgotten. An owner that was
+// started anew is one of them.
+func (k *Keeper) renewedOwners() map[string]bool {
+	renewed := make(map[string]bool)
+	if k.policy.trustOwners {
+		return renewed
+	}
+	for _, owner := range k.Fleet.Owners() {
+		if k.generations[owner.Instance] != owner.Free.Generation {
+			renewed[owner.Instance] = true
+			k.generations[owner.Instance] = owner.Free.Generation
+		}
+	}
+	return renewed
+}
+
+func (k *Keeper) sweepShard(s *shard, now time.Time, renewed map[string]bool, doubtful, cancelled map[string][]tasks.Located) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, j := range s.jobs {
-		k.sweepJob(j, now, doubtful, cancelled)
+		k.sweepJob(j, now, renewed, doubtful, cancelled)
 	}
 	for _, j := range s.ended {
 		if now.Sub(j.endedAt) >= k.Retention && !j.deleting {
@@ -53,10 +71,16 @@
 	}
 }
 
-func (k *Keeper) sweepJob(j *job, now time.Time, doubtful, cancelled map[string][]tasks.Located) {
+func (k *Keeper) sweepJob(j *job, now time.Time, renewed map[string]bool, doubtful, cancelled map[string][]tasks.Located) {
 	for i := range j.tasks {
 		t := &j.tasks[i]
-		if !t.state.active() || j.starts > 0 {
+		if !t.state.active() {
+			continue
+		}
+		if renewed[t.owner] {
+			t.owner = ""
+		}
+		if j.starts > 0 {
 			continue
 		}
 		if j.cancelled {
--- a/process/jobs/world_test.go
+++ b/process/jobs/world_test.go
@@ -198,6 +198,7 @@
 	afterStart  func() error
 	owners      map[string]*tasks.Owner
 	workers     []*fakeWorker
+	stops       map[entry]context.CancelFunc
 
 	mu sync.Mutex
 	// full has owners refuse all reservations.
@@ -236,6 +237,7 @@
 		runTime:    time.Second,
 		startDelay: 20 * time.Millisecond,
 		owners:     make(map[string]*tasks.Owner),
+		stops:      make(map[entry]context.CancelFunc),
 		acked:      make(map[string]bool),
 		firstStart: make(map[string]time.Time),
 		lastStart:  make(map[string]time.Time),
@@ -247,7 +249,12 @@
 	return w
 }
 
+// addOwner adds an owner, or stops the one of that name and starts it anew.
 func (w *world) addOwner(ctx context.Context, e entry, cpus int) {
+	if stop := w.stops[e]; stop != nil {
+		stop()
+	}
+	ctx, w.stops[e] = context.WithCancel(ctx)
 	f := &fakeWorker{world: w, runs: make(map[worker.TaskRef]*fakeRun)}
 	o := tasks.NewOwner(tasks.Config{
 		Owners: e, Book: capacity.NewBook(), Allotments: unlimited{}, Keepers: w, Choose: tasks.ChooseByPlacement,
--- a/process/tasks/agent.go
+++ b/process/tasks/agent.go
@@ -135,10 +135,10 @@
 		return errNoRight
 	}
 	if err := a.refresh(ctx); err != nil {
-		a.owner.Book.SetAside(a.worker.Name, true)
+		a.owner.Book.SetSilent(a.worker.Name, true)
 		return err
 	}
-	a.owner.Book.SetAside(a.worker.Name, false)
+	a.owner.Book.SetSilent(a.worker.Name, false)
 	if err := a.stopMarked(ctx); err != nil {
 		return err
 	}
