--- a/internal/policytrial/setup.go
+++ b/internal/policytrial/setup.go
@@ -58,8 +58,10 @@
 	Warmup, Duration time.Duration
 	Events           []Event
 	Seed             uint64
-	// NewScheduler makes the decisions of one entry; nil for the project's own.
+	// NewScheduler makes the decisions of one entry.
 	NewScheduler func(SchedulerConfig) Scheduler
+	// Observer measures; it may look at the trial that New returns.
+	Observer Observer
 }
 
 // SchedulerConfig is what a Scheduler is made from.
@@ -90,6 +92,18 @@
 	Waiting(team string) bool
 }
 
+// Observer sees what happens in a trial.
+type Observer interface {
+	Refused(items []*queue.Item)
+	Started(it *queue.Item)
+	Finished(it *queue.Item, ok bool)
+	// Uses is called before the usage of the team, by its place in Setup.Teams,
+	// changes.
+	Uses(team int)
+	// Tick is called each Tick of virtual time.
+	Tick()
+}
+
 // capacity is the sum over the workers.
 func capacity(workers []placement.Candidate) resource.Amount {
 	var total resource.Amount
--- a/process/dispatch/dispatch.go
+++ b/process/dispatch/dispatch.go
@@ -30,7 +30,7 @@
 const (
 	// holdAfter is how long an item waits before it may get a hold, urgentHoldAfter
 	// how long an urgent one does.
-	holdAfter       = time.Second
+	holdAfter       = 10 * time.Second
 	urgentHoldAfter = 100 * time.Millisecond
 	// workersPerHold is how many workers there are for each hold allowed, beyond
 	// the first.
@@ -83,7 +83,7 @@
 // Next takes out the item that starts now, and is false if there is none. The caller
 // then takes the amount from the index and reports the start to the queue.
 func (d *Dispatcher) Next(now time.Time) (Start, bool) {
-	if start, ready := d.heldStart(); ready {
+	if start, ready := d.heldStart(now); ready {
 		return start, true
 	}
 	worker := -1
@@ -114,20 +114,21 @@
 
 // heldStart returns an item whose held worker has room now, and drops holds that
 // serve no purpose any more.
-func (d *Dispatcher) heldStart() (Start, bool) {
+func (d *Dispatcher) heldStart(now time.Time) (Start, bool) {
 	for i := 0; i < len(d.holds); i++ {
 		h := d.holds[i]
 		worker, known := d.Index.Position(h.worker)
-		if !known || !d.Queue.Holds(h.item) {
+		if !known || !d.Queue.Waits(now, h.item) || !d.policy.Allowed(h.item) {
 			d.dropHold(i)
 			i--
 			continue
 		}
-		if !h.item.Amount.Fits(d.Index.At(worker).Free) || !d.policy.Allowed(h.item) {
+		c := d.Index.At(worker)
+		if c.Closed || !h.item.Amount.Fits(c.Free) {
 			continue
 		}
 		d.dropHold(i)
-		d.Queue.Remove(h.item.ID)
+		d.Queue.Take(now, h.item)
 		return Start{Item: h.item, Worker: worker}, true
 	}
 	return Start{}, false
--- /dev/null
+++ b/process/dispatch/dispatch_test.go
@@ -0,0 +1,69 @@
+package dispatch
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/kingcuplatch/kingcuplatch/process/placement"
+	"github.com/kingcuplatch/kingcuplatch/process/resource"
+	"github.com/kingcuplatch/kingcuplatch/request/queue"
+	"github.com/kingcuplatch/kingcuplatch/version"
+)
+
+var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+// A large task among small ones that never end coming starts with holds, and without
+// them it doesn't.
+func TestHoldStartsLargeTask(t *testing.T) {
+	for _, c := range []struct{ maxHolds, large int }{{-1, 1}, {0, 0}} {
+		t.Run(fmt.Sprint(c.maxHolds), func(t *testing.T) {
+			assert.Equal(t, largeStarts(t, c.maxHolds), c.large)
+		})
+	}
+}
+
+// largeStarts returns how often the large task starts on two workers of 8 cores that
+// small tasks of 1 s, one ending each 100 ms, keep full.
+func largeStarts(t *testing.T, maxHolds int) int {
+	capacity := resource.Amount{Running: 8, MilliCPU: 8000}
+	ix := placement.NewIndex([]placement.Candidate{{Worker: "a", Capacity: capacity, Free: capacity}, {Worker: "b", Capacity: capacity, Free: capacity}})
+	q := queue.New(queue.Config{Total: capacity.Times(2), Limit: 1000})
+	d := New(q, ix, Policy{Ask: func(it *queue.Item) placement.Ask {
+		return placement.Ask{Amount: it.Amount, Policy: version.PolicyBatch}
+	}}, rand.New(rand.NewPCG(1, 2)))
+	d.maxHolds = maxHolds
+	push := func(now time.Time, id string, cores int64) {
+		it := &queue.Item{ID: id, Team: id[:5], Kind: id[:5], Enqueued: now, Amount: resource.Amount{Running: 1, MilliCPU: 1000 * cores}}
+		_, err := q.Push(now, it)
+		assert.NilError(t, err)
+	}
+	var running []Start
+	large := 0
+	for step := range 600 {
+		now := start.Add(time.Duration(step) * 100 * time.Millisecond)
+		for q.Waiting("small") < 20 {
+			push(now, fmt.Sprint("small", step, "-", q.Len()), 1)
+		}
+		if step == 1 {
+			push(now, "large", 4)
+		}
+		if len(running) > 15 || step > 20 && len(running) > 0 {
+			ix.Give(running[0].Worker, running[0].Item.Amount)
+			q.Finished(now, running[0].Item.Charge())
+			running = running[1:]
+		}
+		for s, some := d.Next(now); some; s, some = d.Next(now) {
+			ix.Take(s.Worker, s.Item.Amount)
+			q.Started(now, s.Item.Charge())
+			running = append(running, s)
+			if s.Item.Kind == "large" {
+				large++
+			}
+		}
+	}
+	return large
+}
--- /dev/null
+++ b/process/health/health_test.go
@@ -0,0 +1,76 @@
+package health
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+func monitor(workers int) *Monitor {
+	m := New()
+	var names []string
+	for i := range workers {
+		names = append(names, fmt.Sprint("w", i))
+	}
+	m.SetWorkers(start, names)
+	return m
+}
+
+// record gives each worker an outcome of each kind per round, and returns how many
+// were set aside.
+func record(m *Monitor, rounds int, fails func(worker int, kind string) bool) int {
+	aside := 0
+	for range rounds {
+		for i := range len(m.workers) {
+			for _, kind := range []string{"good", "bad"} {
+				if m.Record(start, Outcome{Worker: fmt.Sprint("w", i), Kind: kind, Failed: fails(i, kind)}) {
+					aside++
+				}
+			}
+		}
+	}
+	return aside
+}
+
+func TestWhoIsSetAside(t *testing.T) {
+	cases := []struct {
+		name  string
+		fails func(worker int, kind string) bool
+		want  int
+	}{
+		{"work that fails everywhere", func(_ int, kind string) bool { return kind == "bad" }, 0},
+		{"one broken worker", func(worker int, _ string) bool { return worker == 1 }, 1},
+		{"broken worker among failing work", func(worker int, kind string) bool { return worker == 11 || kind == "bad" }, 1},
+		{"never more than a third", func(worker int, _ string) bool { return worker < 6 }, 4},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			assert.Equal(t, record(monitor(12), 10, c.fails), c.want)
+		})
+	}
+}
+
+func TestProbesReturnWorker(t *testing.T) {
+	m := monitor(3)
+	record(m, 5, func(worker int, _ string) bool { return worker == 0 })
+	assert.Assert(t, m.Aside("w0"))
+	assert.Equal(t, len(m.Probes(start)), 0)
+	now := start.Add(firstProbeAfter)
+	assert.DeepEqual(t, m.Probes(now), []string{"w0"})
+	assert.Equal(t, len(m.Probes(now)), 0)
+	assert.Assert(t, !m.Probed(now, "w0", true))
+	now = now.Add(firstProbeAfter)
+	assert.Equal(t, len(m.Probes(now)), 0)
+	now = now.Add(firstProbeAfter)
+	for i := range probesToReturn {
+		assert.Equal(t, len(m.Probes(now)), 1)
+		assert.Equal(t, m.Probed(now, "w0", false), i == probesToReturn-1)
+	}
+	assert.Assert(t, !m.Aside("w0"))
+	m.SetWorkers(now, []string{"w1"})
+	assert.Assert(t, !m.Record(now, Outcome{Worker: "w0", Failed: true}))
+}
--- a/request/queue/queue.go
+++ b/request/queue/queue.go
@@ -136,6 +136,17 @@
 	return it, queued
 }
 
+// Waits reports whether this very item waits and can still meet its deadline.
+func (q *Queue) Waits(now time.Time, it *Item) bool {
+	return q.items[it.ID] == it && !it.late(q.advance(now))
+}
+
+// Take takes a waiting item out of turn, to start it now.
+func (q *Queue) Take(now time.Time, it *Item) {
+	q.drop(it)
+	q.drained.count(q.advance(now))
+}
+
 func (q *Queue) add(t *teamState, it *Item) {
 	t.add(it)
 	q.items[it.ID] = it
@@ -182,9 +193,6 @@
 	}
 }
 
-// Holds reports whether this very item waits.
-func (q *Queue) Holds(it *Item) bool { return q.items[it.ID] == it }
-
 // Len returns how many items wait.
 func (q *Queue) Len() int { return len(q.items) }
 
