--- /dev/null
+++ b/internal/policytrial/packing_test.go
@@ -0,0 +1,126 @@
+package policytrial
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/kingcuplatch/kingcuplatch/process/placement"
+	"github.com/kingcuplatch/kingcuplatch/process/resource"
+	"github.com/kingcuplatch/kingcuplatch/version"
+)
+
+// placed is a task on a worker.
+type placed struct {
+	worker int
+	amount resource.Amount
+}
+
+// packing is what a trace left on the fleet.
+type packing struct {
+	used float64
+	// gang is the largest all-at-once job of 2 accelerators a task that fits.
+	gang int
+}
+
+// pack fills 1,000 workers and then lets one task in three end, 20 times over, with
+// work of mixed sizes always waiting, and returns what is in use at the end. choose
+// returns a worker or -1.
+func pack(choose func(*placement.Index, placement.Ask, *rand.Rand) int) packing {
+	fleet := workers(1000, 174, 64, 64, 6)
+	ix, rng := placement.NewIndex(fleet), rand.New(rand.NewPCG(7, 7))
+	sizes := rand.New(rand.NewPCG(8, 8))
+	var tasks []placed
+	for range 20 {
+		for misses := 0; misses < 200; {
+			ask := placement.Ask{Policy: version.PolicyBatch, Amount: resource.Amount{
+				Running: 1, MilliCPU: 500 * (1 + sizes.Int64N(12)), MemoryMB: 500 * (1 + sizes.Int64N(20)), Accelerators: max(0, sizes.Int64N(13)-10),
+			}}
+			i := choose(ix, ask, rng)
+			if i < 0 {
+				misses++
+				continue
+			}
+			ix.Take(i, ask.Amount)
+			tasks = append(tasks, placed{i, ask.Amount})
+		}
+		sizes.Shuffle(len(tasks), func(a, b int) { tasks[a], tasks[b] = tasks[b], tasks[a] })
+		ended := len(tasks) / 3
+		for _, task := range tasks[:ended] {
+			ix.Give(task.worker, task.amount)
+		}
+		tasks = tasks[ended:]
+	}
+	var free resource.Amount
+	for i := range ix.Len() {
+		free = free.Add(ix.At(i).Free)
+	}
+	total := capacity(fleet)
+	gang := placement.Ask{Policy: version.PolicyAllAtOnce, Amount: resource.Amount{Running: 1, MilliCPU: 1000, MemoryMB: 1000, Accelerators: 2}}
+	plan, n := placement.Plan{}, 0
+	for n = 1; plan != nil; n++ {
+		plan, _ = placement.ChooseAll(gang, n, ix, rng)
+	}
+	return packing{used: total.Sub(free).DominantShare(total), gang: n - 2}
+}
+
+func ownChoice(ix *placement.Index, ask placement.Ask, rng *rand.Rand) int {
+	i, _ := placement.Choose(ask, ix, rng)
+	return i
+}
+
+// bestFit looks at every worker and takes the one with least left over, of those with
+// the fewest free accelerators.
+func bestFit(ix *placement.Index, ask placement.Ask, _ *rand.Rand) int {
+	best, least := -1, 0.0
+	for i := range ix.Len() {
+		c := ix.At(i)
+		if !ask.Amount.Fits(c.Free) {
+			continue
+		}
+		left := c.Free.Sub(ask.Amount)
+		score := 10*float64(left.Accelerators) + float64(left.MilliCPU)/30_000 + float64(left.MemoryMB)/64_000
+		if best < 0 || score < least {
+			best, least = i, score
+		}
+	}
+	return best
+}
+
+func anyWorker(ix *placement.Index, ask placement.Ask, rng *rand.Rand) int {
+	start := rng.IntN(ix.Len())
+	for k := range ix.Len() {
+		if i := (start + k) % ix.Len(); ask.Amount.Fits(ix.At(i).Free) {
+			return i
+		}
+	}
+	return -1
+}
+
+func leastUsed(ix *placement.Index, ask placement.Ask, _ *rand.Rand) int {
+	b := &baseline{}
+	for i := range ix.Len() {
+		b.workers = append(b.workers, ix.At(i))
+	}
+	return leastLoaded(b, ask.Amount)
+}
+
+func TestPackingAtSaturation(t *testing.T) {
+	got, best := pack(ownChoice), pack(bestFit)
+	assert.Assert(t, got.used >= 0.95*best.used, "%+v of %+v", got, best)
+	assert.Assert(t, float64(got.gang) >= 0.95*float64(best.gang), "%+v of %+v", got, best)
+}
+
+// BenchmarkPacking prints the table of packing; run it with -benchtime 1x.
+func BenchmarkPacking(b *testing.B) {
+	fmt.Print("\n| placement | used at saturation | largest job of 2-accelerator tasks |\n|---|---|---|\n")
+	for _, p := range []struct {
+		name   string
+		choose func(*placement.Index, placement.Ask, *rand.Rand) int
+	}{{"own", ownChoice}, {"all-knowing best fit", bestFit}, {"random worker", anyWorker}, {"least loaded", leastUsed}} {
+		result := pack(p.choose)
+		fmt.Printf("| %s | %.4f | %d |\n", p.name, result.used, result.gang)
+	}
+}
--- a/internal/policytrial/recorder_test.go
+++ b/internal/policytrial/recorder_test.go
@@ -1,7 +1,9 @@
 package policytrial
 
 import (
+	"fmt"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/kingcuplatch/kingcuplatch/process/resource"
@@ -31,16 +33,18 @@
 	Used float64
 	// Refused work was shed or given up; Failed work ran on broken workers.
 	Refused, Failed int
+	// SmallTeamsRefused is what was refused to all teams but the first.
+	SmallTeamsRefused int
 	// Goodput is work a second that succeeded within its deadline.
 	Goodput float64
 }
 
 // recorder gathers a Result.
 type recorder struct {
-	trial                   *Trial
-	refused, failed, inTime int
-	waits                   map[string][]time.Duration
-	integrated              []time.Duration
+	trial                                 *Trial
+	refused, smallRefused, failed, inTime int
+	waits                                 map[string][]time.Duration
+	integrated                            []time.Duration
 	// used is dominant share over time in the current window, up to integrated.
 	used      []float64
 	backlog   []bool
@@ -74,6 +78,11 @@
 func (r *recorder) Refused(items []*queue.Item) {
 	if r.measuring() {
 		r.refused += len(items)
+		for _, it := range items {
+			if it.Team != r.trial.setup.Teams[0].Name {
+				r.smallRefused++
+			}
+		}
 	}
 }
 
@@ -166,7 +175,7 @@
 
 func (r *recorder) result() Result {
 	res := Result{
-		Refused: r.refused, Failed: r.failed, Windows: len(r.shortfall),
+		Refused: r.refused, SmallTeamsRefused: r.smallRefused, Failed: r.failed, Windows: len(r.shortfall),
 		Used:    r.fullness / float64(r.ticks),
 		Goodput: float64(r.inTime) / r.trial.setup.Duration.Seconds(),
 	}
@@ -184,3 +193,13 @@
 	}
 	return res
 }
+
+// row prints the result as the cells of a table.
+func (r Result) row() string {
+	var waits []string
+	for _, w := range r.Waiting {
+		waits = append(waits, fmt.Sprintf("%s %s/%s (%d)", w.Kind, w.P50.Round(time.Millisecond), w.P99.Round(time.Millisecond), w.Started))
+	}
+	return fmt.Sprintf("%s | %.3f/%.4f (%d) | %.3f | %d | %d | %d | %.0f |",
+		strings.Join(waits, ", "), r.LargestShortfall, r.MeanShortfall, r.Windows, r.Used, r.Refused, r.SmallTeamsRefused, r.Failed, r.Goodput)
+}
--- a/internal/policytrial/trial_test.go
+++ b/internal/policytrial/trial_test.go
@@ -5,6 +5,8 @@
 	"testing"
 	"time"
 
+	"gotest.tools/v3/assert"
+
 	"github.com/kingcuplatch/kingcuplatch/process/placement"
 	"github.com/kingcuplatch/kingcuplatch/process/resource"
 	"github.com/kingcuplatch/kingcuplatch/request/queue"
@@ -64,28 +66,133 @@
 	return s
 }
 
-func show(t *testing.T, name string, r Result) {
-	t.Logf("%-28s used %.3f refused %d failed %d goodput %.0f/s; shortfall largest %.3f mean %.4f of %d; %v",
-		name, r.Used, r.Refused, r.Failed, r.Goodput, r.LargestShortfall, r.MeanShortfall, r.Windows, r.Waiting)
+// spread gives the setup entries that exchange usage.
+func spread(s Setup, entries int, exchange time.Duration) Setup {
+	s.Entries, s.Exchange = entries, exchange
+	s.QueueLimit /= max(1, entries/2)
+	return s
 }
 
-func TestLoads(t *testing.T) {
-	for _, load := range []float64{0.7, 1, 1.5, 3} {
-		for _, s := range []struct {
-			name string
-			make func(SchedulerConfig) Scheduler
-		}{{"own", newOwn}, {"first come", newFirstCome}, {"round robin", newRoundRobin}} {
-			setup := user(load)
-			setup.NewScheduler = s.make
-			show(t, fmt.Sprint("user ", load, " ", s.name), run(setup))
-		}
+// after returns an event at 10 s into what is measured.
+func after(s Setup, do func(*Trial)) Setup {
+	s.Events = append(s.Events, Event{At: s.Warmup + 10*time.Second, Do: do})
+	return s
+}
+
+// flooded has the largest team hand in ten times as much as before.
+func flooded(s Setup) Setup {
+	s.Events = append(s.Events, Event{Do: func(t *Trial) {
+		rest := 1 - t.Portions[0]/sum(t.Portions)
+		t.Rate *= rest + 10*(1-rest)
+		t.Portions[0] *= 10
+	}})
+	return s
+}
+
+func sum(parts []float64) float64 {
+	var all float64
+	for _, part := range parts {
+		all += part
 	}
+	return all
 }
 
-func TestDesign(t *testing.T) {
-	for _, load := range []float64{1.5} {
-		began := time.Now()
-		show(t, fmt.Sprint("design ", load), run(design(load)))
-		t.Log(time.Since(began))
+func closeThird(t *Trial) {
+	t.EachWorker(1.0/3, func(e *Entry, worker int) { e.scheduler.SetClosed(worker, true) })
+}
+
+func breakTwentieth(t *Trial) {
+	t.EachWorker(0.05, func(e *Entry, worker int) { e.broken[worker] = true })
+}
+
+func wrong(s Setup) Setup {
+	s.WrongBy = 4
+	return s
+}
+
+// The targets of share, waiting and goodput hold in virtual time.
+func TestTargets(t *testing.T) {
+	const maxShortfall = 0.05
+	full := run(user(1))
+	cases := []struct {
+		name   string
+		setup  Setup
+		urgent time.Duration
+	}{
+		{"user 1.5", user(1.5), 0},
+		{"user 3", user(3), 0},
+		{"user 1.5, 9 entries", spread(user(1.5), 9, 500*time.Millisecond), 0},
+		{"user 3, 9 entries", spread(user(3), 9, 500*time.Millisecond), 0},
+		{"user 1.5, run times wrong", wrong(user(1.5)), 0},
+		{"design 1.5, 9 entries", spread(design(1.5), 9, time.Second), 1900 * time.Millisecond},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			r := run(c.setup)
+			t.Logf("%+v", r)
+			assert.Assert(t, r.Windows > 0)
+			assert.Assert(t, r.LargestShortfall <= maxShortfall, "largest shortfall %.3f", r.LargestShortfall)
+			if c.urgent > 0 {
+				assert.Assert(t, r.Waiting[0].P99 < c.urgent, "urgent work waits %s", r.Waiting[0].P99)
+			} else {
+				assert.Assert(t, r.Goodput >= full.Goodput, "goodput %.0f of %.0f at load 1", r.Goodput, full.Goodput)
+			}
+		})
+	}
+}
+
+// Small teams don't notice a flood by a large one, and few units of work are lost to
+// broken workers.
+func TestFaults(t *testing.T) {
+	r := run(flooded(user(0.7)))
+	assert.Assert(t, r.LargestShortfall <= 0.05)
+	assert.Assert(t, r.SmallTeamsRefused == 0, "%d refused", r.SmallTeamsRefused)
+	own, random := after(user(0.7), breakTwentieth), after(user(0.7), breakTwentieth)
+	random.NewScheduler = newFirstCome
+	failed, failedRandom := run(own).Failed, run(random).Failed
+	// Each of the 3 broken workers may fail 8 of the 16 outcomes that count and
+	// what its 8 slots hold by then.
+	assert.Assert(t, failed <= 3*(8+8), "%d failed, %d with random workers", failed, failedRandom)
+	assert.Assert(t, failedRandom > 10*failed)
+}
+
+// BenchmarkTables prints the tables; run it with -benchtime 1x.
+func BenchmarkTables(b *testing.B) {
+	schedulers := []struct {
+		name string
+		make func(SchedulerConfig) Scheduler
+	}{{"own", newOwn}, {"first version", newFirst}, {"first come, random worker", newFirstCome}, {"round robin, least loaded", newRoundRobin}}
+	cases := []struct {
+		name  string
+		setup Setup
+	}{
+		{"user 0.7", user(0.7)},
+		{"user 1.0", user(1)},
+		{"user 1.5", user(1.5)},
+		{"user 3.0", user(3)},
+		{"user 0.7, one team floods", flooded(user(0.7))},
+		{"user 1.5, run times off by up to 4", wrong(user(1.5))},
+		{"user 0.7, 5% of workers fail", after(user(0.7), breakTwentieth)},
+		{"user 0.7, a third leaves", after(user(0.7), closeThird)},
+		{"user 1.5, 9 entries, 0.5 s", spread(user(1.5), 9, 500*time.Millisecond)},
+		{"user 3.0, 9 entries, 0.5 s", spread(user(3), 9, 500*time.Millisecond)},
+		{"user 1.5, 9 entries, 1 s", spread(user(1.5), 9, time.Second)},
+		{"user 3.0, 9 entries, 1 s", spread(user(3), 9, time.Second)},
+		{"design 0.7", design(0.7)},
+		{"design 1.0", design(1)},
+		{"design 1.5", design(1.5)},
+		{"design 3.0", design(3)},
+		{"design 1.5, 9 entries, 1 s", spread(design(1.5), 9, time.Second)},
+		{"design 3.0, 9 entries, 1 s", spread(design(3), 9, time.Second)},
+	}
+	for _, c := range cases {
+		b.Run(c.name, func(b *testing.B) {
+			fmt.Printf("\n### %s times capacity\n\n| policy | waiting p50/p99 by kind (started) | shortfall largest/mean (windows) | used | refused | small teams refused | failed | goodput/s |\n|---|---|---|---|---|---|---|---|\n", c.name)
+			for _, s := range schedulers {
+				c.setup.NewScheduler = s.make
+				fmt.Printf("| %s | %s\n", s.name, run(c.setup).row())
+			}
+		})
 	}
 }
--- a/process/dispatch/dispatch.go
+++ b/process/dispatch/dispatch.go
@@ -29,9 +29,12 @@
 
 const (
 	// holdAfter is how long an item waits before it may get a hold, urgentHoldAfter
-	// how long an urgent one does.
+	// how long an urgent one does, and behindHoldAfter one whose team is behind its
+	// share by minBehind.
 	holdAfter       = 10 * time.Second
+	behindHoldAfter = time.Second
 	urgentHoldAfter = 100 * time.Millisecond
+	minBehind       = time.Second
 	// workersPerHold is how many workers there are for each hold allowed, beyond
 	// the first.
 	workersPerHold = 50
@@ -155,7 +158,7 @@
 		if len(d.holds) >= d.holdLimit() {
 			return
 		}
-		if now.Sub(it.Enqueued) < patience(it) || d.held(it) {
+		if now.Sub(it.Enqueued) < d.patience(now, it) || d.held(it) {
 			continue
 		}
 		worker := d.Index.ChooseHold(d.policy.Ask(it), d.rand)
@@ -178,9 +181,14 @@
 	return 1 + d.Index.Len()/workersPerHold
 }
 
-func patience(it *queue.Item) time.Duration {
-	if it.Urgent {
+// patience returns how long the item has to wait before it may get a hold.
+func (d *Dispatcher) patience(now time.Time, it *queue.Item) time.Duration {
+	switch {
+	case it.Urgent:
 		return urgentHoldAfter
+	case d.Queue.Behind(now, it.Team) >= minBehind:
+		return behindHoldAfter
+	default:
+		return holdAfter
 	}
-	return holdAfter
 }
--- a/process/health/health.go
+++ b/process/health/health.go
@@ -30,6 +30,9 @@
 const (
 	// halfLife is how long an outcome takes to count half.
 	halfLife = 30 * time.Second
+	// maxOutcomes is how many outcomes of a worker count at most, so that a long good
+	// record does not hide that the worker broke.
+	maxOutcomes = 16
 	// minExcess is how many failures above its peers' a worker may have.
 	minExcess = 3
 	// minExcessRate is the part of its outcomes that the excess must be.
@@ -228,12 +231,17 @@
 
 // fade lets old outcomes count less. It changes no rate.
 func (w *workerState) fade(now time.Time) {
-	if !now.After(w.faded) {
-		return
+	factor := 1.0
+	if now.After(w.faded) {
+		factor = math.Exp2(-now.Sub(w.faded).Seconds() / halfLife.Seconds())
+		w.faded = now
 	}
-	factor := math.Exp2(-now.Sub(w.faded).Seconds() / halfLife.Seconds())
+	var all float64
+	for _, c := range w.kinds {
+		all += c.all
+	}
+	factor = min(factor, maxOutcomes/(all+1))
 	for kind, c := range w.kinds {
 		w.kinds[kind] = counts{all: c.all * factor, failed: c.failed * factor}
 	}
-	w.faded = now
 }
--- a/request/queue/queue.go
+++ b/request/queue/queue.go
@@ -141,6 +141,18 @@
 	return q.items[it.ID] == it && !it.late(q.advance(now))
 }
 
+// Behind returns how far the team has fallen behind the others, as the time in which
+// a fully shared fleet would make up for it; at most a bound, and at least zero.
+func (q *Queue) Behind(now time.Time, team string) time.Duration {
+	t := q.teams[team]
+	if t == nil {
+		return 0
+	}
+	t.charge(q.advance(now), q.total)
+	seconds := (q.virtual - t.virtual) / q.atFairRate(time.Second, t)
+	return max(0, min(time.Duration(seconds*float64(time.Second)), maxCredit))
+}
+
 // Take takes a waiting item out of turn, to start it now.
 func (q *Queue) Take(now time.Time, it *Item) {
 	q.drop(it)
