Ask once a turn for each kind and amount

Cause: a turn that starts nothing asks for the first item of every team and kind. Change: the dispatcher remembers within a turn what fits nowhere; a queue without urgent items ranks teams once.

--- a/process/dispatch/dispatch.go
+++ b/process/dispatch/dispatch.go
@@ -24,6 +24,7 @@
 	"time"
 
 	"github.com/kingcuplatch/kingcuplatch/process/placement"
+	"github.com/kingcuplatch/kingcuplatch/process/resource"
 	"github.com/kingcuplatch/kingcuplatch/request/queue"
 )
 
@@ -49,6 +50,13 @@
 	Allowed func(*queue.Item) bool
 }
 
+// miss is work that fits nowhere. Items of one kind and amount ask for the same, but
+// for the workers that they avoid.
+type miss struct {
+	kind   string
+	amount resource.Amount
+}
+
 // Start is an item and the index of the worker that takes it.
 type Start struct {
 	Item   *queue.Item
@@ -71,8 +79,10 @@
 	holds  []hold
 	// maxHolds bounds holds; negative for the bound by the number of workers.
 	maxHolds int
-	// passedOver were asked about by the latest Pop and did not fit.
+	// passedOver were asked about by the latest Pop and did not fit; misses are
+	// the kinds and amounts that it found to fit nowhere.
 	passedOver []*queue.Item
+	misses     []miss
 }
 
 // New returns a dispatcher over the queue and the index.
@@ -91,6 +101,7 @@
 	}
 	worker := -1
 	d.passedOver = d.passedOver[:0]
+	d.misses = d.misses[:0]
 	it := d.Queue.Pop(now, func(it *queue.Item) bool {
 		worker = d.place(it)
 		return worker >= 0
@@ -105,14 +116,37 @@
 
 // place returns the worker for the item, -1 if none.
 func (d *Dispatcher) place(it *queue.Item) int {
+	missed := d.missed(it)
+	if missed && len(d.passedOver) >= d.holdLimit() {
+		return -1
+	}
 	if !d.policy.Allowed(it) {
 		return -1
 	}
-	worker, _ := placement.Choose(d.policy.Ask(it), d.Index, d.rand)
-	if worker < 0 && len(d.passedOver) < d.holdLimit() {
+	if !missed {
+		ask := d.policy.Ask(it)
+		worker, _ := placement.Choose(ask, d.Index, d.rand)
+		if worker >= 0 {
+			return worker
+		}
+		if len(ask.Avoid) == 0 {
+			d.misses = append(d.misses, miss{it.Kind, it.Amount})
+		}
+	}
+	if len(d.passedOver) < d.holdLimit() {
 		d.passedOver = append(d.passedOver, it)
 	}
-	return worker
+	return -1
+}
+
+// missed reports whether work like the item was found to fit nowhere in this turn.
+func (d *Dispatcher) missed(it *queue.Item) bool {
+	for i := range d.misses {
+		if d.misses[i].kind == it.Kind && d.misses[i].amount == it.Amount {
+			return true
+		}
+	}
+	return false
 }
 
 // heldStart returns an item whose held worker has room now, and drops holds that
--- a/request/queue/pop.go
+++ b/request/queue/pop.go
@@ -46,6 +46,9 @@
 
 // firstUrgent returns the first urgent item of teams within their bound.
 func (q *Queue) firstUrgent(now time.Time, admit func(*Item) bool) *Item {
+	if q.urgent == 0 {
+		return nil
+	}
 	q.rank(now, func(t *teamState) bool { return t.urgent > 0 && q.urgentWithinShare(t) })
 	for t := q.ranking.next(); t != nil; t = q.ranking.next() {
 		for _, l := range t.lanes {
--- a/request/queue/queue.go
+++ b/request/queue/queue.go
@@ -33,6 +33,8 @@
 	// weights is the sum of the weights of configured teams.
 	weights float64
 	drained rateMeter
+	// urgent counts urgent items waiting.
+	urgent int
 	// running counts charges started and not finished.
 	running int64
 	now     time.Time
@@ -162,6 +164,9 @@
 func (q *Queue) add(t *teamState, it *Item) {
 	t.add(it)
 	q.items[it.ID] = it
+	if it.Urgent {
+		q.urgent++
+	}
 	if !it.startBy.IsZero() {
 		heap.Push(&q.expiry, it)
 	}
@@ -170,6 +175,9 @@
 func (q *Queue) drop(it *Item) {
 	delete(q.items, it.ID)
 	q.teams[it.Team].remove(it)
+	if it.Urgent {
+		q.urgent--
+	}
 	if !it.startBy.IsZero() {
 		heap.Remove(&q.expiry, it.expiry)
 	}
