Work out the fair rate once a turn

Cause: the profile of a turn shows the bound on credit and debt, with two divisions a team, at 12%. Change: the fair rate is worked out once a turn.

--- a/request/queue/pop.go
+++ b/request/queue/pop.go
@@ -76,13 +76,13 @@
 // rank fills the ranking with the teams that take part.
 func (q *Queue) rank(now time.Time, takesPart func(*teamState) bool) {
 	q.ranking.entries = q.ranking.entries[:0]
-	ahead := q.lookahead(now).Seconds()
+	ahead, fairRate := q.lookahead(now).Seconds(), q.fairRate()
 	for i, t := range q.order {
 		if !takesPart(t) {
 			continue
 		}
 		t.charge(now, q.total)
-		q.bound(t)
+		q.bound(t, fairRate)
 		tag := t.virtual + t.rate()*ahead
 		q.ranking.entries = append(q.ranking.entries, ranked{team: t, tag: tag, order: i})
 	}
@@ -103,16 +103,14 @@
 }
 
 // bound keeps the team's virtual time near the queue's.
-func (q *Queue) bound(t *teamState) {
-	t.virtual = max(t.virtual, q.virtual-q.atFairRate(maxCredit, t))
-	t.virtual = min(t.virtual, q.virtual+q.atFairRate(maxDebt, t))
+func (q *Queue) bound(t *teamState, fairRate float64) {
+	t.virtual = max(t.virtual, q.virtual-maxCredit.Seconds()*fairRate)
+	t.virtual = min(t.virtual, q.virtual+maxDebt.Seconds()*fairRate)
 }
 
-// atFairRate returns how far virtual times move in d when the whole fleet is shared
-// by all teams.
-func (q *Queue) atFairRate(d time.Duration, t *teamState) float64 {
-	return d.Seconds() / max(q.weights, t.weight)
-}
+// fairRate is how far virtual times move in a second when the whole fleet is shared by
+// all teams.
+func (q *Queue) fairRate() float64 { return 1 / max(q.weights, 1) }
 
 // urgentWithinShare reports whether the team's running urgent work is within its
 // weighted share. The first urgent item always is.
--- a/request/queue/queue.go
+++ b/request/queue/queue.go
@@ -86,7 +86,7 @@
 func (q *Queue) enter(now time.Time, t *teamState) {
 	t.charge(now, q.total)
 	if t.queued == 0 {
-		t.virtual = max(t.virtual, q.virtual-q.atFairRate(idleCredit, t))
+		t.virtual = max(t.virtual, q.virtual-idleCredit.Seconds()*q.fairRate())
 	}
 }
 
@@ -151,7 +151,7 @@
 		return 0
 	}
 	t.charge(q.advance(now), q.total)
-	seconds := (q.virtual - t.virtual) / q.atFairRate(time.Second, t)
+	seconds := (q.virtual - t.virtual) / q.fairRate()
 	return max(0, min(time.Duration(seconds*float64(time.Second)), maxCredit))
 }
 
