Shed by the demand that a team has in the whole fleet

Cause: a queue judged teams by what they run and want there. Change: demand is scaled by what peers run of the team for each unit run here. The test requires every window to be backlogged. The ways to exchange usage are compared by a benchmark. Ruled out: too little credit at the entry (its queue of these teams was empty).

--- a/internal/policytrial/setup.go
+++ b/internal/policytrial/setup.go
@@ -28,6 +28,8 @@
 type Team struct {
 	queue.Team
 	Portion float64
+	// OneEntry has all work of the team come to the same entry.
+	OneEntry bool
 }
 
 // Event changes the trial at a time.
--- a/internal/policytrial/trial.go
+++ b/internal/policytrial/trial.go
@@ -146,6 +146,9 @@
 
 func (t *Trial) push(it *queue.Item) *Entry {
 	e := t.entries[t.rand.IntN(len(t.entries))]
+	if t.setup.Teams[t.teams[it.Team]].OneEntry {
+		e = t.entries[0]
+	}
 	t.setup.Observer.Refused(e.scheduler.Push(t.clock(), it))
 	return e
 }
--- a/internal/policytrial/trial_test.go
+++ b/internal/policytrial/trial_test.go
@@ -110,28 +110,39 @@
 	return s
 }
 
+// pinned has the last two teams come to one entry only.
+func pinned(s Setup) Setup {
+	for i := range s.Teams {
+		s.Teams[i].OneEntry = i >= len(s.Teams)-2
+	}
+	return s
+}
+
 // The targets of share, waiting and goodput hold in virtual time.
 func TestTargets(t *testing.T) {
 	const maxShortfall = 0.05
 	full := run(user(1))
 	cases := []struct {
-		name   string
-		setup  Setup
-		urgent time.Duration
+		name  string
+		setup Setup
+		// windows is how many pairs of team and window must be backlogged: all.
+		windows int
+		urgent  time.Duration
 	}{
-		{"user 1.5", user(1.5), 0},
-		{"user 3", user(3), 0},
-		{"user 1.5, 9 entries", spread(user(1.5), 9, 500*time.Millisecond), 0},
-		{"user 3, 9 entries", spread(user(3), 9, 500*time.Millisecond), 0},
-		{"user 1.5, run times wrong", wrong(user(1.5)), 0},
-		{"design 1.5, 9 entries", spread(design(1.5), 9, time.Second), 1900 * time.Millisecond},
+		{"user 1.5", user(1.5), 24, 0},
+		{"user 3", user(3), 24, 0},
+		{"user 1.5, 9 entries", spread(user(1.5), 9, 500*time.Millisecond), 24, 0},
+		{"user 3, 9 entries", spread(user(3), 9, 500*time.Millisecond), 24, 0},
+		{"user 1.5, 9 entries, small teams at one", pinned(spread(user(1.5), 9, 500*time.Millisecond)), 24, 0},
+		{"user 1.5, run times wrong", wrong(user(1.5)), 24, 0},
+		{"design 1.5, 9 entries", spread(design(1.5), 9, time.Second), 540, 1900 * time.Millisecond},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
 			t.Parallel()
 			r := run(c.setup)
 			t.Logf("%+v", r)
-			assert.Assert(t, r.Windows > 0)
+			assert.Equal(t, r.Windows, c.windows)
 			assert.Assert(t, r.LargestShortfall <= maxShortfall, "largest shortfall %.3f", r.LargestShortfall)
 			if c.urgent > 0 {
 				assert.Assert(t, r.Waiting[0].P99 < c.urgent, "urgent work waits %s", r.Waiting[0].P99)
@@ -177,6 +188,7 @@
 		{"user 0.7, a third leaves", after(user(0.7), closeThird)},
 		{"user 1.5, 9 entries, 0.5 s", spread(user(1.5), 9, 500*time.Millisecond)},
 		{"user 3.0, 9 entries, 0.5 s", spread(user(3), 9, 500*time.Millisecond)},
+		{"user 1.5, 9 entries, 0.5 s, small teams at one", pinned(spread(user(1.5), 9, 500*time.Millisecond))},
 		{"user 1.5, 9 entries, 1 s", spread(user(1.5), 9, time.Second)},
 		{"user 3.0, 9 entries, 1 s", spread(user(3), 9, time.Second)},
 		{"design 0.7", design(0.7)},
--- a/request/queue/team.go
+++ b/request/queue/team.go
@@ -91,9 +91,11 @@
 	t.urgentShare = t.ownUrgent.DominantShare(total)
 }
 
-// demand is the dominant share of all the team runs and wants, over its weight.
+// demand is the dominant share of all that the team runs and wants in the whole fleet,
+// over its weight. Peers are taken to have work of the team waiting in the proportion
+// in which they run it.
 func (t *teamState) demand(total resource.Amount) float64 {
-	return t.own.Add(t.waiting).DominantShare(total) / t.weight
+	return t.own.Add(t.waiting).DominantShare(total) * (1 + t.peerRatio) / t.weight
 }
 
 func (t *teamState) add(it *Item) {
