Start the trial at the design size with the backlog its load has

Cause: filling the fleet left 50,000 items waiting at every load, so that rows for 0.7 and 1.0 times capacity were as full as those for 3; packing was measured after a third of the tasks had ended; 12,640 accelerators in place of 11,000. The largest job that fits is a noisy figure: over 8 traces 63 to 85 tasks with the index and 65 to 88 with the all-knowing best fit, so that one trace failed at 75 of 86 and another passed at 98 of 86. Change: the backlog is a setting of the trial, packing is measured when full, over the mean of 8 traces with the bound of 95% unchanged, and accelerators are spread over exactly as many workers as asked.

--- a/internal/policytrial/packing_test.go
+++ b/internal/policytrial/packing_test.go
@@ -25,14 +25,16 @@
 	gang int
 }
 
-// pack fills 1,000 workers and then lets one task in three end, 20 times over, with
-// work of mixed sizes always waiting, and returns what is in use at the end. choose
-// returns a worker or -1.
-func pack(choose func(*placement.Index, placement.Ask, *rand.Rand) int) packing {
-	fleet := workers(1000, 174, 64, 64, 6)
-	ix, rng := placement.NewIndex(fleet), rand.New(rand.NewPCG(7, 7))
-	sizes := rand.New(rand.NewPCG(8, 8))
+// pack fills 400 workers and then lets one task in three end, 20 times over, with work
+// of mixed sizes always waiting. It returns what is in use when they are full at last,
+// and the largest job that fits when one task in three has ended again. choose returns
+// a worker or -1.
+func pack(seed uint64, choose func(*placement.Index, placement.Ask, *rand.Rand) int) packing {
+	fleet := workers(400, 70, 64, 64, 6)
+	ix, rng := placement.NewIndex(fleet), rand.New(rand.NewPCG(seed, 7))
+	sizes := rand.New(rand.NewPCG(seed, 8))
 	var tasks []placed
+	var result packing
 	for range 20 {
 		for misses := 0; misses < 200; {
 			ask := placement.Ask{Policy: version.PolicyBatch, Amount: resource.Amount{
@@ -46,6 +48,7 @@
 			ix.Take(i, ask.Amount)
 			tasks = append(tasks, placed{i, ask.Amount})
 		}
+		result.used = used(ix, capacity(fleet))
 		sizes.Shuffle(len(tasks), func(a, b int) { tasks[a], tasks[b] = tasks[b], tasks[a] })
 		ended := len(tasks) / 3
 		for _, task := range tasks[:ended] {
@@ -53,17 +56,21 @@
 		}
 		tasks = tasks[ended:]
 	}
-	var free resource.Amount
-	for i := range ix.Len() {
-		free = free.Add(ix.At(i).Free)
-	}
-	total := capacity(fleet)
 	gang := placement.Ask{Policy: version.PolicyAllAtOnce, Amount: resource.Amount{Running: 1, MilliCPU: 1000, MemoryMB: 1000, Accelerators: 2}}
 	plan, n := placement.Plan{}, 0
 	for n = 1; plan != nil; n++ {
 		plan, _ = placement.ChooseAll(gang, n, ix, rng)
 	}
-	return packing{used: total.Sub(free).DominantShare(total), gang: n - 2}
+	result.gang = n - 2
+	return result
+}
+
+func used(ix *placement.Index, total resource.Amount) float64 {
+	var free resource.Amount
+	for i := range ix.Len() {
+		free = free.Add(ix.At(i).Free)
+	}
+	return total.Sub(free).DominantShare(total)
 }
 
 func ownChoice(ix *placement.Index, ask placement.Ask, rng *rand.Rand) int {
@@ -107,10 +114,26 @@
 	return leastLoaded(b, ask.Amount)
 }
 
+// packSeeds is how many traces are compared.
+const packSeeds = 8
+
+// packAll returns the mean over all traces, and prints each.
+func packAll(tb testing.TB, choose func(*placement.Index, placement.Ask, *rand.Rand) int) (meanUsed, meanGang float64) {
+	for seed := range uint64(packSeeds) {
+		p := pack(seed, choose)
+		tb.Logf("%+v", p)
+		meanUsed += p.used / packSeeds
+		meanGang += float64(p.gang) / packSeeds
+	}
+	return meanUsed, meanGang
+}
+
 func TestPackingAtSaturation(t *testing.T) {
-	got, best := pack(ownChoice), pack(bestFit)
-	assert.Assert(t, got.used >= 0.95*best.used, "%+v of %+v", got, best)
-	assert.Assert(t, float64(got.gang) >= 0.95*float64(best.gang), "%+v of %+v", got, best)
+	t.Parallel()
+	used, gang := packAll(t, ownChoice)
+	bestUsed, bestGang := packAll(t, bestFit)
+	assert.Assert(t, used >= 0.95*bestUsed, "used %.4f of %.4f", used, bestUsed)
+	assert.Assert(t, gang >= 0.95*bestGang, "job of %.1f of %.1f tasks", gang, bestGang)
 }
 
 // BenchmarkPacking prints the table of packing; run it with -benchtime 1x.
@@ -120,7 +143,7 @@
 		name   string
 		choose func(*placement.Index, placement.Ask, *rand.Rand) int
 	}{{"own", ownChoice}, {"all-knowing best fit", bestFit}, {"random worker", anyWorker}, {"least loaded", leastUsed}} {
-		result := pack(p.choose)
-		fmt.Printf("| %s | %.4f | %d |\n", p.name, result.used, result.gang)
+		used, gang := packAll(b, p.choose)
+		fmt.Printf("| %s | %.4f | %.1f |\n", p.name, used, gang)
 	}
 }
--- a/internal/policytrial/setup.go
+++ b/internal/policytrial/setup.go
@@ -51,8 +51,9 @@
 	Exchange time.Duration
 	// QueueLimit is how many items an entry keeps waiting.
 	QueueLimit int
-	// Full starts the trial with a full fleet.
-	Full bool
+	// Backlog, unless 0, starts the trial with a full fleet and about so many
+	// items waiting at every entry.
+	Backlog int
 	// WrongBy is the factor by which declared run times are off, up or down; 0
 	// and 1 leave them right.
 	WrongBy float64
--- a/internal/policytrial/trial.go
+++ b/internal/policytrial/trial.go
@@ -59,7 +59,7 @@
 
 // Run runs the trial to its end.
 func (t *Trial) Run() {
-	if t.setup.Full {
+	if t.setup.Backlog > 0 {
 		t.fill()
 	}
 	for _, e := range t.setup.Events {
@@ -95,15 +95,16 @@
 	}
 }
 
-// fill queues work until the fleet is full.
+// fill queues work until little of it starts any more.
 func (t *Trial) fill() {
-	for started := true; started; {
-		for range t.setup.QueueLimit / 2 * len(t.entries) {
+	batch := t.setup.Backlog * len(t.entries)
+	for started := batch; 2*started > batch; {
+		for range batch {
 			t.push(t.newItem())
 		}
-		started = false
+		started = 0
 		for _, e := range t.entries {
-			started = t.dispatch(e) > 0 || started
+			started += t.dispatch(e)
 		}
 	}
 }
--- a/internal/policytrial/trial_test.go
+++ b/internal/policytrial/trial_test.go
@@ -13,13 +13,13 @@
 	"github.com/kingcuplatch/kingcuplatch/version"
 )
 
-// workers returns n workers of 30 cores and 64 GB, 8 to a rack; the first ones
-// carry 8 accelerators each.
+// workers returns n workers of 30 cores and 64 GB, 8 to a rack; some of them,
+// evenly spread, carry 8 accelerators each.
 func workers(n, accelerated int, slots, running int64, domains int) []placement.Candidate {
 	list := make([]placement.Candidate, n)
 	for i := range list {
 		capacity := resource.Amount{Running: running, MilliCPU: 30_000, MemoryMB: 64_000, Slots: slots}
-		if i%(n/max(1, accelerated)) == 0 && accelerated > 0 {
+		if i*accelerated%n < accelerated {
 			capacity.Accelerators = 8
 		}
 		list[i] = placement.Candidate{
@@ -50,7 +50,7 @@
 // design is the size to design for.
 func design(load float64) Setup {
 	s := Setup{
-		Workers: workers(7900, 1375, 64, 64, 6), Load: load, Entries: 1, QueueLimit: 100_000, Full: true,
+		Workers: workers(7900, 1375, 64, 64, 6), Load: load, Entries: 1, QueueLimit: 100_000, Backlog: 200,
 		Warmup: 10 * time.Second, Duration: 30 * time.Second, Seed: 1,
 		Kinds: []Kind{
 			{Name: "urgent", Policy: version.PolicyBatch, Urgent: true, RunTime: 30 * time.Second, Portion: 0.05, Amount: resource.Amount{Running: 1, MilliCPU: 1000, MemoryMB: 2200}},
@@ -59,6 +59,9 @@
 			{Name: "training", Policy: version.PolicyAllAtOnce, RunTime: 480 * time.Second, Portion: 0.05, Amount: resource.Amount{Running: 1, MilliCPU: 2000, MemoryMB: 3000, Accelerators: 1}},
 		},
 	}
+	if load > 1 {
+		s.Backlog = 50_000
+	}
 	for i := range 180 {
 		weight := int64(1 + i%5)
 		s.Teams = append(s.Teams, Team{Team: queue.Team{Name: fmt.Sprint("t", i), Weight: weight}, Portion: float64(weight)})
@@ -70,6 +73,7 @@
 func spread(s Setup, entries int, exchange time.Duration) Setup {
 	s.Entries, s.Exchange = entries, exchange
 	s.QueueLimit /= max(1, entries/2)
+	s.Backlog /= entries
 	return s
 }
 
