Bound urgent privilege by what the whole fleet runs

Cause: with peers the bound looked at this queue's own urgent work only, which let a team have its share of urgent work once at every entry. Change: scaled by the ratio of its peers, as usage is. The package comment covers lanes and peers.

--- a/request/queue/doc.go
+++ b/request/queue/doc.go
@@ -25,17 +25,27 @@
 // against the queue's virtual time are bounded, so that a team held back by its
 // own limit, or one whose services run for days, is back to normal within seconds.
 //
-// A team's usage is what this queue started plus what peers reported for the
-// rest of the fleet, so that a team seen by a single queue gains nothing by it.
+// Starts are charged in advance for the mean run time, measured by Little's law, so
+// that many starts at one instant, and long work, count before they have run.
+//
+// A team's usage is what this queue started plus what peers, the queues that hand out
+// the fleet's other workers, report, so that a team seen by a single queue gains
+// nothing by it. Peers exchange each team's usage over time as totals that only grow;
+// between reports a peer is taken to use in proportion to this queue, by the ratio of
+// its last reports. All then correct an error once, and not each by the whole of it.
+// A team is counted in the dimension that it uses most of in the whole fleet.
 //
 // Urgent items go first, before the order between teams, as long as the urgent
 // work that their team has running stays within the team's weighted share. Beyond
 // that they stand in their team's ordinary order, still ahead of its other work.
 //
-// Inside a team the item that must start earliest is first: the deadline less the
-// expected run time (Liu and Layland, "Scheduling Algorithms for Multiprogramming
-// in a Hard-Real-Time Environment", JACM 1973). An item that can't meet its
-// deadline any more is never started; Expire gives it up.
+// Inside a team items wait by kind. When the first item of one kind is not admitted,
+// the team's other kinds still are; package dispatch sees to it that what was passed
+// over starts in the end. Inside a kind, and between kinds, the item that must start
+// earliest is first: the deadline less the expected run time (Liu and Layland,
+// "Scheduling Algorithms for Multiprogramming in a Hard-Real-Time Environment", JACM
+// 1973). An item without deadline ranks as if it had to start a minute after it came.
+// An item that can't meet its deadline any more is never started; Expire gives it up.
 //
 // # When the queue is full
 //
--- a/request/queue/pop.go
+++ b/request/queue/pop.go
@@ -112,10 +112,10 @@
 // all teams.
 func (q *Queue) fairRate() float64 { return 1 / max(q.weights, 1) }
 
-// urgentWithinShare reports whether the team's running urgent work is within its
-// weighted share. The first urgent item always is.
+// urgentWithinShare reports whether the team's running urgent work, with what peers
+// are taken to run of it, is within its weighted share. The first urgent item always is.
 func (q *Queue) urgentWithinShare(t *teamState) bool {
-	return t.urgentShare < t.weight/max(q.weights, t.weight)
+	return t.urgentShare*(1+t.peerRatio) < t.weight/max(q.weights, t.weight)
 }
 
 // Started reports that work of the team runs, whether it came from this queue or
