--- a/process/backfill/backfill.go
+++ b/process/backfill/backfill.go
@@ -29,9 +29,12 @@
 
 const (
 	// holdAfter is how long an item waits before it may get a hold, urgentHoldAfter
-	// how long an urgent one does.
-	holdAfter       = time.Second
+	// how long an urgent one does, and behindHoldAfter one whose team is behind its
+	// share by minBehind.
+	holdAfter       = 10 * time.Second
+	behindHoldAfter = time.Second
 	urgentHoldAfter = 100 * time.Millisecond
+	minBehind       = time.Second
 	// workersPerHold is how many workers there are for each hold allowed, beyond
 	// the first.
 	workersPerHold = 50
@@ -39,7 +42,8 @@
 
 // Policy is what the caller decides about items.
 type Policy struct {
-	// Ask returns what the item needs of a worker.
+	// Ask returns what the item needs of a worker. Items of one kind and amount
+	// need the same, but for the workers to avoid.
 	Ask func(*queue.Item) placement.Ask
 	// Allowed reports whether the item may run at all now: its team is below its
 	// limit and its kind is not stopped. Nil allows everything.
@@ -68,7 +72,7 @@
 	holds  []hold
 	// maxHolds bounds holds; negative for the bound by the number of workers.
 	maxHolds int
-	// passedOver were asked about by the latest Pop and did not fit.
+	// passedOver were asked about by the latest turn and did not fit.
 	passedOver []*queue.Item
 }
 
@@ -83,14 +87,15 @@
 // Next takes out the item that starts now, and is false if there is none. The caller
 // then takes the amount from the index and reports the start to the queue.
 func (d *Dispatcher) Next(now time.Time) (Start, bool) {
-	if start, ready := d.heldStart(); ready {
+	if start, ready := d.heldStart(now); ready {
 		return start, true
 	}
 	worker := -1
 	d.passedOver = d.passedOver[:0]
-	it := d.Queue.Pop(now, func(it *queue.Item) bool {
-		worker = d.place(it)
-		return worker >= 0
+	it := d.Queue.PopWhere(now, func(it *queue.Item) queue.Answer {
+		var answer queue.Answer
+		worker, answer = d.place(it)
+		return answer
 	})
 	if it != nil {
 		d.release(it)
@@ -100,34 +105,40 @@
 	return Start{}, false
 }
 
-// place returns the worker for the item, -1 if none.
-func (d *Dispatcher) place(it *queue.Item) int {
+// place returns the worker for the item, or why there is none.
+func (d *Dispatcher) place(it *queue.Item) (int, queue.Answer) {
 	if !d.policy.Allowed(it) {
-		return -1
+		return -1, queue.Refuse
 	}
-	worker, _ := placement.Choose(d.policy.Ask(it), d.Index, d.rand)
-	if worker < 0 && len(d.passedOver) < d.holdLimit() {
-		d.passedOver = append(d.passedOver, it)
+	ask := d.policy.Ask(it)
+	worker, _ := placement.Choose(ask, d.Index, d.rand)
+	if worker >= 0 {
+		return worker, queue.Admit
 	}
-	return worker
+	d.passedOver = append(d.passedOver, it)
+	if len(ask.Avoid) > 0 {
+		return -1, queue.Refuse
+	}
+	return -1, queue.NoRoom
 }
 
 // heldStart returns an item whose held worker has room now, and drops holds that
 // serve no purpose any more.
-func (d *Dispatcher) heldStart() (Start, bool) {
+func (d *Dispatcher) heldStart(now time.Time) (Start, bool) {
 	for i := 0; i < len(d.holds); i++ {
 		h := d.holds[i]
 		worker, known := d.Index.Position(h.worker)
-		if !known || !d.Queue.Holds(h.item) {
+		if !known || !d.Queue.Waits(now, h.item) || !d.policy.Allowed(h.item) {
 			d.dropHold(i)
 			i--
 			continue
 		}
-		if !h.item.Amount.Fits(d.Index.At(worker).Free) || !d.policy.Allowed(h.item) {
+		c := d.Index.At(worker)
+		if c.Closed || !h.item.Amount.Fits(c.Free) {
 			continue
 		}
 		d.dropHold(i)
-		d.Queue.Remove(h.item.ID)
+		d.Queue.Take(now, h.item)
 		return Start{Item: h.item, Worker: worker}, true
 	}
 	return Start{}, false
@@ -154,7 +165,7 @@
 		if len(d.holds) >= d.holdLimit() {
 			return
 		}
-		if now.Sub(it.Enqueued) < patience(it) || d.held(it) {
+		if now.Sub(it.Enqueued) < d.patience(now, it) || d.held(it) {
 			continue
 		}
 		worker := d.Index.ChooseHold(d.policy.Ask(it), d.rand)
@@ -177,9 +188,14 @@
 	return 1 + d.Index.Len()/workersPerHold
 }
 
-func patience(it *queue.Item) time.Duration {
-	if it.Urgent {
+// patience returns how long the item has to wait before it may get a hold.
+func (d *Dispatcher) patience(now time.Time, it *queue.Item) time.Duration {
+	switch {
+	case it.Urgent:
 		return urgentHoldAfter
+	case d.Queue.Behind(now, it.Team) >= minBehind:
+		return behindHoldAfter
+	default:
+		return holdAfter
 	}
-	return holdAfter
 }
--- a/process/jobs/bench_test.go
+++ b/process/jobs/bench_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"github.com/kingcuplatch/kingcuplatch/process/ownership"
 	"github.com/kingcuplatch/kingcuplatch/process/platform"
 	"github.com/kingcuplatch/kingcuplatch/process/resource"
 )
@@ -17,8 +18,7 @@
 	w.full = true
 	k := NewKeeper(w.config(func(string) (platform.Condition, bool) { return platform.Condition{}, true }))
 	w.do(func() { w.keeper = k })
-	for i := range Shards {
-		name := fmt.Sprintf("s/%02x", i)
+	for _, name := range ownership.Shards() {
 		k.shards[name] = &shard{
 			name: name, jobs: make(map[string]*job), waiting: make(map[string]*job), ended: make(map[string]*job),
 		}
--- a/request/queue/pop.go
+++ b/request/queue/pop.go
@@ -26,14 +26,23 @@
 // returns true; a nil admit admits everything. admit must not call the queue. The
 // caller reports the start with Started before the next Pop.
 func (q *Queue) Pop(now time.Time, admit func(*Item) bool) *Item {
+	return q.PopWhere(now, func(it *Item) Answer {
+		if admit == nil || admit(it) {
+			return Admit
+		}
+		return Refuse
+	})
+}
+
+// PopWhere is Pop with an answer that can also speak for all items of the same kind
+// and amount, which makes a turn that starts nothing cheap.
+func (q *Queue) PopWhere(now time.Time, ask func(*Item) Answer) *Item {
 	now = q.advance(now)
 	q.collectLate(now)
-	if admit == nil {
-		admit = func(*Item) bool { return true }
-	}
-	it := q.firstUrgent(now, admit)
+	q.turn = turn{number: q.turn.number + 1}
+	it := q.firstUrgent(now, ask)
 	if it == nil {
-		it = q.firstOfAll(now, admit)
+		it = q.firstOfAll(now, ask)
 		if it == nil {
 			return nil
 		}
@@ -45,24 +54,28 @@
 }
 
 // firstUrgent returns the first urgent item of teams within their bound.
-func (q *Queue) firstUrgent(now time.Time, admit func(*Item) bool) *Item {
-	q.rank(now, func(t *teamState) bool { return t.urgent > 0 && q.urgentWithinShare(t) })
-	for t := q.ranking.next(); t != nil; t = q.ranking.next() {
-		for _, l := range t.lanes {
-			if it := l.first.top(); it.Urgent && admit(it) {
-				return it
-			}
-		}
+func (q *Queue) firstUrgent(now time.Time, ask func(*Item) Answer) *Item {
+	if q.urgent == 0 {
+		return nil
 	}
-	return nil
+	q.rank(now, func(t *teamState) bool { return t.urgent > 0 && q.urgentWithinShare(t) })
+	return q.firstAdmitted(ask, func(it *Item) bool { return it.Urgent })
 }
 
 // firstOfAll returns the first item in the order between teams.
-func (q *Queue) firstOfAll(now time.Time, admit func(*Item) bool) *Item {
+func (q *Queue) firstOfAll(now time.Time, ask func(*Item) Answer) *Item {
+	if q.exhausted() {
+		return nil
+	}
 	q.rank(now, func(t *teamState) bool { return t.queued > 0 })
-	for t := q.ranking.next(); t != nil; t = q.ranking.next() {
+	return q.firstAdmitted(ask, func(*Item) bool { return true })
+}
+
+// firstAdmitted asks about the first items of the ranked teams, in order.
+func (q *Queue) firstAdmitted(ask func(*Item) Answer, takesPart func(*Item) bool) *Item {
+	for t := q.ranking.next(); t != nil && !q.exhausted(); t = q.ranking.next() {
 		for _, l := range t.lanes {
-			if it := l.first.top(); admit(it) {
+			if it := l.first.top(); takesPart(it) && q.admits(it, ask) {
 				return it
 			}
 		}
@@ -73,13 +86,13 @@
 // rank fills the ranking with the teams that take part.
 func (q *Queue) rank(now time.Time, takesPart func(*teamState) bool) {
 	q.ranking.entries = q.ranking.entries[:0]
-	ahead := q.lookahead(now).Seconds()
+	ahead, fairRate := q.lookahead(now).Seconds(), q.fairRate()
 	for i, t := range q.order {
 		if !takesPart(t) {
 			continue
 		}
 		t.charge(now, q.total)
-		q.bound(t)
+		q.bound(t, fairRate)
 		tag := t.virtual + t.rate()*ahead
 		q.ranking.entries = append(q.ranking.entries, ranked{team: t, tag: tag, order: i})
 	}
@@ -100,21 +113,19 @@
 }
 
 // bound keeps the team's virtual time near the queue's.
-func (q *Queue) bound(t *teamState) {
-	t.virtual = max(t.virtual, q.virtual-q.atFairRate(maxCredit, t))
-	t.virtual = min(t.virtual, q.virtual+q.atFairRate(maxDebt, t))
+func (q *Queue) bound(t *teamState, fairRate float64) {
+	t.virtual = max(t.virtual, q.virtual-maxCredit.Seconds()*fairRate)
+	t.virtual = min(t.virtual, q.virtual+maxDebt.Seconds()*fairRate)
 }
 
-// atFairRate returns how far virtual times move in d when the whole fleet is shared
-// by all teams.
-func (q *Queue) atFairRate(d time.Duration, t *teamState) float64 {
-	return d.Seconds() / max(q.weights, t.weight)
-}
+// fairRate is how far virtual times move in a second when the whole fleet is shared by
+// all teams.
+func (q *Queue) fairRate() float64 { return 1 / max(q.weights, 1) }
 
-// urgentWithinShare reports whether the team's running urgent work is within its
-// weighted share. The first urgent item always is.
+// urgentWithinShare reports whether the team's running urgent work, with what peers
+// are taken to run of it, is within its weighted share. The first urgent item always is.
 func (q *Queue) urgentWithinShare(t *teamState) bool {
-	return t.urgentShare < t.weight/max(q.weights, t.weight)
+	return t.urgentShare*(1+t.peerRatio) < t.weight/max(q.weights, t.weight)
 }
 
 // Started reports that work of the team runs, whether it came from this queue or
