Let proofs run an entry without one of its mechanisms

Cause: a proof must be seen to fail. Change: daemon.MainWith and entry.Config.Omit, reachable from Go only; no setting reaches them. Conclusion: proofs can add their omissions.

--- a/process/daemon/daemon.go
+++ b/process/daemon/daemon.go
@@ -46,6 +46,12 @@
 
 // Main runs the program until ctx ends and returns its exit code.
 func Main(ctx context.Context, args []string, stderr io.Writer) int {
+	return MainWith(ctx, args, stderr, func(*entry.Config) {})
+}
+
+// MainWith is Main with a last change to the entry's configuration, for proofs
+// that need an entry without one of its mechanisms.
+func MainWith(ctx context.Context, args []string, stderr io.Writer, change func(*entry.Config)) int {
 	flags := flag.NewFlagSet("kingcuplatchd", flag.ContinueOnError)
 	flags.SetOutput(stderr)
 	path := flags.String("config", "", "settings file (TOML)")
@@ -66,7 +72,7 @@
 	if *check {
 		return exitDone
 	}
-	if err := run(ctx, s, *addresses, stderr); err != nil {
+	if err := run(ctx, s, *addresses, stderr, change); err != nil {
 		fmt.Fprintln(stderr, "kingcuplatchd:", err)
 		return exitFailed
 	}
@@ -74,7 +80,7 @@
 }
 
 // run binds, builds and runs the entry.
-func run(ctx context.Context, s *settings.Settings, addresses string, logs io.Writer) error {
+func run(ctx context.Context, s *settings.Settings, addresses string, logs io.Writer, change func(*entry.Config)) error {
 	listeners, err := listen(s.Listen)
 	if err != nil {
 		return err
@@ -84,7 +90,9 @@
 	}
 	client := httpplatform.New(s.Platform.URL)
 	defer client.Close()
-	return entry.New(config(s, listeners, client, logs)).Run(ctx)
+	c := config(s, listeners, client, logs)
+	change(&c)
+	return entry.New(c).Run(ctx)
 }
 
 func config(s *settings.Settings, listeners entry.Listeners, client *httpplatform.Client, logs io.Writer) entry.Config {
--- a/process/entry/config.go
+++ b/process/entry/config.go
@@ -69,4 +69,11 @@
 	// Dial returns a client of a worker; it does no I/O.
 	Dial func(platform.Instance) worker.Client
 	Log  *events.Logger
+
+	// Omit leaves out mechanisms, so that a proof can be seen to fail without
+	// them. It is zero in the product and no setting reaches it.
+	Omit Omissions
 }
+
+// Omissions are the mechanisms that an entry can be run without.
+type Omissions struct{}
