Replace a guard that fails during Replicate at once

Change: a guard that fails is left out of a renewal made at once, and Replicate tries again until its context ends.

Ruled out: going on with one guard of two. The next process of the same instance may reach only the other one.

--- a/process/ownership/beat.go
+++ b/process/ownership/beat.go
@@ -156,20 +156,43 @@
 }
 
 // Replicate makes every guard remember body for RetainFor, after what was
-// replicated before, and returns when all have acked. Errors: ErrNoGuards, or
+// replicated before, and returns when all have acked. A guard that fails is
+// replaced as soon as the table allows. Errors: ErrNoGuards, or when ctx ends
 // that of the guard that failed; then some guards may remember it.
 func (m *Manager) Replicate(ctx context.Context, body json.RawMessage) error {
+	seq := m.keep(body)
+	for {
+		m.mu.Lock()
+		guards := m.inForce()
+		m.mu.Unlock()
+		if len(guards) == 0 {
+			return eris.Wrap(ErrNoGuards, "replicate")
+		}
+		err := m.replicateTo(ctx, guards, seq)
+		if err == nil {
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return err
+		case <-time.After(m.Heartbeat / 10):
+		}
+	}
+}
+
+// keep adds a delta to those that guards have to remember.
+func (m *Manager) keep(body json.RawMessage) uint64 {
 	m.mu.Lock()
-	m.deltaSeq++
-	seq := m.deltaSeq
+	defer m.mu.Unlock()
 	now := time.Now()
-	m.deltas = append(m.deltas, delta{Seq: seq, Body: body, kept: now})
+	m.deltaSeq++
+	m.deltas = append(m.deltas, delta{Seq: m.deltaSeq, Body: body, kept: now})
 	m.forgetDeltas(now.Add(-m.RetainFor))
-	guards := m.inForce()
-	m.mu.Unlock()
-	if len(guards) == 0 {
-		return eris.Wrap(ErrNoGuards, "replicate")
-	}
+	return m.deltaSeq
+}
+
+// replicateTo sends what each guard doesn't keep yet, up to seq at least.
+func (m *Manager) replicateTo(ctx context.Context, guards []Member, seq uint64) error {
 	errs := make([]error, len(guards))
 	var calls sync.WaitGroup
 	for i, to := range guards {
@@ -182,12 +205,28 @@
 		})
 	}
 	calls.Wait()
-	for _, err := range errs {
+	var failed error
+	for i, err := range errs {
 		if err != nil {
-			return err
+			m.suspect(guards[i].Instance)
+			failed = err
 		}
 	}
-	return nil
+	return failed
+}
+
+// suspect has a guard replaced now, unless that is under way.
+func (m *Manager) suspect(instance string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	c := m.contacts[instance]
+	if c.failures == 0 || c.failures > silentAfter {
+		return
+	}
+	c.failures = silentAfter + 1
+	m.contacts[instance] = c
+	m.renewAt = time.Time{}
+	m.wake()
 }
 
 // inForce returns the guards of every row that may be in force. Call with m.mu.
--- a/process/ownership/manager_test.go
+++ b/process/ownership/manager_test.go
@@ -259,6 +259,23 @@
 	})
 }
 
+func TestReplicateReplacesAGuardThatFails(t *testing.T) {
+	inFleet(t, 4, func(t *testing.T, f *fakeFleet, all []*fakeEntry) {
+		before := all[0].Members()[0].Guards
+		assert.Equal(t, len(before), 2)
+		i := slices.IndexFunc(f.members, func(m Member) bool { return m.Instance == before[0] })
+		all[i].cancel()
+		ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+		defer cancel()
+		begun := time.Now()
+		assert.NilError(t, all[0].Replicate(ctx, json.RawMessage(`"one"`)))
+		t.Logf("replicated %s after a guard's crash", time.Since(begun))
+		assert.Assert(t, time.Since(begun) < time.Second)
+		after := all[0].Members()[0].Guards
+		assert.Assert(t, len(after) > 0 && !slices.Contains(after, before[0]))
+	})
+}
+
 // Every third answer is lost while an entry joins and another crashes.
 func TestLostAnswersWhileEntriesComeAndGo(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/process/ownership/renew.go
+++ b/process/ownership/renew.go
@@ -17,10 +17,15 @@
 // renewIfDue joins, renews or reads back the own row when it is time.
 func (m *Manager) renewIfDue(ctx context.Context) error {
 	now := time.Now()
-	if now.Before(m.renewAt) {
+	m.mu.Lock()
+	due := !now.Before(m.renewAt)
+	if due {
+		m.renewAt = now.Add(m.ShortTerm / renewals)
+	}
+	m.mu.Unlock()
+	if !due {
 		return nil
 	}
-	m.renewAt = now.Add(m.ShortTerm / renewals)
 	return m.renew(ctx, nil)
 }
 
