Load callers from scripts and check workers' records

Scripts had no way to keep callers busy while something fails, nor to hold what callers were told against what workers did. The commands load and waitload make a bounded stream of calls in the test process; checkload and checkworkers read the stand-ins' own records and none of the product's counters.

--- /dev/null
+++ b/internal/scenario/load.go
@@ -0,0 +1,256 @@
+package scenario
+
+import (
+	"encoding/json"
+	"errors"
+	"flag"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rogpeppe/go-internal/testscript"
+
+	"github.com/kingcuplatch/kingcuplatch/conn/api"
+	"github.com/kingcuplatch/kingcuplatch/internal/standin/workerstandin"
+)
+
+const (
+	// maxInFlight bounds the calls of one load that run at a time.
+	maxInFlight = 128
+	// maxTries bounds how often one id is handed in.
+	maxTries = 5
+	// tryTimeout bounds one try; it is above the deadlines of the examples.
+	tryTimeout = 15 * time.Second
+)
+
+// loadsKey is the key of map[string]*load among a script's values.
+type loadsKey struct{}
+
+// load is a bounded stream of calls and what became of them.
+type load struct {
+	name    string
+	kind    string
+	keys    []teamKey
+	entries []string
+	rate    float64
+	count   int
+	named   bool
+	again   bool
+	ready   bool
+	workMS  int
+	pad     int
+
+	client *http.Client
+	next   atomic.Int64
+	done   chan struct{}
+
+	mu    sync.Mutex
+	calls []*loadCall
+}
+
+// teamKey is a team and the key that its callers present.
+type teamKey struct{ team, key string }
+
+// loadCall is one unit of work and all tries to have it run.
+type loadCall struct {
+	team, key string
+	// id is empty until the first answer tells it, unless the caller named it.
+	id    string
+	body  string
+	tries []try
+}
+
+// try is one HTTP call. A try without status got no whole answer.
+type try struct {
+	entry       string
+	started     time.Time
+	ended       time.Time
+	status      int
+	fault       error
+	refusal     api.Error
+	echo        workerstandin.RequestAnswer
+	notAnAnswer bool
+}
+
+func (t *try) answered() bool { return t.status == http.StatusOK && !t.notAnAnswer }
+
+func (t *try) notRun() bool { return t.status != 0 && t.refusal.Ran == api.NotRun }
+
+// lost reports whether the caller doesn't know what became of the work.
+func (t *try) lost() bool { return !t.answered() && !t.notRun() }
+
+// startLoad starts calls in the background.
+func startLoad(ts *testscript.TestScript, neg bool, args []string) {
+	positive(ts, neg)
+	usage(ts, args, 1, maxArgs, "load NAME [FLAGS]")
+	l := parseLoad(ts, args)
+	loads := ts.Value(loadsKey{}).(map[string]*load)
+	if loads[l.name] != nil {
+		ts.Fatalf("load %s was started before", l.name)
+	}
+	loads[l.name] = l
+	go l.run()
+}
+
+func parseLoad(ts *testscript.TestScript, args []string) *load {
+	l := &load{name: args[0], done: make(chan struct{}), client: &http.Client{
+		Timeout:   tryTimeout,
+		Transport: &http.Transport{MaxIdleConnsPerHost: maxInFlight},
+	}}
+	var keys, entries string
+	flags := flag.NewFlagSet("load", flag.ContinueOnError)
+	flags.StringVar(&l.kind, "kind", "quote", "kind of work")
+	flags.StringVar(&keys, "keys", "", "TEAM:KEY, separated by commas; calls take turns")
+	flags.StringVar(&entries, "entries", ts.Getenv("KINGCUPLATCH_ENTRIES"), "URLs of entries, separated by commas; calls take turns")
+	flags.Float64Var(&l.rate, "rate", 100, "calls a second; 0 for all at once")
+	flags.IntVar(&l.count, "n", 100, "calls")
+	flags.BoolVar(&l.named, "ids", false, "name the requests")
+	flags.BoolVar(&l.again, "again", false, "hand in the same id at another entry while its outcome isn't known")
+	flags.BoolVar(&l.ready, "ready", false, "pass over entries that say they aren't ready, as a balancer does")
+	flags.IntVar(&l.workMS, "work-ms", 0, "how long the work takes, in milliseconds")
+	flags.IntVar(&l.pad, "pad", 0, "bytes added to each body")
+	ts.Check(flags.Parse(args[1:]))
+	for _, pair := range strings.Split(keys, ",") {
+		team, key, ok := strings.Cut(pair, ":")
+		if !ok {
+			ts.Fatalf("-keys wants TEAM:KEY, not %q", pair)
+		}
+		l.keys = append(l.keys, teamKey{team, key})
+	}
+	l.entries = strings.Split(entries, ",")
+	return l
+}
+
+// run makes the calls in step with the rate, never more than maxInFlight at once.
+func (l *load) run() {
+	defer close(l.done)
+	var running sync.WaitGroup
+	slots := make(chan struct{}, maxInFlight)
+	begin := time.Now()
+	for n := range l.count {
+		if l.rate > 0 {
+			time.Sleep(time.Until(begin.Add(time.Duration(float64(n) / l.rate * float64(time.Second)))))
+		}
+		call := l.newCall(n)
+		slots <- struct{}{}
+		running.Go(func() {
+			defer func() { <-slots }()
+			l.handIn(call)
+		})
+	}
+	running.Wait()
+	l.client.CloseIdleConnections()
+}
+
+func (l *load) newCall(n int) *loadCall {
+	key := l.keys[n%len(l.keys)]
+	call := &loadCall{
+		team: key.team, key: key.key,
+		body: fmt.Sprintf(`{"work_ms":%d,"call":"%s-%d","pad":"%s"}`, l.workMS, l.name, n, strings.Repeat("x", l.pad)),
+	}
+	if l.named {
+		call.id = fmt.Sprintf("%s-%d", l.name, n)
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.calls = append(l.calls, call)
+	return call
+}
+
+// handIn tries a call, with again until its outcome is known.
+func (l *load) handIn(call *loadCall) {
+	for range maxTries {
+		t := l.try(call, l.entry())
+		l.mu.Lock()
+		call.tries = append(call.tries, t)
+		l.mu.Unlock()
+		if !l.again || !t.lost() || t.status != 0 {
+			return
+		}
+	}
+}
+
+// entry returns whose turn it is.
+func (l *load) entry() string {
+	for range l.entries {
+		url := l.entries[int(l.next.Add(1))%len(l.entries)]
+		if !l.ready {
+			return url
+		}
+		got, err := call(http.MethodGet, url+"/readyz", "")
+		if err == nil && got.ok() {
+			return url
+		}
+	}
+	return l.entries[0]
+}
+
+// try makes one HTTP call.
+func (l *load) try(call *loadCall, entry string) (t try) {
+	t.entry = entry
+	t.started = time.Now()
+	defer func() { t.ended = time.Now() }()
+	request, err := http.NewRequest(http.MethodPost, entry+"/v1/kinds/"+l.kind+"/requests", strings.NewReader(call.body))
+	if err != nil {
+		t.fault = err
+		return t
+	}
+	request.Header.Set("Authorization", "Bearer "+call.key)
+	if l.named {
+		request.Header.Set(api.HeaderRequestID, call.id)
+	}
+	response, err := l.client.Do(request)
+	if err != nil {
+		t.fault = err
+		return t
+	}
+	defer response.Body.Close()
+	body, err := io.ReadAll(response.Body)
+	if err != nil {
+		t.fault = err
+		return t
+	}
+	l.read(call, &t, response, body)
+	return t
+}
+
+// read takes in a whole answer.
+func (l *load) read(call *loadCall, t *try, response *http.Response, body []byte) {
+	t.status = response.StatusCode
+	into := any(&t.refusal)
+	if t.status == http.StatusOK {
+		into = &t.echo
+	}
+	t.notAnAnswer = json.Unmarshal(body, into) != nil
+	if t.notAnAnswer {
+		t.fault = errors.New("no answer of a worker or an entry: " + string(body))
+	}
+	if call.id == "" {
+		call.id = response.Header.Get(api.HeaderRequestID)
+	}
+}
+
+// waitLoad waits for the end of a load.
+func waitLoad(ts *testscript.TestScript, neg bool, args []string) {
+	positive(ts, neg)
+	usage(ts, args, 1, 1, "waitload NAME")
+	l := loadNamed(ts, args[0])
+	select {
+	case <-l.done:
+	case <-time.After(2 * waitBound):
+		logTails(ts)
+		ts.Fatalf("load %s still runs after %v", l.name, 2*waitBound)
+	}
+}
+
+func loadNamed(ts *testscript.TestScript, name string) *load {
+	l := ts.Value(loadsKey{}).(map[string]*load)[name]
+	if l == nil {
+		ts.Fatalf("no load %s was started", name)
+	}
+	return l
+}
--- a/internal/scenario/scenario.go
+++ b/internal/scenario/scenario.go
@@ -14,6 +14,13 @@
 //	cluster [FLAGS]               start a platform, entries and workers
 //	entry N                       start an entry of the cluster again
 //	ready [ENTRIES WORKERS]       wait until that many serve all blocks
+//	load NAME [FLAGS]             call the entries in the background
+//	waitload NAME                 wait for the end of a load
+//	checkload NAME [FLAGS]        check a load's answers against the workers' records
+//	checkworkers [FLAGS]          check the workers' own records
+//
+// The two checks know nothing of the product but its public messages; with ! they
+// want a violation. Their flags bound what has to be seen.
 //
 // Every wait ends with a failure after 30 seconds. All processes are killed at
 // the end of the script. Use it as
@@ -52,6 +59,11 @@
 		"cluster":  startCluster,
 		"entry":    startEntry,
 		"ready":    ready,
+
+		"load":         startLoad,
+		"waitload":     waitLoad,
+		"checkload":    checkLoad,
+		"checkworkers": checkWorkers,
 	}
 }
 
@@ -59,6 +71,7 @@
 func Setup(env *testscript.Env) error {
 	procs := newProcesses(env.WorkDir, env.Vars)
 	env.Values[processesKey{}] = procs
+	env.Values[loadsKey{}] = make(map[string]*load)
 	env.Defer(procs.killAll)
 	return nil
 }
