Bound what public doors hold, answer refusals at once

Cause: calls in progress had no bound on the bytes of their bodies, and a refusal that left a body unread was held back by the server until the body came, 30 s in the test. Errors of JSON named the body, not the field; an oversize change was called invalid. Change: a gate bounds calls and bytes of each door, half of it for one team; a refusal with an unread body ends the connection; decoding errors name the field; operators' bodies are 4 MB at most and answered too_large. Ruled out: reading the body first, which lets a slow sender hold a refusal.

--- a/conn/api/http.go
+++ b/conn/api/http.go
@@ -3,10 +3,12 @@
 import (
 	"bytes"
 	"encoding/json"
+	"errors"
 	"io"
 	"math"
 	"net/http"
 	"strconv"
+	"strings"
 )
 
 // WriteJSON answers with a JSON body of known length.
@@ -31,13 +33,30 @@
 	WriteJSON(w, e.Status(), e)
 }
 
+// unknownField begins the message of encoding/json, which has no type for it.
+const unknownField = "json: unknown field "
+
+// offendingField names the field that a decoding error is about, else the body.
+func offendingField(err error) string {
+	var wrongType *json.UnmarshalTypeError
+	if errors.As(err, &wrongType) && wrongType.Field != "" {
+		return wrongType.Field
+	}
+	if quoted, ok := strings.CutPrefix(err.Error(), unknownField); ok {
+		if name, err := strconv.Unquote(quoted); err == nil && name != "" {
+			return name
+		}
+	}
+	return "body"
+}
+
 // DecodeStrict decodes one JSON value without unknown fields into v. The error is
-// an *Error.
+// an *Error that names the field it is about.
 func DecodeStrict(data []byte, v any) error {
 	decoder := json.NewDecoder(bytes.NewReader(data))
 	decoder.DisallowUnknownFields()
 	if err := decoder.Decode(v); err != nil {
-		return &Error{Code: CodeInvalid, Field: "body", Message: err.Error(), Ran: NotRun}
+		return &Error{Code: CodeInvalid, Field: offendingField(err), Message: err.Error(), Ran: NotRun}
 	}
 	if _, err := decoder.Token(); err != io.EOF {
 		return &Error{Code: CodeInvalid, Field: "body", Message: "more than one JSON value", Ran: NotRun}
--- a/conn/callers/callers.go
+++ b/conn/callers/callers.go
@@ -30,6 +30,9 @@
 	maxDeadline   = time.Hour
 	retryStopping = time.Second
 	retryNoConfig = 2 * time.Second
+	// maxCalls bounds the calls in progress, maxHeldBytes the sum of their bodies.
+	maxCalls     = 20_000
+	maxHeldBytes = 32 << 20
 )
 
 // Config tells which configuration is in force.
@@ -68,11 +71,15 @@
 }
 
 // door holds the handlers.
-type door struct{ Options }
+type door struct {
+	Options
+	gate *api.Gate
+}
 
 // Handler returns the door.
 func Handler(o Options) http.Handler {
-	d := &door{o}
+	held := max(maxHeldBytes, 2*o.MaxBodyBytes)
+	d := &door{o, api.NewGate(api.GateLimits{Calls: maxCalls, Bytes: held})}
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST /v1/kinds/{kind}/requests", d.admitted(d.request))
 	mux.HandleFunc("POST /v1/jobs", d.admitted(d.submit))
@@ -93,6 +100,8 @@
 	r        *http.Request
 	snapshot *version.Snapshot
 	team     string
+	// bodyRead says that the whole body was read.
+	bodyRead bool
 }
 
 // admitted checks readiness and the key before handle.
@@ -104,14 +113,37 @@
 		r.Body = http.MaxBytesReader(w, r.Body, d.MaxBodyBytes)
 		c, err := d.admit(w, r)
 		if err == nil {
-			err = handle(c)
+			err = d.gated(c, handle)
 		}
 		if err != nil {
+			endIfUnread(c, w, r)
 			api.WriteError(w, asAPIError(err))
 		}
 	}
 }
 
+// endIfUnread ends the connection after a refusal that left the body unread. Else
+// the server would hold the answer back until the body has come.
+func endIfUnread(c *call, w http.ResponseWriter, r *http.Request) {
+	read := c != nil && c.bodyRead
+	if r.ContentLength != 0 && !read {
+		w.Header().Set("Connection", "close")
+	}
+}
+
+// gated handles the call while the gate has room for it.
+func (d *door) gated(c *call, handle func(*call) error) error {
+	if c.r.ContentLength > d.MaxBodyBytes {
+		return tooLarge(d.MaxBodyBytes)
+	}
+	leave, err := d.gate.Enter(c.team, api.BodyBytes(c.r, d.MaxBodyBytes))
+	if err != nil {
+		return err
+	}
+	defer leave()
+	return handle(c)
+}
+
 func (d *door) admit(w http.ResponseWriter, r *http.Request) (*call, error) {
 	if d.Stopping() {
 		return nil, retry(notRun(api.CodeStopping, "", "this entry is stopping"), retryStopping)
@@ -222,16 +254,21 @@
 // readBody returns the whole body, or an error if it is too large or cut short.
 func readBody(c *call) ([]byte, error) {
 	body, err := io.ReadAll(c.r.Body)
-	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
-		return nil, notRun(api.CodeTooLarge, "body", "larger than "+strconv.FormatInt(tooLarge.Limit, 10)+" bytes")
+	var over *http.MaxBytesError
+	if errors.As(err, &over) {
+		return nil, tooLarge(over.Limit)
 	}
 	if err != nil {
 		return nil, notRun(api.CodeInvalid, "body", "cut short: "+err.Error())
 	}
+	c.bodyRead = true
 	return body, nil
 }
 
+func tooLarge(limit int64) *api.Error {
+	return notRun(api.CodeTooLarge, "body", "larger than "+strconv.FormatInt(limit, 10)+" bytes")
+}
+
 func (d *door) submit(c *call) error {
 	spec, err := d.decodeJob(c)
 	if err != nil {
--- a/conn/operators/operators.go
+++ b/conn/operators/operators.go
@@ -14,6 +14,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"strconv"
 	"strings"
 	"time"
 
@@ -26,8 +27,13 @@
 // ConfirmFor is how long a change waits for the entries to confirm it.
 const ConfirmFor = 3 * time.Second
 
-// maxBodyBytes bounds a body of this door.
-const maxBodyBytes = 16 << 20
+// Bounds of the door.
+const (
+	maxBodyBytes = 4 << 20
+	// maxCalls bounds the calls in progress, maxHeldBytes the sum of their bodies.
+	maxCalls     = 64
+	maxHeldBytes = 4 * maxBodyBytes
+)
 
 // Result is what became of a change.
 type Result struct {
@@ -68,11 +74,14 @@
 	NewID     func() string
 }
 
-type door struct{ Options }
+type door struct {
+	Options
+	gate *api.Gate
+}
 
 // Handler returns the door.
 func Handler(o Options) http.Handler {
-	d := &door{o}
+	d := &door{o, api.NewGate(api.GateLimits{Calls: maxCalls, Bytes: maxHeldBytes})}
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST /v1/apply", d.checked(d.apply))
 	mux.HandleFunc("POST /v1/plan", d.checked(d.plan))
@@ -96,11 +105,13 @@
 	return func(w http.ResponseWriter, r *http.Request) {
 		r.Body = http.MaxBytesReader(w, r.Body, maxBodyBytes)
 		if !d.holdsKey(r) {
+			endWithBody(w, r)
 			api.WriteError(w, refused(api.CodeUnauthorized, "authorization", "the operators' key is missing or wrong"))
 			return
 		}
-		answer, err := handle(r)
+		answer, err := d.gated(r, handle)
 		if err != nil {
+			endWithBody(w, r)
 			api.WriteError(w, asAPIError(err))
 			return
 		}
@@ -108,6 +119,24 @@
 	}
 }
 
+// endWithBody ends the connection after a refusal of a call with a body, which the
+// server would else wait for before it sends the answer.
+func endWithBody(w http.ResponseWriter, r *http.Request) {
+	if r.ContentLength != 0 {
+		w.Header().Set("Connection", "close")
+	}
+}
+
+// gated handles the call while the gate has room for it.
+func (d *door) gated(r *http.Request, handle func(*http.Request) (any, error)) (any, error) {
+	leave, err := d.gate.Enter("", api.BodyBytes(r, maxBodyBytes))
+	if err != nil {
+		return nil, err
+	}
+	defer leave()
+	return handle(r)
+}
+
 func (d *door) holdsKey(r *http.Request) bool {
 	key, ok := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
 	if !ok {
@@ -204,8 +233,12 @@
 func readApply(r *http.Request) (api.ApplyRequest, *records.Records, error) {
 	var request api.ApplyRequest
 	body, err := io.ReadAll(r.Body)
+	var over *http.MaxBytesError
+	if errors.As(err, &over) {
+		return request, nil, refused(api.CodeTooLarge, "body", "larger than "+strconv.FormatInt(over.Limit, 10)+" bytes")
+	}
 	if err != nil {
-		return request, nil, refused(api.CodeInvalid, "body", err.Error())
+		return request, nil, refused(api.CodeInvalid, "body", "cut short: "+err.Error())
 	}
 	if err := api.DecodeStrict(body, &request); err != nil {
 		return request, nil, err
