Accept a change once most entries know of it

Cause: while the store was down, one entry that ended stopped admission on all others until the store came back, as each waited for its word; and nobody can be declared dead in a table that is down. Change: a change is called accepted once most entries know of it; while the store can't be read, the words of most entries that have read it since they began are enough to admit by. Without most, Apply says that the outcome is unknown. Entries can be run without single mechanisms, for proofs. Ruled out: dropping peers whose row is dead, which needs the table.

--- a/process/entry/config.go
+++ b/process/entry/config.go
@@ -76,4 +76,17 @@
 }
 
 // Omissions are the mechanisms that an entry can be run without.
-type Omissions struct{}
+type Omissions struct {
+	// ConfigBound: the entry admits however long it had no news of the configuration.
+	ConfigBound bool
+	// PeerNews: it hears nothing of the configuration from its peers.
+	PeerNews bool
+	// Conditions: it moves the configuration's head whatever the head is.
+	Conditions bool
+	// ReadBack: it takes a commit whose answer was lost for one without effect.
+	ReadBack bool
+	// TeamOfWork: jobs and request ids of all teams are one set.
+	TeamOfWork bool
+	// Leaving: it doesn't see that workers leave or are drained.
+	Leaving bool
+}
--- a/process/entry/configure.go
+++ b/process/entry/configure.go
@@ -56,18 +56,29 @@
 	return names
 }
 
-// announce tells all other entries of a version.
-func (e *Entry) announce(ctx context.Context, number uint64) {
+// announce tells all other entries of a version and returns who has taken note.
+func (e *Entry) announce(ctx context.Context, number uint64) []string {
+	if e.Omit.PeerNews {
+		return e.otherEntries()
+	}
 	var calls sync.WaitGroup
+	var mu sync.Mutex
+	var told []string
 	for _, i := range e.fleet.List().Entries {
 		if i.Name == e.Instance {
 			continue
 		}
 		calls.Go(func() {
-			_ = e.links.Call(ctx, i.Address, methodAnnounce, announcement{e.Instance, number}, nil)
+			if e.links.Call(ctx, i.Address, methodAnnounce, announcement{e.Instance, number}, nil) != nil {
+				return
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			told = append(told, i.Name)
 		})
 	}
 	calls.Wait()
+	return told
 }
 
 func (e *Entry) fetchFromPeer(ctx context.Context, instance string, number uint64) (store.Version, error) {
@@ -88,7 +99,10 @@
 			if err := json.Unmarshal(params, &a); err != nil {
 				return nil, err
 			}
-			return struct{}{}, e.config.Learn(ctx, a.From, a.Number)
+			if err := e.config.Learn(ctx, a.From, a.Number); err != nil {
+				e.Log.Log(events.StoreFailed, err)
+			}
+			return struct{}{}, nil
 		},
 		methodFetch: func(_ context.Context, params json.RawMessage) (any, error) {
 			var f fetch
@@ -110,10 +124,19 @@
 }
 
 // operatorsConfig gives the operators' door its errors.
-type operatorsConfig struct{ *store.Store }
+type operatorsConfig struct {
+	*store.Store
+	entry *Entry
+}
 
 // Apply implements operators.Config.
 func (c operatorsConfig) Apply(ctx context.Context, changeID string, base uint64, edit operators.Edit) (operators.Result, error) {
+	if c.entry.fleet.List().ReadAt.IsZero() {
+		return operators.Result{}, &api.Error{
+			Code: api.CodeUnavailable, Message: "the other entries aren't known here yet", Ran: api.NotRun,
+			RetryAfter: comeBackToPlatform,
+		}
+	}
 	result, err := c.Store.Apply(ctx, changeID, base, store.Edit(edit))
 	if err != nil {
 		return operators.Result{}, applyError(err)
--- a/process/entry/doors.go
+++ b/process/entry/doors.go
@@ -35,11 +35,11 @@
 func (d *doors) start(e *Entry) {
 	d.drainFor = min(notReadyFor, e.Timings.Drain/4)
 	d.callers = e.httpServer(d.counted(callers.Handler(callers.Options{
-		Config: e.config, Requests: e.requests, Jobs: e, MaxBodyBytes: e.MaxBodyBytes,
+		Config: e.admission(), Requests: e.runner(), Jobs: e.jobsOfCallers(), MaxBodyBytes: e.MaxBodyBytes,
 		Stopping: e.stopping.Load, NewID: newID,
 	})))
 	d.operators = e.httpServer(d.counted(operators.Handler(operators.Options{
-		Config: operatorsConfig{e.config}, Views: e, KeySHA256: e.OperatorKeySHA256, NewID: newID,
+		Config: operatorsConfig{e.config, e}, Views: e, KeySHA256: e.OperatorKeySHA256, NewID: newID,
 	})))
 	d.metrics = e.httpServer(e.metrics.handler())
 	d.serve(d.callers, e.Listeners.Callers)
--- a/process/entry/entry.go
+++ b/process/entry/entry.go
@@ -58,6 +58,7 @@
 
 // New returns an entry that does nothing until Run.
 func New(c Config) *Entry {
+	c.leaveOut()
 	e := &Entry{Config: c, changed: make(chan struct{}, 1)}
 	e.ctx, e.cancel = context.WithCancel(context.Background())
 	e.links = peer.NewLinks()
--- a/process/entry/loops.go
+++ b/process/entry/loops.go
@@ -183,7 +183,7 @@
 
 // heard takes in a message of a peer.
 func (e *Entry) heard(p exchange.Peer) {
-	if !p.SaidAfter.IsZero() {
+	if !p.SaidAfter.IsZero() && !e.Omit.PeerNews {
 		e.config.ObservePeer(p.Instance, p.Status, p.SaidAfter)
 	}
 	e.room.Heard(p)
--- a/version/store/apply.go
+++ b/version/store/apply.go
@@ -17,9 +17,9 @@
 	lastPause  = time.Second
 )
 
-// ErrOutcomeUnknown says that the change may or may not have been accepted, and
-// the table couldn't tell before the context ended. Apply with the same change
-// id finds out.
+// ErrOutcomeUnknown says that the change may or may not have been accepted: the
+// table couldn't tell before the context ended, or too few entries could be told of
+// it. Apply with the same change id finds out.
 var ErrOutcomeUnknown = errors.New("outcome of the change is unknown")
 
 // ErrHeadBehind says that the table holds an older version than the one in
@@ -49,8 +49,9 @@
 // may be called several times.
 type Edit func(*records.Records) (*records.Records, error)
 
-// Apply makes one change and returns once it is accepted and announced; unless
-// it was made by an earlier call, it is in force here. base is the version that the change was made for, 0 for any.
+// Apply makes one change and returns once it is accepted, which it is when the
+// table has it and most entries know of it; unless it was made by an earlier call,
+// it is in force here. base is the version that the change was made for, 0 for any.
 // changeID is chosen by the caller, 1 to 128 letters, digits, dots, hyphens and
 // underscores; a change with an id that was accepted before is not made again.
 //
@@ -71,17 +72,45 @@
 	if err != nil {
 		return Result{}, eris.Wrapf(err, "%s: apply change %s", s.options.Self, changeID)
 	}
-	s.announce(ctx, result.Number)
+	if err := s.spread(ctx, result.Number); err != nil {
+		return Result{}, eris.Wrapf(err, "%s: apply change %s", s.options.Self, changeID)
+	}
 	return result, nil
 }
 
-func (s *Store) announce(ctx context.Context, number uint64) {
+// spread announces a version until most entries know of it.
+func (s *Store) spread(ctx context.Context, number uint64) error {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), spreadTimeout)
+	defer cancel()
+	told := make(map[string]bool)
+	for pause := firstPause; ; pause = min(2*pause, lastPause) {
+		s.announce(ctx, number, told)
+		if s.knownToMost(number, told) {
+			return nil
+		}
+		if sleep(ctx, pause) != nil {
+			return eris.Wrapf(ErrOutcomeUnknown, "version %d is in the table, but most entries have not heard of it", number)
+		}
+	}
+}
+
+// announce adds to told who has taken note of the version.
+func (s *Store) announce(ctx context.Context, number uint64, told map[string]bool) {
 	if s.options.Announce == nil {
 		return
 	}
-	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), announceTimeout)
+	ctx, cancel := context.WithTimeout(ctx, announceTimeout)
 	defer cancel()
-	s.options.Announce(ctx, number)
+	for _, instance := range s.options.Announce(ctx, number) {
+		told[instance] = true
+	}
+}
+
+func (s *Store) knownToMost(number uint64, told map[string]bool) bool {
+	peers := s.peers()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.tellNobody || s.contact.knownTo(number, peers, told)
 }
 
 // application is one call of Apply.
--- a/version/store/contact.go
+++ b/version/store/contact.go
@@ -1,6 +1,9 @@
 package store
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // keepObservations is how long the last answer of a silent peer is kept.
 const keepObservations = time.Minute
@@ -94,40 +97,59 @@
 	if !c.verifiedAt.IsZero() {
 		until = c.verifiedAt.Add(bound)
 	}
-	if said, ok := c.downForAll(number, peers); ok {
+	if said, ok := c.downForMost(number, peers); ok {
 		until = later(until, said.Add(bound))
 	}
 	return until
 }
 
-// downForAll reports whether this entry and all peers said that they can't read
-// the head and know of no version above number, and since when the oldest of
-// these statements stands. Changes pass through entries only, so none can have
-// been accepted before that.
-func (c *contact) downForAll(number uint64, peers []string) (time.Time, bool) {
+// downForMost reports whether most entries, this one among them, said that they
+// can't read the head and know of no version above number, and since when the
+// oldest of the statements that are needed stands. A change is accepted only once
+// most entries know of it, so that one of these would have known. An entry counts
+// only if it has read the head since it began: else it may have forgotten.
+//
+// Source: majorities of one set intersect; Gifford, Weighted Voting for Replicated
+// Data, 1979.
+func (c *contact) downForMost(number uint64, peers []string) (time.Time, bool) {
 	if c.reachable || c.failedAt.IsZero() || c.known > number || len(peers) == 0 {
 		return time.Time{}, false
 	}
-	oldest := c.failedAt
+	var said []time.Time
+	if !c.readAt.IsZero() {
+		said = append(said, c.failedAt)
+	}
 	for _, peer := range peers {
 		o, ok := c.observed[peer]
-		if !ok || o.status.StoreReachable {
-			return time.Time{}, false
+		if ok && !o.status.StoreReachable && o.status.StoreAge >= 0 {
+			said = append(said, o.sent)
 		}
-		oldest = earlier(oldest, o.sent)
 	}
-	return oldest, true
+	need := mostOf(len(peers) + 1)
+	if len(said) < need {
+		return time.Time{}, false
+	}
+	slices.SortFunc(said, func(a, b time.Time) int { return b.Compare(a) })
+	return said[need-1], true
 }
 
-func later(a, b time.Time) time.Time {
-	if b.After(a) {
-		return b
+// knownTo reports whether most entries know of a version: this one, the peers in
+// told, and those that said so.
+func (c *contact) knownTo(number uint64, peers []string, told map[string]bool) bool {
+	count := 1
+	for _, peer := range peers {
+		if told[peer] || c.observed[peer].status.Known >= number {
+			count++
+		}
 	}
-	return a
+	return count >= mostOf(len(peers)+1)
 }
 
-func earlier(a, b time.Time) time.Time {
-	if b.Before(a) {
+// mostOf returns the size of the smallest majority of n.
+func mostOf(n int) int { return n/2 + 1 }
+
+func later(a, b time.Time) time.Time {
+	if b.After(a) {
 		return b
 	}
 	return a
--- a/version/store/rows.go
+++ b/version/store/rows.go
@@ -17,7 +17,8 @@
 
 // Keys of the rows of the table.
 const (
-	headKey      = "config/head"
+	// HeadKey is the row of the newest version.
+	HeadKey      = "config/head"
 	changePrefix = "config/change/"
 )
 
@@ -43,7 +44,7 @@
 }
 
 func (s *Store) readHead(ctx context.Context) (headRow, error) {
-	row, ok, err := s.options.Table.Get(ctx, headKey)
+	row, ok, err := s.options.Table.Get(ctx, HeadKey)
 	if err != nil {
 		return headRow{}, eris.Wrap(err, "read head of table")
 	}
@@ -82,9 +83,9 @@
 		return platform.Txn{}, eris.Wrap(err, "encode change")
 	}
 	return platform.Txn{
-		Conditions: []platform.Condition{{Key: headKey, Version: from.rowVersion}},
+		Conditions: []platform.Condition{{Key: HeadKey, Version: from.rowVersion}},
 		Writes: []platform.Write{
-			{Key: headKey, Value: headValue},
+			{Key: HeadKey, Value: headValue},
 			{Key: changePrefix + id, Value: changeValue},
 		},
 	}, nil
--- a/version/store/store.go
+++ b/version/store/store.go
@@ -6,8 +6,8 @@
 // head, so that whoever lost the answer can read the outcome back.
 //
 // What holds. The version in force of a Store never goes back. A change that
-// Apply called accepted is in the history exactly once; one that it called
-// refused never is. Within Options.Bound of an accepted change, a Store either
+// Apply called accepted is in the history exactly once, and most entries know of
+// it; one that it called refused never is. Within Options.Bound of an accepted change, a Store either
 // has it in force or doesn't admit; see Admitting.
 //
 // Who moves it. Run polls the head. Accepted changes are announced to peers
@@ -35,8 +35,12 @@
 	DefaultBound     = 2 * time.Second
 )
 
-// announceTimeout bounds how long an accepted change waits for Announce.
-const announceTimeout = 500 * time.Millisecond
+// announceTimeout bounds how long a change waits for one call of Announce,
+// spreadTimeout how long until most entries know of it.
+const (
+	announceTimeout = 500 * time.Millisecond
+	spreadTimeout   = 3 * time.Second
+)
 
 // readShare is the part of Options.Bound after which one read or fetch has
 // failed. Two in a row, the second of which fails, must fit into the bound.
@@ -66,12 +70,12 @@
 	// the newest. A read of the head that takes longer than readShare of it has
 	// failed.
 	Bound time.Duration
-	// Peers returns the names of all other entries that may be alive. One may
-	// be left out only when it is known to have ended.
+	// Peers returns the names of all other entries that may be alive, the same
+	// on all entries. One may be left out only when it is known to have ended.
 	Peers func() []string
-	// Announce tells all peers of an accepted change and returns when they
-	// have been told or ctx ends; they call Learn.
-	Announce func(ctx context.Context, number uint64)
+	// Announce tells all peers of a change and returns when they have been told
+	// or ctx ends; they call Learn. It returns those who surely did.
+	Announce func(ctx context.Context, number uint64) []string
 	// FetchFromPeer asks the peer for its version in force, which is at least
 	// number.
 	FetchFromPeer func(ctx context.Context, instance string, number uint64) (Version, error)
@@ -98,6 +102,7 @@
 	acceptLower  bool
 	skipReadBack bool
 	ignoreBound  bool
+	tellNobody   bool
 }
 
 // inForce is a version with all its forms. It is immutable.
@@ -148,8 +153,8 @@
 // Admitting reports whether work may be admitted under the current version at
 // `now`: no newer version can have been accepted longer than Bound ago. It
 // holds if, within Bound, the head was read and is in force, or a peer read it
-// and its version is in force here; or if the head can't be read here and all
-// peers said within Bound that they can't read it either and know no newer
+// and its version is in force here; or if the head can't be read here and most
+// entries said within Bound that they can't read it either and know no newer
 // version. It does not hold for an entry without contact to table and peers.
 func (s *Store) Admitting(now time.Time) bool {
 	until := *s.admitUntil.Load()
