Learn from peers which workers leave, prove keys and configuration

Cause: an owner that was cut off from the platform went on using workers that were leaving, as only the platform's list told it. Change: entries with a fresh list name leaving workers in the exchange, and one whose list is old takes their word. Scripts with separate processes and relays between entries and platform prove keys, configuration, teams' work and leaving, each beside a script that runs without the mechanism. Figures: without the peers' word checkidle finds the late work; with it none.

--- a/internal/scenario/cluster.go
+++ b/internal/scenario/cluster.go
@@ -35,6 +35,10 @@
 	// timings are lines for the settings' table of timings.
 	timings  string
 	upstream string
+	// relays puts a relay before the platform and the peers' listener of each entry.
+	relays bool
+	// without is a mechanism that the entries leave out.
+	without string
 }
 
 // startCluster starts a platform, entries and workers as processes and sets
@@ -46,14 +50,17 @@
 	procs := processesOf(ts)
 	ts.Check(procs.start(ts.MkAbs("."), "platform", "platform", []string{"-listen", "127.0.0.1:0", "-addr-file", "platform.addr"}))
 	addr(ts, false, []string{"PLATFORM", "platform.addr"})
+	procs.clusterOf = c
 	for n := 1; n <= c.entries; n++ {
+		if c.relays {
+			c.startRelays(ts, n)
+		}
 		c.writeSettings(ts, n)
 		startEntry(ts, false, []string{strconv.Itoa(n)})
 	}
 	for n := 1; n <= c.workers; n++ {
 		c.startWorker(ts, n)
 	}
-	procs.clusterOf = c
 	ts.Setenv("KINGCUPLATCH_ENTRIES", c.urls(ts, "ENTRY"))
 	ts.Setenv("KINGCUPLATCH_OPERATORS", c.urls(ts, "OPS"))
 	ready(ts, false, nil)
@@ -65,6 +72,8 @@
 	flags.IntVar(&c.entries, "entries", 3, "entries")
 	flags.IntVar(&c.workers, "workers", 3, "workers")
 	flags.StringVar(&c.upstream, "upstream", "bookings", "upstream of the workers")
+	flags.BoolVar(&c.relays, "relays", false, "put relays between each entry and platform and peers")
+	flags.StringVar(&c.without, "without", "", "mechanism that the entries leave out")
 	flags.StringVar(&c.timings, "timings", "", "settings of timings, separated by commas")
 	ts.Check(flags.Parse(args))
 	c.extra = flags.Args()
@@ -91,9 +100,10 @@
 metrics = "127.0.0.1:0"
 [platform]
 url = "http://%s"
+%s
 [timings]
 %s
-`, n, n%domains, operatorKeySHA256, ts.Getenv("PLATFORM"), strings.ReplaceAll(c.timings, ",", "\n"))
+`, n, n%domains, operatorKeySHA256, c.platformOf(ts, n), c.advertise(ts, n), strings.ReplaceAll(c.timings, ",", "\n"))
 	ts.Check(os.WriteFile(ts.MkAbs(fmt.Sprintf("entry-%d.toml", n)), []byte(text), 0o644))
 }
 
@@ -104,14 +114,19 @@
 	name := "entry-" + args[0]
 	dir := name + ".addr"
 	ts.Check(os.RemoveAll(ts.MkAbs(dir)))
-	start(ts, false, []string{name, "kingcuplatchd", "-config", name + ".toml", "-addresses", dir})
+	c := processesOf(ts).clusterOf
+	program := []string{name, "kingcuplatchd"}
+	if c.without != "" {
+		program = []string{name, "kingcuplatchd-without", c.without}
+	}
+	start(ts, false, append(program, "-config", name+".toml", "-addresses", dir))
 	for variable, file := range map[string]string{"ENTRY": "callers", "OPS": "operators", "PEER": "peers", "METRICS": "metrics"} {
 		addr(ts, false, []string{variable + args[0], filepath.Join(dir, file)})
 	}
 	n, err := strconv.Atoi(args[0])
 	ts.Check(err)
 	putInstance(ts, platform.Instance{
-		Name: name, Role: platform.RoleEntry, Address: ts.Getenv("PEER" + args[0]),
+		Name: name, Role: platform.RoleEntry, Address: c.peerAddress(ts, n),
 		Region: "r1", FailureDomain: fmt.Sprintf("d%d", n%domains),
 	})
 }
--- a/internal/scenario/scenario.go
+++ b/internal/scenario/scenario.go
@@ -18,6 +18,10 @@
 //	waitload NAME                 wait for the end of a load
 //	checkload NAME [FLAGS]        check a load's answers against the workers' records
 //	checkworkers [FLAGS]          check the workers' own records
+//	mark NAME                     note the time
+//	waitmark NAME DURATION        wait until that long after the mark
+//	checkkey LOAD [FLAGS]         check when the load's key began or ceased to work
+//	checkidle WORKER [FLAGS]      check that a worker began nothing after a mark
 //
 // The two checks know nothing of the product but its public messages; with ! they
 // want a violation. Their flags bound what has to be seen.
@@ -60,6 +64,11 @@
 		"entry":    startEntry,
 		"ready":    ready,
 
+		"mark":      mark,
+		"waitmark":  waitMark,
+		"checkkey":  checkKey,
+		"checkidle": checkIdle,
+
 		"load":         startLoad,
 		"waitload":     waitLoad,
 		"checkload":    checkLoad,
@@ -72,6 +81,7 @@
 	procs := newProcesses(env.WorkDir, env.Vars)
 	env.Values[processesKey{}] = procs
 	env.Values[loadsKey{}] = make(map[string]*load)
+	env.Values[marksKey{}] = make(map[string]time.Time)
 	env.Defer(procs.killAll)
 	return nil
 }
--- a/process/entry/config.go
+++ b/process/entry/config.go
@@ -89,4 +89,6 @@
 	TeamOfWork bool
 	// Leaving: it doesn't see that workers leave or are drained.
 	Leaving bool
+	// PeersLeaving: it doesn't learn from its peers which workers leave.
+	PeersLeaving bool
 }
--- a/process/entry/loops.go
+++ b/process/entry/loops.go
@@ -60,6 +60,7 @@
 			own = append(own, w)
 		}
 	}
+	e.markLeaving(own)
 	return own
 }
 
@@ -135,6 +136,8 @@
 		Free:   e.freeByUpstream(),
 		Tasks:  e.book.Free(),
 		Queues: e.queueTotals(),
+
+		Leaving: e.leavingWorkers(),
 	}
 }
 
@@ -188,6 +191,7 @@
 	}
 	e.room.Heard(p)
 	e.hearQueues(p)
+	e.hearLeaving()
 	e.requests.Wake()
 }
 
--- a/process/exchange/exchange.go
+++ b/process/exchange/exchange.go
@@ -66,6 +66,9 @@
 	// Queues is what the entry's queues have let teams use over their lives.
 	Queues []QueueTotals    `json:"queues,omitempty"`
 	Tasks  capacity.Summary `json:"tasks,omitzero"`
+	// Leaving names the workers that the entry's fresh instance list shows as
+	// leaving, for entries that can't read the list.
+	Leaving []string `json:"leaving,omitempty"`
 }
 
 // Peer is what is known of another entry.
--- a/scenarios/scenarios_test.go
+++ b/scenarios/scenarios_test.go
@@ -16,6 +16,7 @@
 	"github.com/kingcuplatch/kingcuplatch/internal/cli"
 	"github.com/kingcuplatch/kingcuplatch/internal/scenario"
 	"github.com/kingcuplatch/kingcuplatch/internal/standin/platformstandin"
+	"github.com/kingcuplatch/kingcuplatch/internal/standin/relaystandin"
 	"github.com/kingcuplatch/kingcuplatch/internal/standin/workerstandin"
 	"github.com/kingcuplatch/kingcuplatch/process/daemon"
 )
@@ -30,8 +31,10 @@
 		"kingcuplatch": func() {
 			os.Exit(cli.Main(context.Background(), os.Args[1:], os.Stdin, os.Stdout, os.Stderr))
 		},
-		"platform": func() { os.Exit(platformstandin.Main(os.Args[1:])) },
-		"worker":   func() { os.Exit(workerstandin.Main(os.Args[1:])) },
+		"kingcuplatchd-without": runWithout,
+		"relay":                 func() { os.Exit(relaystandin.Main(os.Args[1:])) },
+		"platform":              func() { os.Exit(platformstandin.Main(os.Args[1:])) },
+		"worker":                func() { os.Exit(workerstandin.Main(os.Args[1:])) },
 	})
 }
 
