Hold each team within its limit across the fleet

Cause: the limit was held at each entry alone; grants of an ended entry had to be inherited by one heir that knew all it had running, but blocks of a stopped entry go to several. Change: allotments are wired. The grant of an ended incarnation stays as cover; whoever adopts its work moves as much of it; the rest is free once that work has surely ended. A refusal makes the ledger step at once (at most every 100 ms). A request short of allotment waits for it and isn't sent around among peers; the waiting time counts to the last place found. A caller's deadline is at most its kind's, so that the longest life of unadopted work is known. Ruled out: dropping an ended grant at once (the new test then sees the limit exceeded).

--- a/conn/callers/callers.go
+++ b/conn/callers/callers.go
@@ -27,7 +27,6 @@
 // Bounds of the door.
 const (
 	maxIDBytes    = 128
-	maxDeadline   = time.Hour
 	retryStopping = time.Second
 	retryNoConfig = 2 * time.Second
 )
@@ -199,8 +198,9 @@
 		return kind.Deadline, nil
 	}
 	ms, err := strconv.ParseInt(header, 10, 64)
-	if err != nil || ms < 1 || ms > maxDeadline.Milliseconds() {
-		return 0, notRun(api.CodeInvalid, "deadline", "want milliseconds from 1 to "+strconv.FormatInt(maxDeadline.Milliseconds(), 10))
+	longest := kind.Deadline.Milliseconds()
+	if err != nil || ms < 1 || ms > longest {
+		return 0, notRun(api.CodeInvalid, "deadline", "want milliseconds from 1 to the kind's "+strconv.FormatInt(longest, 10))
 	}
 	return time.Duration(ms) * time.Millisecond, nil
 }
--- a/internal/trial/cluster.go
+++ b/internal/trial/cluster.go
@@ -116,7 +116,7 @@
 	}
 	name := fmt.Sprintf("entry-%d", n+1)
 	config := entry.Config{
-		Instance: name, Incarnation: entry.NewIncarnation(), FailureDomain: domain(n), Region: region,
+		Instance: name, Incarnation: entry.NewIncarnation(name), FailureDomain: domain(n), Region: region,
 		PeerAddress: l.Peers.Addr().String(), OperatorKeySHA256: records.HashKey(OperatorKey),
 		MaxBodyBytes: 1 << 20, MaxHeaderBytes: 64 << 10, MaxQueue: 1000,
 		Timings: Timings(), Listeners: l,
--- a/process/allotment/allotment.go
+++ b/process/allotment/allotment.go
@@ -15,9 +15,10 @@
 //   - A smaller grant is in force before it is written, a larger one after the
 //     write is confirmed. While the outcome of a write isn't known, the lesser
 //     of both counts; reading the row back settles it.
-//   - An entry changes its own grant only, except that the one that takes over
-//     from a dead incarnation folds that one's grant into its own (Inherit).
-//     Until then it counts as used.
+//   - An entry changes its own grant only. The grant of an incarnation that has
+//     ended stays as cover for its work; whoever adopts some of that work (Force)
+//     moves as much of the grant to its own. What is left is free after a time in
+//     which all of that work has been adopted or has ended.
 //   - A grant never shrinks below what is in use. What runs above a lowered
 //     limit is reported by Over, so that it can be throttled or checkpointed.
 //
--- a/process/allotment/ledger.go
+++ b/process/allotment/ledger.go
@@ -23,6 +23,7 @@
 	growFirst  bool // a larger grant is in force before it is confirmed
 	shrinkLate bool // a smaller grant is in force only when it is confirmed
 	scale      bool // grants aren't scaled under a lower limit
+	dropEnded  bool // grants of ended incarnations are free at once
 }
 
 // Options are what a Ledger needs.
@@ -32,8 +33,18 @@
 	Table       platform.Table
 	// Limits returns the limits of all teams, from the version in force.
 	Limits func() []TeamLimit
-	// Every (1 s) is the period of Run's steps.
+	// Every (1 s) is the period of Run's steps. A refusal makes Run step sooner, but
+	// not more often than ten times a period.
 	Every time.Duration
+	// Stepped is called after each of Run's steps; nil stands for nothing.
+	Stepped func()
+	// Ended reports whether an incarnation's right has surely ended. Nil stands
+	// for never.
+	Ended func(incarnation string) bool
+	// SettleAfter is how long after it is seen to have ended an incarnation's
+	// work has surely ended or been adopted; what is left of its grants is free
+	// then. Nil stands for never.
+	SettleAfter func() time.Duration
 }
 
 // Ledger is this entry's account of all teams. Create it with New.
@@ -42,8 +53,13 @@
 	omit   omissions
 	seed   maphash.Seed
 	shards [shardCount]shard
-	// stepping admits one Step or Rejoin at a time.
+	// stepping admits one Step or Rejoin at a time; it guards the fields below.
 	stepping chan struct{}
+	// endedAt is when an incarnation was first seen to have ended.
+	endedAt map[string]time.Time
+	sweptAt time.Time
+	// refused wakes Run.
+	refused chan struct{}
 }
 
 type shard struct {
@@ -68,8 +84,6 @@
 	row     row
 	version uint64
 	stale   bool
-	// folds are dead incarnations whose grants are to be inherited.
-	folds []string
 	// closed says that nothing may be taken any more.
 	closed bool
 }
@@ -79,23 +93,34 @@
 	if o.Every == 0 {
 		o.Every = time.Second
 	}
-	l := &Ledger{Options: o, seed: maphash.MakeSeed(), stepping: make(chan struct{}, 1)}
+	if o.Ended == nil {
+		o.Ended = func(string) bool { return false }
+	}
+	l := &Ledger{
+		Options: o, seed: maphash.MakeSeed(), stepping: make(chan struct{}, 1),
+		endedAt: make(map[string]time.Time), refused: make(chan struct{}, 1),
+	}
+	if l.Stepped == nil {
+		l.Stepped = func() {}
+	}
 	for i := range l.shards {
 		l.shards[i].teams = make(map[string]*team)
 	}
 	return l
 }
 
-// Rejoin starts anew under another incarnation, after this entry has lost its
-// right: what it held and counted is another's now.
+// Rejoin goes on under another incarnation, after this entry has lost its right:
+// what it held is no longer its own. What it counts as used still is, until given
+// back.
 func (l *Ledger) Rejoin(incarnation string) {
 	l.stepping <- struct{}{}
 	defer func() { <-l.stepping }()
-	for i := range l.shards {
-		s := &l.shards[i]
-		s.mu.Lock()
-		s.teams = make(map[string]*team)
-		s.mu.Unlock()
+	for _, name := range l.names() {
+		l.with(name, func(t *team) {
+			t.row, t.version, t.stale = row{}, 0, true
+			t.candidates = []grant{{}}
+			t.settle(l.omit)
+		})
 	}
 	l.Incarnation = incarnation
 }
@@ -124,7 +149,22 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	t := s.teams[name]
-	return t != nil && !t.closed && t.take(a)
+	if t == nil || t.closed {
+		return false
+	}
+	taken := t.take(a)
+	if !taken {
+		l.wake()
+	}
+	return taken
+}
+
+// wake makes Run step soon.
+func (l *Ledger) wake() {
+	select {
+	case l.refused <- struct{}{}:
+	default:
+	}
 }
 
 func (t *team) take(a resource.Amount) bool {
@@ -150,7 +190,29 @@
 	return false
 }
 
-// Give returns what Take counted. Don't give what was taken before a Rejoin.
+// Force counts a as used although it may exceed the allotment: work that was found
+// running. Until a grant covers it, nothing more can be taken.
+func (l *Ledger) Force(name string, a resource.Amount) {
+	s := l.shard(name)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	t := s.known(name)
+	t.used = t.used.Add(a)
+	t.peak = t.peak.Max(t.used)
+	t.stale = true
+}
+
+// known returns the team's account, made if it is new; s.mu is held.
+func (s *shard) known(name string) *team {
+	t := s.teams[name]
+	if t == nil {
+		t = &team{stale: true, candidates: []grant{{}}}
+		s.teams[name] = t
+	}
+	return t
+}
+
+// Give returns what Take or Force counted.
 func (l *Ledger) Give(name string, a resource.Amount) {
 	l.with(name, func(t *team) { t.used = t.used.Sub(a) })
 }
@@ -195,11 +257,7 @@
 		known[limit.Team] = true
 		s := l.shard(limit.Team)
 		s.mu.Lock()
-		t := s.teams[limit.Team]
-		if t == nil {
-			t = &team{stale: true, candidates: []grant{{}}}
-			s.teams[limit.Team] = t
-		}
+		t := s.known(limit.Team)
 		if t.limit != limit.Limit {
 			t.limit = limit.Limit
 			t.ceiling = limit.Limit
--- a/process/allotment/ledger_test.go
+++ b/process/allotment/ledger_test.go
@@ -27,29 +27,30 @@
 	os.Exit(m.Run())
 }
 
-// fate is what becomes of a commit.
-type fate int
+// commitFate is what becomes of a commit.
+type commitFate int
 
 const (
-	fateDone fate = iota
-	fateLostAnswer
-	fateLost
-	fateLate // takes effect later, if its conditions still hold
-	fateDown
-	fates
+	commitDone commitFate = iota
+	commitLostAnswer
+	commitLost
+	commitLate // takes effect later, if its conditions still hold
+	commitDown
+	commitFates
 )
 
 type fakeTable struct {
 	rows    map[string]platform.Row
 	version uint64
-	next    fate
+	next    commitFate
 	late    []platform.Txn
+	ended   map[string]bool
 	commits int
 	scans   int
 }
 
 func (f *fakeTable) Get(_ context.Context, key string) (platform.Row, bool, error) {
-	if f.next == fateDown {
+	if f.next == commitDown {
 		return platform.Row{}, false, platform.ErrUnavailable
 	}
 	row, ok := f.rows[key]
@@ -70,15 +71,15 @@
 func (f *fakeTable) Commit(_ context.Context, txn platform.Txn) (uint64, error) {
 	f.commits++
 	now := f.next
-	f.next = fateDone
+	f.next = commitDone
 	switch now {
-	case fateLostAnswer:
+	case commitLostAnswer:
 		_, _ = f.apply(txn)
-	case fateLate:
+	case commitLate:
 		f.late = append(f.late, txn)
-	case fateDown:
+	case commitDown:
 		return 0, platform.ErrUnavailable
-	case fateDone:
+	case commitDone:
 		return f.apply(txn)
 	}
 	return 0, platform.ErrUnknown
@@ -107,11 +108,13 @@
 	tasks []resource.Amount
 }
 
-func newNode(table platform.Table, name string, limit resource.Amount, omit omissions) *node {
+func newNode(table *fakeTable, name string, limit resource.Amount, omit omissions) *node {
 	n := &node{limit: limit}
-	n.Ledger = New(Options{Incarnation: name, Table: table, Limits: func() []TeamLimit {
-		return []TeamLimit{{Team: teamName, Limit: n.limit}}
-	}})
+	n.Ledger = New(Options{
+		Incarnation: name, Table: table,
+		Limits: func() []TeamLimit { return []TeamLimit{{Team: teamName, Limit: n.limit}} },
+		Ended:  func(incarnation string) bool { return table.ended[incarnation] },
+	})
 	n.omit = omit
 	n.Refresh()
 	return n
@@ -124,7 +127,7 @@
 // simulate runs ledgers through operations drawn with draw, and returns the
 // first violation of the limit.
 func simulate(draw func(n int) int, omit omissions) error {
-	table := &fakeTable{rows: map[string]platform.Row{}}
+	table := &fakeTable{rows: map[string]platform.Row{}, ended: map[string]bool{}}
 	limit, lowered, lives := limitOf(int64(5+draw(60))), false, 0
 	var nodes []*node
 	for range 3 + draw(7) {
@@ -143,7 +146,7 @@
 			time.Sleep(time.Second)
 			_ = n.Step(context.Background())
 		case op == 15:
-			table.next = fate(draw(int(fates)))
+			table.next = commitFate(draw(int(commitFates)))
 		case op == 16 && len(table.late) > 0:
 			_, _ = table.apply(table.late[0])
 			table.late = table.late[1:]
@@ -162,7 +165,7 @@
 			}
 		case op == 19 && draw(4) == 0:
 			lives++
-			crash(nodes, n, newNode(table, fmt.Sprint(lives), limit, omit), draw)
+			crash(table, nodes, n, newNode(table, fmt.Sprint(lives), limit, omit), draw)
 		}
 		if err := check(nodes, lowered); err != nil {
 			return err
@@ -178,16 +181,18 @@
 	}
 }
 
-// crash replaces a node by its next life; another inherits its tasks.
-func crash(nodes []*node, dead, next *node, draw func(n int) int) {
-	used, name, tasks := dead.Used(teamName), dead.Incarnation, dead.tasks
+// crash replaces a node by its next life; its tasks are adopted by the others, one
+// by one.
+func crash(table *fakeTable, nodes []*node, dead, next *node, draw func(n int) int) {
+	name, tasks := dead.Incarnation, dead.tasks
 	*dead = *next
 	dead.Options.Limits = func() []TeamLimit { return []TeamLimit{{Team: teamName, Limit: dead.limit}} }
-	taker := nodes[draw(len(nodes))]
-	taker.tasks = append(taker.tasks, tasks...)
-	ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
-	defer cancel()
-	_ = taker.Inherit(ctx, name, []TeamUsage{{Team: teamName, Used: used}})
+	table.ended[name] = true
+	for _, a := range tasks {
+		taker := nodes[draw(len(nodes))]
+		taker.Force(teamName, a)
+		taker.tasks = append(taker.tasks, a)
+	}
 }
 
 func check(nodes []*node, lowered bool) error {
@@ -293,7 +298,63 @@
 			assert.Equal(t, n.Held(teamName).Running, int64(0))
 		}
 		assert.Assert(t, table.commits > commits)
-		assert.Equal(t, len(nodes[8].Incarnations()), 0)
+		var left row
+		assert.NilError(t, json.Unmarshal(table.rows[rowPrefix+teamName].Value, &left))
+		assert.Equal(t, len(left.Entries), 0)
+	})
+}
+
+// One entry has the whole limit in use and crashes; one heir adopts its tasks while
+// another one floods.
+func TestAdoptedWorkStaysCovered(t *testing.T) {
+	for _, omit := range []omissions{{}, {dropEnded: true}} {
+		synctest.Test(t, func(t *testing.T) {
+			table := &fakeTable{rows: map[string]platform.Row{}, ended: map[string]bool{}}
+			dead, heir, flood := newNode(table, "1", limitOf(10), omit), newNode(table, "2", limitOf(10), omit), newNode(table, "3", limitOf(10), omit)
+			one := resource.Amount{Running: 1}
+			fill := func(n *node, rounds int) {
+				for range rounds {
+					for n.Take(teamName, one) {
+					}
+					assert.NilError(t, n.Step(t.Context()))
+					time.Sleep(time.Second)
+				}
+			}
+			fill(dead, 20)
+			assert.Equal(t, dead.Used(teamName).Running, int64(10))
+			table.ended["1"] = true
+			fill(flood, 70)
+			heir.Force(teamName, one.Times(10))
+			fill(heir, 5)
+			fill(flood, 70)
+			over := heir.Used(teamName).Running+flood.Used(teamName).Running > 10
+			assert.Equal(t, over, omit.dropEnded)
+		})
+	}
+}
+
+// What an ended incarnation left unused is free once its work has surely ended.
+func TestLeftoverIsFreed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		table := &fakeTable{rows: map[string]platform.Row{}, ended: map[string]bool{}}
+		dead, heir := newNode(table, "1", limitOf(10), omissions{}), newNode(table, "2", limitOf(10), omissions{})
+		heir.SettleAfter = func() time.Duration { return time.Hour }
+		one := resource.Amount{Running: 1}
+		fill := func(n *node) {
+			for range 200 {
+				_ = n.Take(teamName, one)
+				assert.NilError(t, n.Step(t.Context()))
+				time.Sleep(time.Second)
+			}
+		}
+		fill(dead)
+		table.ended["1"] = true
+		heir.Force(teamName, one.Times(4))
+		fill(heir)
+		assert.Equal(t, heir.Used(teamName).Running, int64(4), "six are still held by the ended one")
+		time.Sleep(time.Hour)
+		fill(heir)
+		assert.Equal(t, heir.Used(teamName).Running, int64(10))
 	})
 }
 
--- a/process/allotment/step.go
+++ b/process/allotment/step.go
@@ -17,6 +17,8 @@
 	rowPrefix = "allotment/"
 	// maxCandidates bounds how many writes of a team may be undecided.
 	maxCandidates = 8
+	// soonest is how many steps fit into a period at the most.
+	soonest = 10
 	// rounds is how often a step tries again after a conflict.
 	rounds = 4
 	// scanAbove is how many rows are read one by one at most.
@@ -29,16 +31,23 @@
 
 // Run steps until ctx ends.
 func (l *Ledger) Run(ctx context.Context) {
-	ticker := time.NewTicker(l.Every)
-	defer ticker.Stop()
-	for {
+	for ctx.Err() == nil {
 		// A failed step changes nothing; the next one reads back.
 		_ = l.Step(ctx)
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-		}
+		l.Stepped()
+		pause(ctx, l.Every/soonest, nil)
+		pause(ctx, l.Every-l.Every/soonest, l.refused)
+	}
+}
+
+// pause waits for d, or until ctx ends or something is received.
+func pause(ctx context.Context, d time.Duration, wake <-chan struct{}) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	case <-wake:
 	}
 }
 
@@ -60,6 +69,7 @@
 	}
 	defer func() { <-l.stepping }()
 	names := l.names()
+	l.noteEnded(names, time.Now())
 	defer l.newWindow(names)
 	for range rounds {
 		if err := l.readStale(ctx, names); err != nil {
@@ -73,39 +83,9 @@
 	return nil
 }
 
-// Inherit folds the grants of a dead incarnation into this entry's, once what
-// runs of it is known. Call it only when the right of that incarnation has
-// ended. Its use counts here from the start. It is retried until ctx ends.
-func (l *Ledger) Inherit(ctx context.Context, dead string, used []TeamUsage) error {
-	l.Refresh()
-	for _, u := range used {
-		l.with(u.Team, func(t *team) {
-			t.used = t.used.Add(u.Used)
-			t.peak = t.peak.Max(t.used)
-		})
-	}
-	for _, name := range l.names() {
-		l.with(name, func(t *team) {
-			t.folds = append(t.folds, dead)
-			t.stale = true
-		})
-	}
-	for {
-		err := l.Step(ctx)
-		if err == nil && !l.folding(dead) {
-			return nil
-		}
-		select {
-		case <-ctx.Done():
-			return eris.Wrapf(ctx.Err(), "inherit from %s", dead)
-		case <-time.After(l.Every):
-		}
-	}
-}
-
 // Release gives back all that isn't in use; nothing can be taken any more. Call
 // it when nothing runs, before the entry's right is released. Errors: those of
-// the table; what isn't given back is inherited like that of a dead entry.
+// the table; what isn't given back is settled like that of a dead entry.
 func (l *Ledger) Release(ctx context.Context) error {
 	for _, name := range l.names() {
 		l.with(name, func(t *team) {
@@ -116,29 +96,6 @@
 	return l.Step(ctx)
 }
 
-// Incarnations returns all that hold grants, as the rows were last seen,
-// sorted. Those that are dead must be inherited from.
-func (l *Ledger) Incarnations() []string {
-	var all []string
-	for _, name := range l.names() {
-		l.with(name, func(t *team) {
-			for _, e := range t.row.Entries {
-				all = append(all, e.Incarnation)
-			}
-		})
-	}
-	slices.Sort(all)
-	return slices.Compact(all)
-}
-
-func (l *Ledger) folding(dead string) bool {
-	found := false
-	for _, name := range l.names() {
-		l.with(name, func(t *team) { found = found || slices.Contains(t.folds, dead) })
-	}
-	return found
-}
-
 // names returns all teams, sorted.
 func (l *Ledger) names() []string {
 	var all []string
@@ -254,11 +211,6 @@
 	t.version = version
 	t.candidates = []grant{mine.grant}
 	t.settle(omit)
-	t.folds = slices.DeleteFunc(t.folds, func(dead string) bool { return !r.has(dead) })
-}
-
-func (r row) has(incarnation string) bool {
-	return slices.ContainsFunc(r.Entries, func(e entry) bool { return e.Incarnation == incarnation })
 }
 
 // changes plans all teams and puts what shrinks into force.
@@ -266,7 +218,7 @@
 	var all []change
 	for _, name := range names {
 		l.with(name, func(t *team) {
-			if next, ok := t.change(l.Incarnation, time.Now(), l.omit); ok {
+			if next, ok := t.change(l.Incarnation, time.Now(), l.fateOf, l.omit); ok {
 				all = append(all, change{team: name, version: t.version, next: next})
 			}
 		})
@@ -275,14 +227,14 @@
 }
 
 // change plans one team's row.
-func (t *team) change(self string, now time.Time, omit omissions) (row, bool) {
+func (t *team) change(self string, now time.Time, fateOf func(string, time.Time) fate, omit omissions) (row, bool) {
 	if len(t.candidates) >= maxCandidates {
 		return row{}, false
 	}
 	t.idle = now.Sub(t.refused) > idleAfter
 	mine, others := t.row.own(self)
-	others = slices.DeleteFunc(others, func(e entry) bool { return slices.Contains(t.folds, e.Incarnation) })
-	folded := len(others) < len(t.row.Entries) && len(t.folds) > 0
+	uncovered := t.used.Sub(mine.at(t.limit)).Max(resource.Amount{})
+	others, settled := settleEnded(others, uncovered, t.limit, func(incarnation string) fate { return fateOf(incarnation, now) })
 	if t.closed {
 		t.demand = demand{used: t.used, idle: true}
 	}
@@ -292,7 +244,7 @@
 	}
 	t.ceiling = ceiling
 	want := t.want
-	write := folded || len(t.candidates) > 1 || worthWriting(mine, next, want, others)
+	write := settled || len(t.candidates) > 1 || worthWriting(mine, next, want, others)
 	if !write {
 		t.settle(omit)
 		return row{}, false
--- a/process/daemon/daemon.go
+++ b/process/daemon/daemon.go
@@ -101,7 +101,7 @@
 		peers = listeners.Peers.Addr().String()
 	}
 	return entry.Config{
-		Instance: s.Instance, Incarnation: entry.NewIncarnation(), FailureDomain: s.FailureDomain, Region: s.Region,
+		Instance: s.Instance, Incarnation: entry.NewIncarnation(s.Instance), FailureDomain: s.FailureDomain, Region: s.Region,
 		PeerAddress: peers, PerRack: settings.Block(s.Block) == settings.BlockRack,
 		OperatorKeySHA256: s.OperatorKeySHA256,
 		MaxBodyBytes:      s.Limits.MaxBodyBytes, MaxQueue: s.Limits.MaxQueue, MaxHeaderBytes: s.Limits.MaxHeaderBytes,
--- a/process/dispatch/dispatch.go
+++ b/process/dispatch/dispatch.go
@@ -60,7 +60,7 @@
 // Observation is what became of one request, for metrics.
 type Observation struct {
 	Team, Kind string
-	// Waited is the time from acceptance to the first hand-over.
+	// Waited is the time from acceptance to the last place found, or to the end.
 	Waited  time.Duration
 	Took    time.Duration
 	Retries int
@@ -123,10 +123,8 @@
 	avoid := ""
 	mayHaveRun := false
 	for n := 1; ; n++ {
-		outcome, sentTo, waited := d.once(ctx, r, kind, avoid, handOver)
-		if sentTo != "" && seen.Waited == 0 {
-			seen.Waited = waited
-		}
+		outcome, sentTo, placed := d.once(ctx, r, kind, avoid, handOver)
+		seen.Waited = placed.Sub(started)
 		mayHaveRun = mayHaveRun || !outcome.WasNotRun()
 		if d.repeats(outcome, kind, r, n, sentTo) {
 			avoid = sentTo
@@ -161,13 +159,12 @@
 }
 
 // once waits for a place and makes one attempt. sentTo is empty if the request
-// never got a place.
-func (d *Dispatcher) once(ctx context.Context, r *attempt.Request, kind *version.Kind, avoid string, handOver func(context.Context) error) (outcome attempt.Outcome, sentTo string, waited time.Duration) {
-	enqueued := time.Now()
+// never got a place; placed is when the wait ended.
+func (d *Dispatcher) once(ctx context.Context, r *attempt.Request, kind *version.Kind, avoid string, handOver func(context.Context) error) (outcome attempt.Outcome, sentTo string, placed time.Time) {
 	place, outcome := d.wait(ctx, r, kind, avoid)
-	waited = time.Since(enqueued)
+	placed = time.Now()
 	if place == nil {
-		return outcome, "", waited
+		return outcome, "", placed
 	}
 	defer func() { d.finish(r, kind, place, outcome) }()
 	// From here on the caller's leaving doesn't end the attempt.
@@ -175,10 +172,10 @@
 	defer cancel()
 	if err := handOver(sendCtx); err != nil {
 		outcome = attempt.NotRun(api.CodeUnavailable, err.Error(), time.Second)
-		return outcome, "", waited
+		return outcome, "", placed
 	}
 	outcome = place.Send(sendCtx, r, kind)
-	return outcome, place.Worker(), waited
+	return outcome, place.Worker(), placed
 }
 
 // wait queues the request until it has a place or is given up.
--- a/process/dispatch/dispatch_test.go
+++ b/process/dispatch/dispatch_test.go
@@ -142,12 +142,13 @@
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				f := &fakeFinder{free: 1, next: c.next}
+				f := &fakeFinder{free: 1, next: c.next, took: time.Second}
 				kind := *quote
 				kind.Idempotent = c.idempotent
 				outcome := start(t, f, 10).Do(t.Context(), request(time.Minute), &kind, mayHandOver)
 				assert.Equal(t, f.sent, c.sent)
 				assert.Equal(t, outcome.Status, c.status)
+				assert.Equal(t, outcome.Waited, time.Duration(c.sent-1)*time.Second)
 			})
 		})
 	}
--- a/process/entry/allot.go
+++ b/process/entry/allot.go
@@ -1,71 +1,48 @@
 package entry
 
 import (
-	"context"
-	"sync"
+	"fmt"
+	"time"
 
-	"github.com/kingcuplatch/kingcuplatch/conn/peer"
-	"github.com/kingcuplatch/kingcuplatch/process/resource"
+	"github.com/kingcuplatch/kingcuplatch/process/allotment"
 	"github.com/kingcuplatch/kingcuplatch/version"
 )
 
-// localLimits holds each team's upper limit at this entry alone. It does not hold
-// it across the fleet; allotments replace it.
-type localLimits struct {
-	snapshot func() *version.Snapshot
+// settleMargin is added to the longest life of work without an owner before the
+// allotments of an ended incarnation are free.
+const settleMargin = 30 * time.Second
 
-	mu   sync.Mutex
-	used map[string]resource.Amount
+func (e *Entry) newAllotments() *allotment.Ledger {
+	return allotment.New(allotment.Options{
+		Incarnation: e.Incarnation, Table: e.Table, Limits: e.teamLimits,
+		Ended: e.owners.Ended, SettleAfter: e.settleAfter,
+		Stepped: func() { e.requests.Wake() },
+	})
 }
 
-func (e *Entry) newAllotments() *localLimits {
-	return &localLimits{snapshot: e.config.Current, used: make(map[string]resource.Amount)}
-}
-
-// Take implements tasks.Allotments.
-func (l *localLimits) Take(team string, amount resource.Amount) bool {
-	t, ok := l.snapshot().Teams[team]
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	next := l.used[team].Add(amount)
-	if !ok || !next.Fits(t.Limit) {
-		return false
+func (e *Entry) teamLimits() []allotment.TeamLimit {
+	teams := e.config.Current().Teams
+	limits := make([]allotment.TeamLimit, 0, len(teams))
+	for _, t := range teams {
+		limits = append(limits, allotment.TeamLimit{Team: t.Name, Limit: t.Limit})
 	}
-	l.used[team] = next
-	return true
-}
-
-// Force implements tasks.Allotments.
-func (l *localLimits) Force(team string, amount resource.Amount) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.used[team] = l.used[team].Add(amount)
-}
-
-// Give implements tasks.Allotments.
-func (l *localLimits) Give(team string, amount resource.Amount) {
-	l.Force(team, amount.Times(-1))
+	return limits
 }
 
-// Held returns the most that the team may have running here.
-func (l *localLimits) Held(team string) resource.Amount {
-	if t, ok := l.snapshot().Teams[team]; ok {
-		return t.Limit
+// settleAfter returns how long work that an entry left behind may go on unadopted:
+// tasks until their lease ends, requests until their deadline.
+func (e *Entry) settleAfter() time.Duration {
+	longest := e.Timings.TaskLease + leaseMargin
+	for _, kind := range e.config.Current().Kinds {
+		if kind.Policy == version.PolicyRequest {
+			longest = max(longest, kind.Deadline)
+		}
 	}
-	return resource.Amount{}
+	return longest + settleMargin
 }
 
-// Handlers returns no methods.
-func (l *localLimits) Handlers() map[string]peer.Handler { return nil }
-
-// Run does nothing.
-func (l *localLimits) Run(context.Context) {}
-
-// Release gives nothing back.
-func (l *localLimits) Release(context.Context) error { return nil }
-
-// Inherit takes nothing over.
-func (l *localLimits) Inherit(string) {}
-
-// Rejoin keeps what is used.
-func (l *localLimits) Rejoin(string) {}
+// NewIncarnation makes up the name of one life of the process on an instance.
+// Names of later lives sort after those of earlier ones.
+func NewIncarnation(instance string) string {
+	return fmt.Sprintf("%s.%013x", instance, time.Now().UnixMilli())
+}
--- a/process/entry/build.go
+++ b/process/entry/build.go
@@ -247,7 +247,6 @@
 	if err != nil && !errors.Is(err, ownership.ErrNoGuards) {
 		e.Log.Log(events.OwnershipFailed, "replicate remembered requests", err)
 	}
-	e.allotments.Inherit(dead.Incarnation)
 }
 
 func (e *Entry) rejoined(self ownership.Member) {
--- a/process/entry/entry.go
+++ b/process/entry/entry.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/kingcuplatch/kingcuplatch/conn/peer"
+	"github.com/kingcuplatch/kingcuplatch/process/allotment"
 	"github.com/kingcuplatch/kingcuplatch/process/burn"
 	"github.com/kingcuplatch/kingcuplatch/process/capacity"
 	"github.com/kingcuplatch/kingcuplatch/process/events"
@@ -32,7 +33,7 @@
 	exchange   *exchange.Exchange
 	owners     *ownership.Manager
 	config     *store.Store
-	allotments *localLimits
+	allotments *allotment.Ledger
 	book       *capacity.Book
 	clients    *clients
 	places     *requests.Places
@@ -84,7 +85,6 @@
 // register gives the peers' server its methods.
 func (e *Entry) register() {
 	e.server.Register(e.owners.Handlers())
-	e.server.Register(e.allotments.Handlers())
 	e.server.Register(e.exchange.Handlers())
 	e.server.Register(e.requests.Handlers())
 	e.server.Register(e.owner.Handlers())
@@ -160,12 +160,6 @@
 	}
 }
 
-// NewIncarnation makes up the name of one life of the process.
-func NewIncarnation() string { return newID()[:incarnationLength] }
-
-// incarnationLength is the length of an incarnation's name.
-const incarnationLength = 12
-
 // idBytes is the length of a made-up id before encoding.
 const idBytes = 12
 
--- a/process/entry/loops.go
+++ b/process/entry/loops.go
@@ -109,6 +109,7 @@
 	e.requests.Each(func(_ string, d *dispatch.Dispatcher) {
 		d.Configure(func(q *queue.Queue, now time.Time) { q.SetTeams(now, teams) })
 	})
+	e.allotments.Refresh()
 	e.burn.SetObjectives(objectives(s))
 }
 
--- a/process/ownership/fence.go
+++ b/process/ownership/fence.go
@@ -12,6 +12,23 @@
 // IsShard reports whether a block is a shard of keys.
 func IsShard(block string) bool { return strings.HasPrefix(block, shardPrefix) }
 
+// Ended reports whether an incarnation's right has surely ended: its row is dead,
+// or its instance runs under a later one. Incarnations of an instance must sort in
+// the order of their lives, and start with the instance's name and a dot.
+func (m *Manager) Ended(incarnation string) bool {
+	instance := incarnation[:max(0, strings.LastIndexByte(incarnation, '.'))]
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	w, known := m.entries[instance]
+	if !known {
+		return false
+	}
+	if w.row.Incarnation == incarnation {
+		return !w.row.Live
+	}
+	return w.row.Incarnation > incarnation
+}
+
 // Fence returns the condition under which this entry may write for a block, and
 // whether its right to it holds now. The condition fails once another entry has
 // taken the block.
--- a/process/requests/places.go
+++ b/process/requests/places.go
@@ -74,10 +74,15 @@
 	}
 }
 
-// Find implements dispatch.Finder: own workers first, then peers.
+// Find implements dispatch.Finder: own workers first, then peers. A request whose
+// team has no allotment left here waits for it, since allotments follow demand.
 func (p *Places) Find(r *attempt.Request, kind *version.Kind, avoid string) (dispatch.Place, bool) {
-	if place, ok := p.FindOwn(r, kind, avoid); ok {
+	place, shortage := p.findOwn(r, kind, avoid)
+	switch shortage {
+	case shortOfNothing:
 		return place, true
+	case shortOfAllotment:
+		return nil, false
 	}
 	address, instance, ok := p.o.Remote.Pick(kind.Upstream, kind.Amount)
 	if !ok {
@@ -88,14 +93,29 @@
 
 // FindOwn assumes room on a worker that this entry owns.
 func (p *Places) FindOwn(r *attempt.Request, kind *version.Kind, avoid string) (dispatch.Place, bool) {
-	if !p.o.Allotments.Take(r.Team, kind.Amount) {
-		return nil, false
+	place, shortage := p.findOwn(r, kind, avoid)
+	return place, shortage == shortOfNothing
+}
+
+// shortage is why no room was assumed.
+type shortage int
+
+const (
+	shortOfNothing shortage = iota
+	shortOfWorkers
+	shortOfAllotment
+)
+
+func (p *Places) findOwn(r *attempt.Request, kind *version.Kind, avoid string) (dispatch.Place, shortage) {
+	place, ok := p.assume(r, kind, avoid)
+	if !ok {
+		return nil, shortOfWorkers
 	}
-	if place, ok := p.assume(r, kind, avoid); ok {
-		return place, true
+	if !p.o.Allotments.Take(r.Team, kind.Amount) {
+		p.o.Book.Forget(place.worker, place.holding.ID)
+		return nil, shortOfAllotment
 	}
-	p.o.Allotments.Give(r.Team, kind.Amount)
-	return nil, false
+	return place, shortOfNothing
 }
 
 func (p *Places) assume(r *attempt.Request, kind *version.Kind, avoid string) (*ownPlace, bool) {
--- a/version/snapshot.go
+++ b/version/snapshot.go
@@ -77,7 +77,8 @@
 	// Urgent work goes before all other work of its team and starts within the
 	// urgent bound.
 	Urgent bool
-	// Deadline is the default time a request may take from admission to answer.
+	// Deadline is the default and longest time a request may take from admission
+	// to answer.
 	Deadline time.Duration
 	// Amount is the declared size of one task or request.
 	Amount resource.Amount
