Stop placing for a shard whose writes are refused

Cause: a property test with random faults, new here, found that a keeper that had lost its shards and did not know it yet went on reserving capacity for their jobs, recording in vain and releasing, so often that the new keeper found no room for five minutes.

Change: after the table has refused a shard's fence condition, the keeper places nothing for the shard until a write succeeds or the condition changes.

Ruled out: dropping the shard at the first refusal (the fence row may just have been renewed by this entry itself).

--- a/process/jobs/commit.go
+++ b/process/jobs/commit.go
@@ -249,6 +249,7 @@
 }
 
 func (c *change) accept(version uint64, now time.Time) {
+	c.shard.refusedBy = platform.Condition{}
 	j := c.job
 	j.version, j.undecided, j.sent = version, false, nil
 	if c.delete {
--- a/process/jobs/keeper.go
+++ b/process/jobs/keeper.go
@@ -102,7 +102,10 @@
 
 	mu   sync.Mutex
 	lost bool
-	jobs map[string]*job
+	// refusedBy is the fence condition that the table has refused since the last
+	// write of the shard; the zero value for none.
+	refusedBy platform.Condition
+	jobs      map[string]*job
 	// waiting are the jobs that may have tasks to start.
 	waiting map[string]*job
 	// ended are the jobs whose rows are to be deleted after Retention.
--- a/process/jobs/resolve.go
+++ b/process/jobs/resolve.go
@@ -27,15 +27,34 @@
 		return true
 	}
 	for _, ch := range batch {
-		if fence, ok := c.keeper.Fence(ch.shard.name); ok && fence.Key != key {
+		fence, ok := c.keeper.Fence(ch.shard.name)
+		if ok && fence.Key != key {
 			c.againLocked(ch, true)
 			continue
 		}
+		ch.shard.noteRefused(fence)
 		c.refuse([]*change{ch})
 	}
 	return false
 }
 
+// noteRefused notes that another keeper may have taken the shard over.
+func (s *shard) noteRefused(fence platform.Condition) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.refusedBy = fence
+}
+
+// mayPlace reports whether tasks of the shard are worth placing: whether their
+// starts can be recorded, as far as is known. The caller holds the shard's lock.
+func (k *Keeper) mayPlace(s *shard) bool {
+	if s.refusedBy == (platform.Condition{}) {
+		return true
+	}
+	fence, ok := k.Fence(s.name)
+	return ok && fence != s.refusedBy
+}
+
 // resolveUnknown reads one row back: a transaction takes effect whole, so that
 // one row tells of all.
 func (c *committer) resolveUnknown(ctx context.Context, batch []*change) {
--- a/process/jobs/schedule.go
+++ b/process/jobs/schedule.go
@@ -184,6 +184,9 @@
 	if j == nil || s.lost || j.placing || now.Before(j.notBefore) || short.covers(&j.spec) || k.neverNow(j, size) {
 		return nil
 	}
+	if !k.mayPlace(s) {
+		return nil
+	}
 	places := j.pending(now, j.partSize())
 	if len(places) == 0 || (j.spec.Policy == version.PolicyAllAtOnce && len(places) < j.counts().Pending) {
 		return nil
--- a/process/jobs/world_test.go
+++ b/process/jobs/world_test.go
@@ -115,6 +115,7 @@
 type fakeWorker struct {
 	worker.Client
 	world *world
+	epoch uint64
 	runs  map[worker.TaskRef]*fakeRun
 }
 
@@ -132,10 +133,21 @@
 	return worker.TaskStatus{Task: ref.Task, Attempt: ref.Attempt, Team: r.task.Team, State: r.state, Amount: r.task.Amount}
 }
 
-func (f *fakeWorker) Adopt(context.Context, uint64) (worker.Report, error) {
+func (f *fakeWorker) checkEpoch(epoch uint64) error {
+	f.advance()
+	if epoch < f.epoch {
+		return &worker.RefusedError{Code: worker.RefusedEpoch, Epoch: f.epoch}
+	}
+	f.epoch = epoch
+	return nil
+}
+
+func (f *fakeWorker) Adopt(_ context.Context, epoch uint64) (worker.Report, error) {
 	f.world.mu.Lock()
 	defer f.world.mu.Unlock()
-	f.advance()
+	if err := f.checkEpoch(epoch); err != nil {
+		return worker.Report{}, err
+	}
 	var report worker.Report
 	for ref := range f.runs {
 		report.Tasks = append(report.Tasks, f.status(ref))
@@ -147,13 +159,16 @@
 	return f.Adopt(ctx, epoch)
 }
 
-func (f *fakeWorker) Start(_ context.Context, _ uint64, starts []worker.StartTask) ([]worker.TaskStatus, error) {
+func (f *fakeWorker) Start(_ context.Context, epoch uint64, starts []worker.StartTask) ([]worker.TaskStatus, error) {
 	w := f.world
 	var delay time.Duration
 	w.do(func() { delay = w.startDelay })
 	time.Sleep(delay)
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	if err := f.checkEpoch(epoch); err != nil {
+		return nil, err
+	}
 	var list []worker.TaskStatus
 	for _, s := range starts {
 		w.check(s)
@@ -164,10 +179,12 @@
 	return list, nil
 }
 
-func (f *fakeWorker) Stop(_ context.Context, _ uint64, refs []worker.TaskRef) ([]worker.TaskStatus, error) {
+func (f *fakeWorker) Stop(_ context.Context, epoch uint64, refs []worker.TaskRef) ([]worker.TaskStatus, error) {
 	f.world.mu.Lock()
 	defer f.world.mu.Unlock()
-	f.advance()
+	if err := f.checkEpoch(epoch); err != nil {
+		return nil, err
+	}
 	var list []worker.TaskStatus
 	for _, ref := range refs {
 		if f.runs[ref] == nil {
@@ -197,12 +214,16 @@
 	beforeStart func()
 	afterStart  func() error
 	owners      map[string]*tasks.Owner
-	workers     []*fakeWorker
-	stops       map[entry]context.CancelFunc
+	workers     map[string]*fakeWorker
+	stops       map[string]context.CancelFunc
+	// epoch is the last that a block was owned under.
+	epoch uint64
 
 	mu sync.Mutex
 	// full has owners refuse all reservations.
-	full       bool
+	full bool
+	// loseStarts is how many start calls are answered as unknown.
+	loseStarts int
 	acked      map[string]bool
 	violations []string
 	firstStart map[string]time.Time
@@ -219,15 +240,13 @@
 func (unlimited) Give(string, resource.Amount)      {}
 
 // entry is the right of one entry to the block of its worker.
-type entry string
-
-func (e entry) block() string { return "block-" + string(e) }
+type entry ownership.Grant
 
 func (e entry) MayHandOver(block string) (ownership.Grant, bool) {
-	return ownership.Grant{Block: block, Epoch: 1}, block == e.block()
+	return ownership.Grant(e), block == e.Block
 }
 
-func (e entry) Owned() []ownership.Grant { return []ownership.Grant{{Block: e.block(), Epoch: 1}} }
+func (e entry) Owned() []ownership.Grant { return []ownership.Grant{ownership.Grant(e)} }
 
 func (e entry) OwnerOf(string) (address, instance string, ok bool) { return "", "", false }
 
@@ -237,37 +256,44 @@
 		runTime:    time.Second,
 		startDelay: 20 * time.Millisecond,
 		owners:     make(map[string]*tasks.Owner),
-		stops:      make(map[entry]context.CancelFunc),
+		stops:      make(map[string]context.CancelFunc),
+		workers:    make(map[string]*fakeWorker),
 		acked:      make(map[string]bool),
 		firstStart: make(map[string]time.Time),
 		lastStart:  make(map[string]time.Time),
 	}
 	for i := range owners {
-		w.addOwner(ctx, entry(fmt.Sprintf("e%d", i)), cpus)
+		w.addOwner(ctx, fmt.Sprintf("e%d", i), cpus)
 	}
-	w.Client = &tasks.Client{Instance: "e0", Owner: w.owners["e0"], Caller: w}
+	w.Client = &tasks.Client{Caller: w}
 	return w
 }
 
-// addOwner adds an owner, or stops the one of that name and starts it anew.
-func (w *world) addOwner(ctx context.Context, e entry, cpus int) {
-	if stop := w.stops[e]; stop != nil {
+// addOwner adds an owner, or stops the one of that name and starts it anew; the
+// worker stays.
+func (w *world) addOwner(ctx context.Context, name string, cpus int) {
+	if stop := w.stops[name]; stop != nil {
 		stop()
 	}
-	ctx, w.stops[e] = context.WithCancel(ctx)
-	f := &fakeWorker{world: w, runs: make(map[worker.TaskRef]*fakeRun)}
+	ctx, w.stops[name] = context.WithCancel(ctx)
+	w.epoch++
+	e := entry{Block: "block-" + name, Epoch: w.epoch}
+	f := w.workers[name]
+	if f == nil {
+		f = &fakeWorker{world: w, runs: make(map[worker.TaskRef]*fakeRun)}
+	}
 	o := tasks.NewOwner(tasks.Config{
 		Owners: e, Book: capacity.NewBook(), Allotments: unlimited{}, Keepers: w, Choose: tasks.ChooseByPlacement,
 		Dial:    func(platform.Instance) worker.Client { return f },
-		BlockOf: func(platform.Instance) string { return e.block() },
+		BlockOf: func(platform.Instance) string { return e.Block },
 		Lease:   9 * time.Second, Margin: 3 * time.Second, CallTimeout: 2 * time.Second,
 	})
 	w.do(func() {
-		w.workers = append(w.workers, f)
-		w.owners[string(e)] = o
+		w.workers[name] = f
+		w.owners[name] = o
 	})
 	o.Sync(ctx, []platform.Instance{{
-		Name: "worker-" + string(e), Role: platform.RoleWorker, Capacity: resource.Amount{MilliCPU: int64(cpus)},
+		Name: "worker-" + name, Role: platform.RoleWorker, Capacity: resource.Amount{MilliCPU: int64(cpus)},
 	}})
 	go o.Run(ctx)
 }
@@ -282,7 +308,7 @@
 		f.advance()
 		for ref, r := range f.runs {
 			if ref.Task == s.Task && r.state == worker.TaskRunning {
-				w.violations = append(w.violations, s.Task+" runs twice")
+				w.violations = append(w.violations, fmt.Sprintf("%s runs twice: attempts %d and %d", s.Task, ref.Attempt, s.Attempt))
 			}
 		}
 	}
@@ -361,6 +387,12 @@
 	if w.afterStart != nil {
 		err = w.afterStart()
 	}
+	w.do(func() {
+		if w.loseStarts > 0 {
+			w.loseStarts--
+			err = errLost
+		}
+	})
 	return reply, err
 }
 
--- a/process/tasks/owner_test.go
+++ b/process/tasks/owner_test.go
@@ -89,7 +89,10 @@
 
 // heal connects all and has owners learn which blocks they have lost.
 func (w *world) heal() {
-	for i := range w.workers {
+	for i, f := range w.workers {
+		f.mu.Lock()
+		f.loseAnswers = 0
+		f.mu.Unlock()
 		w.cut(i, "AB", false)
 	}
 	w.mu.Lock()
