--- a/internal/policytrial/setup.go
+++ b/internal/policytrial/setup.go
@@ -28,6 +28,8 @@
 type Team struct {
 	queue.Team
 	Portion float64
+	// OneEntry has all work of the team come to the same entry.
+	OneEntry bool
 }
 
 // Event changes the trial at a time.
@@ -49,8 +51,9 @@
 	Exchange time.Duration
 	// QueueLimit is how many items an entry keeps waiting.
 	QueueLimit int
-	// Full starts the trial with a full fleet.
-	Full bool
+	// Backlog, unless 0, starts the trial with a full fleet and about so many
+	// items waiting at every entry.
+	Backlog int
 	// WrongBy is the factor by which declared run times are off, up or down; 0
 	// and 1 leave them right.
 	WrongBy float64
@@ -58,8 +61,10 @@
 	Warmup, Duration time.Duration
 	Events           []Event
 	Seed             uint64
-	// NewScheduler makes the decisions of one entry; nil for the project's own.
+	// NewScheduler makes the decisions of one entry.
 	NewScheduler func(SchedulerConfig) Scheduler
+	// Observer measures; it may look at the trial that New returns.
+	Observer Observer
 }
 
 // SchedulerConfig is what a Scheduler is made from.
@@ -90,6 +95,18 @@
 	Waiting(team string) bool
 }
 
+// Observer sees what happens in a trial.
+type Observer interface {
+	Refused(items []*queue.Item)
+	Started(it *queue.Item)
+	Finished(it *queue.Item, ok bool)
+	// Uses is called before the usage of the team, by its place in Setup.Teams,
+	// changes.
+	Uses(team int)
+	// Tick is called each Tick of virtual time.
+	Tick()
+}
+
 // capacity is the sum over the workers.
 func capacity(workers []placement.Candidate) resource.Amount {
 	var total resource.Amount
--- a/process/jobs/world_test.go
+++ b/process/jobs/world_test.go
@@ -423,8 +423,7 @@
 func (w *world) takeOver(ctx context.Context, t *testing.T, p policy) *Keeper {
 	t.Helper()
 	fences := make(map[string]platform.Condition)
-	for i := range Shards {
-		name := fmt.Sprintf("s/%02x", i)
+	for _, name := range ownership.Shards() {
 		row, _, _ := w.table.Get(ctx, "block/"+name)
 		txn := platform.Txn{
 			Conditions: []platform.Condition{{Key: "block/" + name, Version: row.Version}},
--- a/process/ownership/claim.go
+++ b/process/ownership/claim.go
@@ -60,7 +60,7 @@
 			return err
 		}
 		id := strings.TrimPrefix(r.Key, blockPrefix)
-		m.blocks[id] = seenBlock{ID: id, Version: r.Version, Row: row}
+		m.see(seenBlock{ID: id, Version: r.Version, Row: row})
 		return nil
 	})
 }
@@ -209,7 +209,7 @@
 		}
 	}
 	m.mu.Lock()
-	m.blocks[id] = seen
+	m.see(seen)
 	m.mu.Unlock()
 	return true
 }
@@ -237,13 +237,20 @@
 	for _, g := range grants {
 		m.OnGain(g)
 	}
-	m.announce(ctx, changedParams{Blocks: now})
+	m.tell(ctx, changedParams{Blocks: now})
 }
 
 func (m *Manager) remember(blocks []seenBlock) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	for _, b := range blocks {
+		m.see(b)
+	}
+}
+
+// see takes in a row unless a newer one is known. Call with m.mu.
+func (m *Manager) see(b seenBlock) {
+	if b.Version > m.blocks[b.ID].Version {
 		m.blocks[b.ID] = b
 	}
 }
@@ -287,12 +294,22 @@
 	var txn platform.Txn
 	addBlock(&txn, seen, next)
 	version, err := m.commit(ctx, txn)
-	if err != nil {
+	if err == nil {
+		m.remember([]seenBlock{{ID: id, Version: version, Row: next}})
+	} else if !m.refresh(ctx, blockPrefix+id) {
 		m.rescan()
 		return true
 	}
-	given := []seenBlock{{ID: id, Version: version, Row: next}}
-	m.remember(given)
-	m.announce(ctx, changedParams{Blocks: given})
+	m.tellGiven(ctx, id)
 	return true
 }
+
+// tellGiven tells others of a block if its row says that nobody owns it.
+func (m *Manager) tellGiven(ctx context.Context, id string) {
+	m.mu.Lock()
+	seen := m.blocks[id]
+	m.mu.Unlock()
+	if seen.Row.Owner == "" {
+		m.tell(ctx, changedParams{Blocks: []seenBlock{seen}})
+	}
+}
--- a/process/ownership/renew.go
+++ b/process/ownership/renew.go
@@ -17,10 +17,15 @@
 // renewIfDue joins, renews or reads back the own row when it is time.
 func (m *Manager) renewIfDue(ctx context.Context) error {
 	now := time.Now()
-	if now.Before(m.renewAt) {
+	m.mu.Lock()
+	due := !now.Before(m.renewAt)
+	if due {
+		m.renewAt = now.Add(m.ShortTerm / renewals)
+	}
+	m.mu.Unlock()
+	if !due {
 		return nil
 	}
-	m.renewAt = now.Add(m.ShortTerm / renewals)
 	return m.renew(ctx, nil)
 }
 
@@ -78,12 +83,12 @@
 	m.mu.Lock()
 	joined := !m.announced
 	m.announced = true
-	m.term.confirm(a.id, version, time.Now())
+	m.term.confirm(a.id, version)
 	m.entries[row.Instance] = watch{row: row, version: version, seen: time.Now()}
 	m.publish()
 	m.mu.Unlock()
 	if joined {
-		m.announce(ctx, changedParams{Entry: &row})
+		m.tell(ctx, changedParams{Entry: &row})
 	}
 	if a.takeover != nil {
 		m.took(ctx, *a.takeover, version)
--- a/request/queue/queue.go
+++ b/request/queue/queue.go
@@ -33,9 +33,14 @@
 	// weights is the sum of the weights of configured teams.
 	weights float64
 	drained rateMeter
+	// urgent counts urgent items waiting.
+	urgent int
 	// running counts charges started and not finished.
 	running int64
 	now     time.Time
+	// classes are those of the items that wait.
+	classes map[classKey]*class
+	turn    turn
 	// ranking is scratch space of Pop.
 	ranking ranking
 	// expiry orders the items that have a deadline by when they must start.
@@ -47,11 +52,12 @@
 // New returns an empty queue.
 func New(config Config) *Queue {
 	q := &Queue{
-		total: config.Total,
-		limit: max(1, config.Limit),
-		teams: make(map[string]*teamState),
-		items: make(map[string]*Item),
-		peers: make(map[string]*peerState),
+		total:   config.Total,
+		limit:   max(1, config.Limit),
+		teams:   make(map[string]*teamState),
+		items:   make(map[string]*Item),
+		peers:   make(map[string]*peerState),
+		classes: make(map[classKey]*class),
 		expiry: itemHeap{
 			less:  func(a, b *Item) bool { return a.startBy.Before(b.startBy) },
 			place: func(it *Item) *int { return &it.expiry },
@@ -84,7 +90,7 @@
 func (q *Queue) enter(now time.Time, t *teamState) {
 	t.charge(now, q.total)
 	if t.queued == 0 {
-		t.virtual = max(t.virtual, q.virtual-q.atFairRate(idleCredit, t))
+		t.virtual = max(t.virtual, q.virtual-idleCredit.Seconds()*q.fairRate())
 	}
 }
 
@@ -136,9 +142,36 @@
 	return it, queued
 }
 
+// Waits reports whether this very item waits and can still meet its deadline.
+func (q *Queue) Waits(now time.Time, it *Item) bool {
+	return q.items[it.ID] == it && !it.late(q.advance(now))
+}
+
+// Behind returns how far the team has fallen behind the others, as the time in which
+// a fully shared fleet would make up for it; at most a bound, and at least zero.
+func (q *Queue) Behind(now time.Time, team string) time.Duration {
+	t := q.teams[team]
+	if t == nil {
+		return 0
+	}
+	t.charge(q.advance(now), q.total)
+	seconds := (q.virtual - t.virtual) / q.fairRate()
+	return max(0, min(time.Duration(seconds*float64(time.Second)), maxCredit))
+}
+
+// Take takes a waiting item out of turn, to start it now.
+func (q *Queue) Take(now time.Time, it *Item) {
+	q.drop(it)
+	q.drained.count(q.advance(now))
+}
+
 func (q *Queue) add(t *teamState, it *Item) {
 	t.add(it)
 	q.items[it.ID] = it
+	q.join(it)
+	if it.Urgent {
+		q.urgent++
+	}
 	if !it.startBy.IsZero() {
 		heap.Push(&q.expiry, it)
 	}
@@ -147,6 +180,10 @@
 func (q *Queue) drop(it *Item) {
 	delete(q.items, it.ID)
 	q.teams[it.Team].remove(it)
+	q.leave(it)
+	if it.Urgent {
+		q.urgent--
+	}
 	if !it.startBy.IsZero() {
 		heap.Remove(&q.expiry, it.expiry)
 	}
@@ -182,9 +219,6 @@
 	}
 }
 
-// Holds reports whether this very item waits.
-func (q *Queue) Holds(it *Item) bool { return q.items[it.ID] == it }
-
 // Len returns how many items wait.
 func (q *Queue) Len() int { return len(q.items) }
 
