Keep connections of requests in flight, count strays longer

Cause: read against the wiring of the entry. An agent closed the client that it shares with requests when its block was lost, which would cut those in flight. Requests found at an adoption were given up after a task's lease. A team's usage was overwritten where several peers tell of it.

Change: the client is closed a lease later; RequestsFor bounds requests of unknown origin; usages are summed.

Ruled out: counting such requests until a report counts none (own requests keep a busy worker's count up for ever).

--- a/process/jobs/keeper.go
+++ b/process/jobs/keeper.go
@@ -53,8 +53,8 @@
 	Snapshot  func() *version.Snapshot
 	// Order decides who is next; nil stands for ByShare.
 	Order Order
-	// Usage returns what the teams have running across the fleet; nil stands for
-	// what this keeper has started.
+	// Usage returns what the teams have running across the fleet; a team may occur
+	// more than once. nil stands for what this keeper has started.
 	Usage func() []capacity.TeamUsage
 	// CallTimeout bounds each call to an owner or to the table.
 	CallTimeout time.Duration
--- a/process/jobs/schedule.go
+++ b/process/jobs/schedule.go
@@ -83,7 +83,7 @@
 	usage := make(map[string]resource.Amount)
 	if k.Usage != nil {
 		for _, u := range k.Usage() {
-			usage[u.Team] = u.Amount
+			usage[u.Team] = usage[u.Team].Add(u.Amount)
 		}
 		return usage
 	}
--- a/process/tasks/agent.go
+++ b/process/tasks/agent.go
@@ -85,7 +85,6 @@
 	a.closed = true
 	a.mu.Unlock()
 	a.cancel()
-	a.client.Close()
 }
 
 // idle reports whether the worker holds nothing that this owner knows of.
--- a/process/tasks/ids.go
+++ b/process/tasks/ids.go
@@ -13,6 +13,8 @@
 	holdingPrefix = "task:"
 	// expiryInterval is how often expired reservations are freed.
 	expiryInterval = 250 * time.Millisecond
+	// defaultRequestsFor is how long requests found on a worker occupy it at most.
+	defaultRequestsFor = 10 * time.Minute
 	// renewalsPerLease is how often a lease is renewed while it lasts.
 	renewalsPerLease = 3
 	// retryInterval is the pause after a failed call to a worker.
--- a/process/tasks/owner.go
+++ b/process/tasks/owner.go
@@ -42,7 +42,7 @@
 // worker may occur more than once.
 type Choose func(fleet placement.Fleet, want Want) []string
 
-// Config is what an Owner works with. All fields are required.
+// Config is what an Owner works with. All fields but RequestsFor are required.
 type Config struct {
 	Owners     ownership.Owners
 	Book       *capacity.Book
@@ -60,6 +60,10 @@
 	Margin time.Duration
 	// CallTimeout bounds each call to a worker or a keeper.
 	CallTimeout time.Duration
+	// RequestsFor is the longest that a request may be in flight. Requests found
+	// on a worker occupy it for that long unless its reports count fewer. Zero
+	// stands for defaultRequestsFor.
+	RequestsFor time.Duration
 }
 
 // Owner runs tasks on the workers of the blocks that this entry owns.
@@ -89,6 +93,9 @@
 
 // NewOwner returns an Owner without workers.
 func NewOwner(c Config) *Owner {
+	if c.RequestsFor == 0 {
+		c.RequestsFor = defaultRequestsFor
+	}
 	o := &Owner{Config: c, agents: make(map[string]*agent)}
 	o.holds.workers = make(map[string]workerHold)
 	o.outbox.events = make(map[Located]Event)
@@ -175,23 +182,26 @@
 	}
 }
 
+// drop ends an agent. Requests in flight keep their connections for a while.
 func (o *Owner) drop(name string, a *agent) {
 	delete(o.agents, name)
 	a.end()
-	o.giveLater(o.Book.Close(name))
+	held := o.Book.Close(name)
+	time.AfterFunc(o.Lease+o.Margin, func() {
+		a.client.Close()
+		o.give(held)
+	})
 	o.outbox.dropWorker(name)
 }
 
-// giveLater returns what tasks took of their teams' allotments once the next
-// owner must have counted them or their leases have ended.
-func (o *Owner) giveLater(held []capacity.Holding) {
-	time.AfterFunc(o.Lease+o.Margin, func() {
-		for _, h := range held {
-			if isTask(h.ID) {
-				o.Allotments.Give(h.Team, h.Amount)
-			}
+// give returns what tasks took of their teams' allotments. It is called once the
+// next owner must have counted them or their leases have ended.
+func (o *Owner) give(held []capacity.Holding) {
+	for _, h := range held {
+		if isTask(h.ID) {
+			o.Allotments.Give(h.Team, h.Amount)
 		}
-	})
+	}
 }
 
 func (o *Owner) agent(name string) *agent {
--- a/process/tasks/report.go
+++ b/process/tasks/report.go
@@ -25,7 +25,7 @@
 			holdings = append(holdings, h)
 		}
 	}
-	until := time.Now().Add(a.owner.Lease + a.owner.Margin)
+	until := time.Now().Add(a.owner.RequestsFor)
 	a.owner.Book.Reconcile(a.worker.Name, a.worker.Epoch, holdings, report.Requests, until)
 }
 
