Ask for the owners once a pass

Cause: each placed job asked for the owners' digests again, which sums this entry's book. Change: a pass asks once. Ruled out: caching over passes (it would age).

--- a/process/jobs/place.go
+++ b/process/jobs/place.go
@@ -99,7 +99,7 @@
 // order of the owners' names, the same everywhere; others ask this entry first,
 // then those with most free.
 func (k *Keeper) candidates(p *part, whole bool) []tasks.Peer {
-	owners := slices.Clone(k.Fleet.Owners())
+	owners := slices.Clone(p.owners)
 	slices.SortFunc(owners, func(x, y OwnerInfo) int {
 		if whole {
 			return cmp.Compare(x.Instance, y.Instance)
--- a/process/jobs/read.go
+++ b/process/jobs/read.go
@@ -68,7 +68,7 @@
 		Job: j.view(), Limit: j.limit, Dimension: j.dimension, NeverRunnable: j.never, Tries: j.tries,
 	}
 	s.mu.Unlock()
-	queue := k.queue(time.Now())
+	queue := k.queue(sizeOf(k.Fleet.Owners()).Total, time.Now())
 	e.Waiting = len(queue)
 	e.Place = 1 + slices.IndexFunc(queue, func(w Waiting) bool { return w.ID == id })
 	return e, nil
--- a/process/jobs/schedule.go
+++ b/process/jobs/schedule.go
@@ -42,7 +42,7 @@
 }
 
 // queue returns the jobs with tasks to start, in their order.
-func (k *Keeper) queue(now time.Time) []Waiting {
+func (k *Keeper) queue(total resource.Amount, now time.Time) []Waiting {
 	var waiting []Waiting
 	for _, s := range k.all() {
 		waiting = s.queued(now, waiting)
@@ -50,7 +50,6 @@
 	if len(waiting) == 0 {
 		return nil
 	}
-	total := k.fleetSize().Total
 	return k.Order(waiting, k.teamShares(total), total)
 }
 
@@ -138,10 +137,11 @@
 	if k.commit.failing(time.Now()) {
 		return
 	}
-	size := k.fleetSize()
+	owners := k.Fleet.Owners()
+	size := sizeOf(owners)
 	short := shortfalls{teams: make(map[string]bool)}
 	failures := 0
-	for _, w := range k.queue(time.Now()) {
+	for _, w := range k.queue(size.Total, time.Now()) {
 		if ctx.Err() != nil || failures == passFailures {
 			return
 		}
@@ -149,6 +149,7 @@
 		if p == nil {
 			continue
 		}
+		p.owners = owners
 		limit, placed := k.place(ctx, p)
 		if !placed {
 			failures++
@@ -168,6 +169,8 @@
 	places []int
 	// refs are the attempts to reserve for, in the order of places.
 	refs []taskRef
+	// owners are those known at the beginning of the pass.
+	owners []OwnerInfo
 	// tries is how often the job could not be placed whole.
 	tries int
 }
--- a/process/jobs/submit.go
+++ b/process/jobs/submit.go
@@ -87,7 +87,7 @@
 	spec.Policy, spec.Urgent = kind.Policy, kind.Urgent
 	spec.Attempts, spec.RunTime = kind.Attempts, kind.RunTime
 	spec.Created = now.Round(0)
-	if never := NeverFits(spec, team.Limit, k.fleetSize()); never != nil {
+	if never := NeverFits(spec, team.Limit, sizeOf(k.Fleet.Owners())); never != nil {
 		return never
 	}
 	return nil
@@ -103,9 +103,9 @@
 	Known bool
 }
 
-func (k *Keeper) fleetSize() FleetSize {
+func sizeOf(owners []OwnerInfo) FleetSize {
 	var size FleetSize
-	for _, owner := range k.Fleet.Owners() {
+	for _, owner := range owners {
 		size.Largest = size.Largest.Max(owner.Free.LargestCapacity)
 		size.Total = size.Total.Add(owner.Free.TotalCapacity)
 		size.Known = size.Known || !owner.Free.TotalCapacity.IsZero()
