--- a/internal/policytrial/trial_test.go
+++ b/internal/policytrial/trial_test.go
@@ -212,3 +212,21 @@
 		})
 	}
 }
+
+// BenchmarkSeeds prints the largest shortfall of each of 8 seeds; run it with
+// -benchtime 1x.
+func BenchmarkSeeds(b *testing.B) {
+	for _, load := range []float64{1.5, 3} {
+		for _, exchange := range []time.Duration{0, 500 * time.Millisecond, time.Second} {
+			s := user(load)
+			if exchange > 0 {
+				s = spread(s, 9, exchange)
+			}
+			fmt.Printf("| %.1f | %d | %s |", load, max(1, s.Entries), exchange)
+			for s.Seed = 1; s.Seed <= 8; s.Seed++ {
+				fmt.Printf(" %.3f", run(s).LargestShortfall)
+			}
+			fmt.Println(" |")
+		}
+	}
+}
