Hold dispatch to its bounds by a property test

Cause: holds join two structures; a hold that outlives its item would keep a worker empty for good. Seen: 100 random runs of 100 calls: no worker over what it has, none closed is chosen, holds end with their items.

--- a/process/dispatch/dispatch.go
+++ b/process/dispatch/dispatch.go
@@ -62,8 +62,8 @@
 	worker string
 }
 
-// Dispatcher decides for one owner. Callers reach the queue and the index through
-// it, but open and close workers only by SetClosed.
+// Dispatcher decides for one owner. Callers use its queue and index directly for all
+// but Pop and SetHeld, which are the dispatcher's.
 type Dispatcher struct {
 	Queue  *queue.Queue
 	Index  *placement.Index
--- a/process/dispatch/dispatch_test.go
+++ b/process/dispatch/dispatch_test.go
@@ -1,12 +1,15 @@
 package dispatch
 
 import (
+	"flag"
 	"fmt"
 	"math/rand/v2"
+	"os"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
 
 	"github.com/kingcuplatch/kingcuplatch/process/placement"
 	"github.com/kingcuplatch/kingcuplatch/process/resource"
@@ -67,3 +70,62 @@
 	}
 	return large
 }
+
+// Whatever happens, no worker is given more than it has, and holds end with their
+// items.
+func TestHoldsLeakNothing(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		capacity := resource.Amount{Running: 8, MilliCPU: 4000}
+		var fleet []placement.Candidate
+		for i := range 3 {
+			fleet = append(fleet, placement.Candidate{Worker: fmt.Sprint(i), Capacity: capacity, Free: capacity})
+		}
+		q := queue.New(queue.Config{Total: capacity.Times(3), Limit: 20})
+		d := New(q, placement.NewIndex(fleet), Policy{Ask: func(it *queue.Item) placement.Ask {
+			return placement.Ask{Amount: it.Amount, Policy: version.PolicyBatch}
+		}}, rand.New(rand.NewPCG(1, 2)))
+		now := start
+		var running []Start
+		for i := range 100 {
+			now = now.Add(time.Duration(rapid.IntRange(0, 3000).Draw(t, "ms")) * time.Millisecond)
+			switch rapid.IntRange(0, 5).Draw(t, "call") {
+			case 0:
+				q.Remove(fmt.Sprint(rapid.IntRange(0, i).Draw(t, "id")))
+			case 1:
+				d.Index.SetClosed(rapid.IntRange(0, 2).Draw(t, "worker"), rapid.Bool().Draw(t, "closed"))
+			case 2:
+				if len(running) > 0 {
+					d.Index.Give(running[0].Worker, running[0].Item.Amount)
+					q.Finished(now, running[0].Item.Charge())
+					running = running[1:]
+				}
+			default:
+				cores := rapid.Int64Range(1, 4).Draw(t, "cores")
+				_, _ = q.Push(now, &queue.Item{ID: fmt.Sprint(i), Team: fmt.Sprint(i % 3), Enqueued: now, Deadline: now.Add(time.Minute), Amount: resource.Amount{Running: 1, MilliCPU: cores * 1000}})
+			}
+			for s, some := d.Next(now); some; s, some = d.Next(now) {
+				assert.Assert(t, !d.Index.At(s.Worker).Closed)
+				d.Index.Take(s.Worker, s.Item.Amount)
+				q.Started(now, s.Item.Charge())
+				running = append(running, s)
+				assert.Assert(t, d.Index.At(s.Worker).Free.MilliCPU >= 0)
+			}
+			assert.Assert(t, len(d.holds) <= d.holdLimit())
+		}
+		q.Expire(now.Add(time.Hour))
+		_, some := d.Next(now.Add(time.Hour))
+		assert.Assert(t, !some && q.Len() == 0 && len(d.holds) == 0)
+		for i := range 3 {
+			d.Index.SetClosed(i, false)
+			assert.Assert(t, !d.Index.Held(i))
+		}
+	})
+}
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	if err := flag.Set("rapid.seed", "1"); err != nil {
+		panic(err)
+	}
+	os.Exit(m.Run())
+}
--- a/process/placement/hold.go
+++ b/process/placement/hold.go
@@ -14,6 +14,9 @@
 	ix.insert(i)
 }
 
+// Held reports whether worker i is kept from being chosen.
+func (ix *Index) Held(i int) bool { return ix.held[ix.workers[i].Worker] }
+
 // ChooseHold returns the worker that should be kept free for an ask that fits
 // nowhere now: of a random sample of those large enough, the one that is short of
 // least. It returns -1 if no worker in the sample will do.
