--- /dev/null
+++ b/process/jobs/worker_test.go
@@ -0,0 +1,108 @@
+package jobs
+
+import (
+	"context"
+	"time"
+
+	"github.com/kingcuplatch/kingcuplatch/conn/worker"
+)
+
+// fakeRun is one attempt on a worker.
+type fakeRun struct {
+	task  worker.StartTask
+	state worker.TaskState
+	due   time.Time
+}
+
+// fakeWorker runs each attempt for the run time of the world. It notes when two
+// copies of a task run, and when one starts after the acknowledged cancellation
+// of its job. The world's lock guards it.
+type fakeWorker struct {
+	worker.Client
+	world *world
+	epoch uint64
+	runs  map[worker.TaskRef]*fakeRun
+}
+
+func (f *fakeWorker) advance() {
+	now := time.Now()
+	for _, r := range f.runs {
+		if r.state == worker.TaskRunning && !now.Before(r.due) {
+			r.state = worker.TaskDone
+		}
+	}
+}
+
+func (f *fakeWorker) status(ref worker.TaskRef) worker.TaskStatus {
+	r := f.runs[ref]
+	return worker.TaskStatus{Task: ref.Task, Attempt: ref.Attempt, Team: r.task.Team, State: r.state, Amount: r.task.Amount}
+}
+
+func (f *fakeWorker) checkEpoch(epoch uint64) error {
+	f.advance()
+	if epoch < f.epoch {
+		return &worker.RefusedError{Code: worker.RefusedEpoch, Epoch: f.epoch}
+	}
+	f.epoch = epoch
+	return nil
+}
+
+func (f *fakeWorker) Adopt(_ context.Context, epoch uint64) (worker.Report, error) {
+	f.world.mu.Lock()
+	defer f.world.mu.Unlock()
+	if err := f.checkEpoch(epoch); err != nil {
+		return worker.Report{}, err
+	}
+	var report worker.Report
+	for ref := range f.runs {
+		report.Tasks = append(report.Tasks, f.status(ref))
+	}
+	return report, nil
+}
+
+func (f *fakeWorker) Renew(ctx context.Context, epoch uint64, _ time.Duration) (worker.Report, error) {
+	return f.Adopt(ctx, epoch)
+}
+
+func (f *fakeWorker) Start(_ context.Context, epoch uint64, starts []worker.StartTask) ([]worker.TaskStatus, error) {
+	w := f.world
+	var delay time.Duration
+	w.do(func() { delay = w.startDelay })
+	time.Sleep(delay)
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if err := f.checkEpoch(epoch); err != nil {
+		return nil, err
+	}
+	var list []worker.TaskStatus
+	for _, s := range starts {
+		w.check(s)
+		ref := worker.TaskRef{Task: s.Task, Attempt: s.Attempt}
+		f.runs[ref] = &fakeRun{task: s, state: worker.TaskRunning, due: time.Now().Add(w.runTime)}
+		list = append(list, f.status(ref))
+	}
+	return list, nil
+}
+
+func (f *fakeWorker) Stop(_ context.Context, epoch uint64, refs []worker.TaskRef) ([]worker.TaskStatus, error) {
+	f.world.mu.Lock()
+	defer f.world.mu.Unlock()
+	if err := f.checkEpoch(epoch); err != nil {
+		return nil, err
+	}
+	var list []worker.TaskStatus
+	for _, ref := range refs {
+		if f.runs[ref] == nil {
+			f.runs[ref] = &fakeRun{state: worker.TaskStopped}
+		}
+		if f.runs[ref].state == worker.TaskRunning {
+			f.runs[ref].state = worker.TaskStopped
+		}
+		list = append(list, f.status(ref))
+	}
+	return list, nil
+}
+
+func (f *fakeWorker) Forget(context.Context, uint64, []worker.TaskRef) error { return nil }
+
+func (f *fakeWorker) Close() {}
