Set aside workers that fail everything

Cause: the monitor of failing workers was not wired; a broken worker draws ever more work. Change: requests and tasks report how they ended per kind; a worker set aside is closed in the book, opened again when it is due for a probe, and stays open by how the next work ends there.

--- a/process/entry/build.go
+++ b/process/entry/build.go
@@ -101,9 +101,8 @@
 func (e *Entry) newPlaces() *requests.Places {
 	return requests.NewPlaces(requests.PlacesOptions{
 		Book: e.book, Allotments: e.allotments, Owners: e.owners, Remote: e.room, Caller: e.links,
-		Client: e.clients.get,
-		Observed: func(string, error) {
-		},
+		Client:   e.clients.get,
+		Observed: e.health.requestEnded,
 	})
 }
 
@@ -143,6 +142,7 @@
 		Owners: e.owners, Book: e.book, Allotments: e.allotments, Keepers: e.jobs,
 		Choose: tasks.NewChooser().Choose, Dial: e.clients.dial, BlockOf: e.blockOf,
 		Lease: e.Timings.TaskLease, Margin: leaseMargin, CallTimeout: callTimeout, RequestsFor: longestRequest,
+		Ended: e.health.observe,
 	})
 	e.keeper = jobs.NewKeeper(jobs.Config{
 		Instance: e.Instance, Table: e.Table, Fence: e.owners.Fence, Directory: e.owners, Fleet: e,
--- a/process/entry/entry.go
+++ b/process/entry/entry.go
@@ -43,6 +43,7 @@
 	keeper     *jobs.Keeper
 	jobs       *jobs.Client
 	burn       *burn.Recorder
+	health     *healthWatch
 	metrics    *instruments
 
 	// ctx bounds the loops; the doors end before it.
@@ -67,6 +68,7 @@
 	e.book = capacity.NewBook()
 	e.room = requests.NewRoom()
 	e.burn = burn.NewRecorder()
+	e.health = newHealthWatch(e.book, c.Log)
 	e.clients = newClients(c.Dial, func(name string, sent time.Time, inFlight int) {
 		e.places.WorkerReported(name, sent, inFlight)
 	})
--- a/process/entry/loops.go
+++ b/process/entry/loops.go
@@ -74,6 +74,7 @@
 			return
 		case now := <-ticker.C:
 			e.places.ExpireStrays(now)
+			e.health.step(now)
 			e.configureQueues()
 			e.noteAdmission(now)
 		}
--- a/process/requests/places.go
+++ b/process/requests/places.go
@@ -50,7 +50,7 @@
 	// Client returns the client of an owned worker.
 	Client func(workerName string) (worker.Client, bool)
 	// Observed is told how each hand-over to a worker ended.
-	Observed func(workerName string, err error)
+	Observed func(workerName, kind string, response worker.Response, err error)
 }
 
 // Places finds room for requests on own workers and at peers. It implements
@@ -235,7 +235,7 @@
 	}
 	request := worker.Request{ID: o.holding.ID, Epoch: grant.Epoch, Team: r.Team, Kind: r.Kind, Body: r.Body}
 	response, err := client.Do(ctx, request, !kind.Idempotent)
-	o.places.o.Observed(o.worker, err)
+	o.places.o.Observed(o.worker, r.Kind, response, err)
 	if err != nil {
 		return workerFailure(err)
 	}
--- a/process/tasks/owner.go
+++ b/process/tasks/owner.go
@@ -42,7 +42,7 @@
 // worker may occur more than once.
 type Choose func(fleet placement.Fleet, want Want) []string
 
-// Config is what an Owner works with. All fields but RequestsFor are required.
+// Config is what an Owner works with. All fields but RequestsFor and Ended are required.
 type Config struct {
 	Owners     ownership.Owners
 	Book       *capacity.Book
@@ -64,6 +64,9 @@
 	// on a worker occupy it for that long unless its reports count fewer. Zero
 	// stands for defaultRequestsFor.
 	RequestsFor time.Duration
+	// Ended is told how an attempt ended by itself; it must not call the Owner. Nil
+	// stands for nothing.
+	Ended func(workerName, kind string, failed bool)
 }
 
 // Owner runs tasks on the workers of the blocks that this entry owns.
@@ -96,6 +99,9 @@
 	if c.RequestsFor == 0 {
 		c.RequestsFor = defaultRequestsFor
 	}
+	if c.Ended == nil {
+		c.Ended = func(string, string, bool) {}
+	}
 	o := &Owner{Config: c, agents: make(map[string]*agent)}
 	o.holds.workers = make(map[string]workerHold)
 	o.outbox.events = make(map[Located]Event)
--- a/process/tasks/report.go
+++ b/process/tasks/report.go
@@ -106,6 +106,9 @@
 	at.phase = ended
 	at.event = a.event(ref, status)
 	a.owner.outbox.put(at.event)
+	if status.State == worker.TaskDone || status.State == worker.TaskFailed {
+		a.owner.Ended(a.worker.Name, at.kind, status.State == worker.TaskFailed)
+	}
 }
 
 func (a *agent) event(ref worker.TaskRef, status worker.TaskStatus) Event {
