Checkpoint what runs above a lowered limit

Cause: a lowered limit only kept new work out; tasks of a service or a long batch went on above it. Change: the ledger's excess of a team has its latest tasks on the entry's workers checkpointed; keepers start them again from there when there is room. Ruled out: stopping them (work lost).

--- a/internal/scenario/scenario.go
+++ b/internal/scenario/scenario.go
@@ -20,6 +20,7 @@
 //	checkworkers [FLAGS]          check the workers' own records
 //	mark VAR                      put the present time into $VAR
 //	checkteams [FLAGS]            check how much of a team ran at a time
+//	waitstarted N                 wait until N attempts of tasks were started
 //
 // The two checks know nothing of the product but its public messages; with ! they
 // want a violation. Their flags bound what has to be seen.
@@ -50,19 +51,20 @@
 // Commands returns the commands by name.
 func Commands() map[string]func(ts *testscript.TestScript, neg bool, args []string) {
 	return map[string]command{
-		"start":      start,
-		"signal":     signal,
-		"waitexit":   waitExit,
-		"addr":       addr,
-		"subst":      subst,
-		"waithttp":   waitHTTP,
-		"get":        get,
-		"post":       post,
-		"mark":       mark,
-		"checkteams": checkTeams,
-		"cluster":    startCluster,
-		"entry":      startEntry,
-		"ready":      ready,
+		"start":       start,
+		"signal":      signal,
+		"waitexit":    waitExit,
+		"addr":        addr,
+		"subst":       subst,
+		"waithttp":    waitHTTP,
+		"get":         get,
+		"post":        post,
+		"mark":        mark,
+		"checkteams":  checkTeams,
+		"waitstarted": waitStarted,
+		"cluster":     startCluster,
+		"entry":       startEntry,
+		"ready":       ready,
 
 		"load":         startLoad,
 		"waitload":     waitLoad,
--- a/internal/scenario/teams.go
+++ b/internal/scenario/teams.go
@@ -4,6 +4,7 @@
 	"flag"
 	"fmt"
 	"slices"
+	"strconv"
 	"time"
 
 	"github.com/rogpeppe/go-internal/testscript"
@@ -40,6 +41,28 @@
 	found.settle(ts, neg, "team limit")
 }
 
+// waitStarted waits until the workers' records show that many started attempts.
+func waitStarted(ts *testscript.TestScript, neg bool, args []string) {
+	positive(ts, neg)
+	usage(ts, args, 1, 1, "waitstarted N")
+	want, err := strconv.Atoi(args[0])
+	ts.Check(err)
+	started := func() (n int) {
+		for _, r := range workerRecords(ts) {
+			for _, e := range r.Events {
+				if e.Kind == workerstandin.EventTaskStart {
+					n++
+				}
+			}
+		}
+		return n
+	}
+	if !poll(func() bool { return started() >= want }) {
+		logTails(ts)
+		ts.Fatalf("%d attempts were started, want %d", started(), want)
+	}
+}
+
 func parseMark(ts *testscript.TestScript, text string) time.Time {
 	if text == "" {
 		return time.Time{}
--- a/process/entry/loops.go
+++ b/process/entry/loops.go
@@ -75,12 +75,22 @@
 		case now := <-ticker.C:
 			e.places.ExpireStrays(now)
 			e.health.step(now)
+			e.shrinkTeams()
 			e.configureQueues()
 			e.noteAdmission(now)
 		}
 	}
 }
 
+// shrinkTeams checkpoints tasks of teams whose limit was lowered below what runs.
+func (e *Entry) shrinkTeams() {
+	for _, over := range e.allotments.Over() {
+		if n := e.owner.Checkpoint(over.Team, over.Excess); n > 0 {
+			e.Log.Log(events.TeamShrunk, over.Team, n)
+		}
+	}
+}
+
 func (e *Entry) noteAdmission(now time.Time) {
 	admits := e.config.Admitting(now)
 	if e.admitting.Swap(admits) == admits {
--- a/process/events/catalogue.go
+++ b/process/events/catalogue.go
@@ -30,6 +30,8 @@
 	WorkerReturned    = &Event{4004, logrus.InfoLevel, "worker works again", []string{"worker"}, nothing}
 	TaskLost          = &Event{4005, logrus.WarnLevel, "task lost with its worker", []string{"task", "worker"}, nothing}
 
+	TeamShrunk = &Event{4006, logrus.InfoLevel, "tasks checkpointed: the team's limit was lowered below what runs", []string{"team", "tasks"}, nothing}
+
 	RequestUnknown = &Event{5001, logrus.WarnLevel, "request handed over, answer lost", []string{"request", "team", "worker", "error"}, "The caller was told that the outcome is unknown."}
 
 	JobFailed   = &Event{6001, logrus.WarnLevel, "job failed", []string{"job", "team", "reason"}, "See `kingcuplatch get job`."}
@@ -41,7 +43,7 @@
 	EntryStarted, EntryDrains, EntryStopped, EntryFailed,
 	BlockGained, BlockLost, OwnershipFailed, EntryTakenOver, PeerFailed, ListFailed,
 	VersionInForce, StoreFailed, AdmissionStopped, AdmissionResumed,
-	WorkerAdopted, WorkerUnreachable, WorkerAside, WorkerReturned, TaskLost,
+	WorkerAdopted, WorkerUnreachable, WorkerAside, WorkerReturned, TaskLost, TeamShrunk,
 	RequestUnknown,
 	JobFailed, KeeperError,
 }
--- a/process/tasks/agent.go
+++ b/process/tasks/agent.go
@@ -37,6 +37,8 @@
 	began time.Time
 	// stop says that the attempt is to be stopped.
 	stop bool
+	// saving says that the attempt is to be checkpointed.
+	saving bool
 }
 
 // agent serves one worker.
@@ -157,6 +159,9 @@
 	if err := a.stopMarked(ctx); err != nil {
 		return err
 	}
+	if err := a.saveMarked(ctx); err != nil {
+		return err
+	}
 	return a.forgetRecorded(ctx)
 }
 
