Hold a lost request's room until the worker says that it is over

A count of requests in flight can't tell which rooms are free while others are in use. Now a worker's report names the requests in flight, rooms are freed by these names only, and a worker with lost requests is asked at once instead of at its next renewal. The test that let strays end by the clock now wants them to last until the worker's report. Entries can be run without the right check, replication, dedupe and drain, and with changed worker clients, for proofs only.

--- a/conn/worker/worker.go
+++ b/conn/worker/worker.go
@@ -103,8 +103,10 @@
 	Worker string `json:"worker"`
 	Epoch  uint64 `json:"epoch"`
 	// Requests counts requests in flight, of any epoch.
-	Requests int          `json:"requests"`
-	Tasks    []TaskStatus `json:"tasks"`
+	Requests int `json:"requests"`
+	// RequestIDs are the ids of the requests in flight.
+	RequestIDs []string     `json:"request_ids,omitempty"`
+	Tasks      []TaskStatus `json:"tasks"`
 }
 
 // TaskRef names one attempt of a task.
--- a/internal/scenario/cluster.go
+++ b/internal/scenario/cluster.go
@@ -23,6 +23,10 @@
 	operatorKeySHA256 = "4489ff2f9ea96e76d15846c1b6fb8fe5e2831f2433aebb54ccf3be9db7d1418d"
 )
 
+// ProgramWithout runs an entry without the mechanisms that its first argument
+// names. The test binary registers it.
+const ProgramWithout = "kingcuplatchd-without"
+
 // domains is how many failure domains a cluster has.
 const domains = 3
 
@@ -35,6 +39,8 @@
 	// timings are lines for the settings' table of timings.
 	timings  string
 	upstream string
+	// without names the mechanisms that the entries leave out.
+	without string
 }
 
 // startCluster starts a platform, entries and workers as processes and sets
@@ -44,6 +50,7 @@
 	positive(ts, neg)
 	c := parseCluster(ts, args)
 	procs := processesOf(ts)
+	procs.clusterOf = c
 	ts.Check(procs.start(ts.MkAbs("."), "platform", "platform", []string{"-listen", "127.0.0.1:0", "-addr-file", "platform.addr"}))
 	addr(ts, false, []string{"PLATFORM", "platform.addr"})
 	for n := 1; n <= c.entries; n++ {
@@ -53,7 +60,6 @@
 	for n := 1; n <= c.workers; n++ {
 		c.startWorker(ts, n)
 	}
-	procs.clusterOf = c
 	ts.Setenv("KINGCUPLATCH_ENTRIES", c.urls(ts, "ENTRY"))
 	ts.Setenv("KINGCUPLATCH_OPERATORS", c.urls(ts, "OPS"))
 	ready(ts, false, nil)
@@ -65,6 +71,7 @@
 	flags.IntVar(&c.entries, "entries", 3, "entries")
 	flags.IntVar(&c.workers, "workers", 3, "workers")
 	flags.StringVar(&c.upstream, "upstream", "bookings", "upstream of the workers")
+	flags.StringVar(&c.without, "without", "", "mechanisms that the entries leave out, separated by commas; "+ProgramWithout+" runs them")
 	flags.StringVar(&c.timings, "timings", "", "settings of timings, separated by commas")
 	ts.Check(flags.Parse(args))
 	c.extra = flags.Args()
@@ -104,10 +111,15 @@
 	name := "entry-" + args[0]
 	dir := name + ".addr"
 	ts.Check(os.RemoveAll(ts.MkAbs(dir)))
-	start(ts, false, []string{name, "kingcuplatchd", "-config", name + ".toml", "-addresses", dir})
+	program := []string{name, "kingcuplatchd"}
+	if without := processesOf(ts).clusterOf.without; without != "" {
+		program = []string{name, ProgramWithout, without}
+	}
+	start(ts, false, append(program, "-config", name+".toml", "-addresses", dir))
 	for variable, file := range map[string]string{"ENTRY": "callers", "OPS": "operators", "PEER": "peers", "METRICS": "metrics"} {
 		addr(ts, false, []string{variable + args[0], filepath.Join(dir, file)})
 	}
+	processesOf(ts).setCallers(name, ts.Getenv("ENTRY"+args[0]))
 	n, err := strconv.Atoi(args[0])
 	ts.Check(err)
 	putInstance(ts, platform.Instance{
@@ -165,7 +177,7 @@
 	var blocks, open, running float64
 	for n := 1; n <= c.entries; n++ {
 		p := procs.get(fmt.Sprintf("entry-%d", n))
-		if p == nil || !p.running() {
+		if p == nil || !p.running() || p.frozen.Load() {
 			continue
 		}
 		got, err := call(http.MethodGet, "http://"+ts.Getenv("METRICS"+strconv.Itoa(n))+"/metrics", "")
--- a/internal/scenario/load.go
+++ b/internal/scenario/load.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -35,14 +36,18 @@
 	name    string
 	kind    string
 	keys    []teamKey
-	entries []string
+	// entries returns the URLs of the entries that are called.
+	entries func() []string
 	rate    float64
 	count   int
 	named   bool
 	again   bool
+	times   int
 	ready   bool
 	workMS  int
 	pad     int
+	// deadlineMS is sent with each call unless it is 0.
+	deadlineMS int
 
 	client *http.Client
 	next   atomic.Int64
@@ -80,9 +85,6 @@
 
 func (t *try) notRun() bool { return t.status != 0 && t.refusal.Ran == api.NotRun }
 
-// lost reports whether the caller doesn't know what became of the work.
-func (t *try) lost() bool { return !t.answered() && !t.notRun() }
-
 // startLoad starts calls in the background.
 func startLoad(ts *testscript.TestScript, neg bool, args []string) {
 	positive(ts, neg)
@@ -105,13 +107,15 @@
 	flags := flag.NewFlagSet("load", flag.ContinueOnError)
 	flags.StringVar(&l.kind, "kind", "quote", "kind of work")
 	flags.StringVar(&keys, "keys", "", "TEAM:KEY, separated by commas; calls take turns")
-	flags.StringVar(&entries, "entries", ts.Getenv("KINGCUPLATCH_ENTRIES"), "URLs of entries, separated by commas; calls take turns")
+	flags.StringVar(&entries, "entries", "", "URLs of entries, separated by commas, instead of all; calls take turns")
 	flags.Float64Var(&l.rate, "rate", 100, "calls a second; 0 for all at once")
 	flags.IntVar(&l.count, "n", 100, "calls")
 	flags.BoolVar(&l.named, "ids", false, "name the requests")
-	flags.BoolVar(&l.again, "again", false, "hand in the same id at another entry while its outcome isn't known")
+	flags.BoolVar(&l.again, "again", false, "hand in again at another entry what got no answer or was refused by a stopping entry")
+	flags.IntVar(&l.times, "times", 1, "how often each call is handed in, at once and at one entry after the other")
 	flags.BoolVar(&l.ready, "ready", false, "pass over entries that say they aren't ready, as a balancer does")
 	flags.IntVar(&l.workMS, "work-ms", 0, "how long the work takes, in milliseconds")
+	flags.IntVar(&l.deadlineMS, "deadline-ms", 0, "deadline of each call, in milliseconds; 0 for that of the kind")
 	flags.IntVar(&l.pad, "pad", 0, "bytes added to each body")
 	ts.Check(flags.Parse(args[1:]))
 	for _, pair := range strings.Split(keys, ",") {
@@ -121,7 +125,10 @@
 		}
 		l.keys = append(l.keys, teamKey{team, key})
 	}
-	l.entries = strings.Split(entries, ",")
+	l.entries = processesOf(ts).entryURLs
+	if entries != "" {
+		l.entries = func() []string { return strings.Split(entries, ",") }
+	}
 	return l
 }
 
@@ -139,7 +146,11 @@
 		slots <- struct{}{}
 		running.Go(func() {
 			defer func() { <-slots }()
-			l.handIn(call)
+			var same sync.WaitGroup
+			for range l.times {
+				same.Go(func() { l.handIn(call) })
+			}
+			same.Wait()
 		})
 	}
 	running.Wait()
@@ -168,7 +179,7 @@
 		l.mu.Lock()
 		call.tries = append(call.tries, t)
 		l.mu.Unlock()
-		if !l.again || !t.lost() || t.status != 0 {
+		if !l.again || t.status != 0 && t.refusal.Code != api.CodeStopping {
 			return
 		}
 	}
@@ -176,8 +187,9 @@
 
 // entry returns whose turn it is.
 func (l *load) entry() string {
-	for range l.entries {
-		url := l.entries[int(l.next.Add(1))%len(l.entries)]
+	entries := l.entries()
+	for range entries {
+		url := entries[int(l.next.Add(1))%len(entries)]
 		if !l.ready {
 			return url
 		}
@@ -186,7 +198,7 @@
 			return url
 		}
 	}
-	return l.entries[0]
+	return entries[0]
 }
 
 // try makes one HTTP call.
@@ -203,6 +215,9 @@
 	if l.named {
 		request.Header.Set(api.HeaderRequestID, call.id)
 	}
+	if l.deadlineMS > 0 {
+		request.Header.Set(api.HeaderDeadline, strconv.Itoa(l.deadlineMS))
+	}
 	response, err := l.client.Do(request)
 	if err != nil {
 		t.fault = err
@@ -229,11 +244,39 @@
 	if t.notAnAnswer {
 		t.fault = errors.New("no answer of a worker or an entry: " + string(body))
 	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
 	if call.id == "" {
 		call.id = response.Header.Get(api.HeaderRequestID)
 	}
 }
 
+// waitJob waits until a job is done.
+func waitJob(ts *testscript.TestScript, neg bool, args []string) {
+	positive(ts, neg)
+	usage(ts, args, 3, 3, "waitjob ID KEY URL")
+	deadline := time.Now().Add(2 * waitBound)
+	var view api.JobView
+	for view.State != api.JobDone {
+		if time.Now().After(deadline) {
+			logTails(ts)
+			ts.Fatalf("job %s isn't done after %v: %+v", args[0], 2*waitBound, view)
+		}
+		time.Sleep(pollInterval)
+		request, err := http.NewRequest(http.MethodGet, args[2]+"/v1/jobs/"+args[0], nil)
+		ts.Check(err)
+		request.Header.Set("Authorization", "Bearer "+args[1])
+		response, err := client.Do(request)
+		if err != nil {
+			continue
+		}
+		if json.NewDecoder(response.Body).Decode(&view) != nil {
+			view = api.JobView{}
+		}
+		response.Body.Close()
+	}
+}
+
 // waitLoad waits for the end of a load.
 func waitLoad(ts *testscript.TestScript, neg bool, args []string) {
 	positive(ts, neg)
--- a/internal/scenario/process.go
+++ b/internal/scenario/process.go
@@ -1,10 +1,13 @@
 package scenario
 
 import (
+	"maps"
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -36,6 +39,8 @@
 
 	mu     sync.Mutex
 	byName map[string]*process
+	// callersOf is the address of each entry's callers' listener.
+	callersOf map[string]string
 }
 
 // process is one background program.
@@ -44,10 +49,12 @@
 	// exited is closed once the program has ended and err is set.
 	exited chan struct{}
 	err    error
+	// frozen says that it was sent STOP.
+	frozen atomic.Bool
 }
 
 func newProcesses(dir string, env []string) *processes {
-	return &processes{dir: dir, env: env, byName: make(map[string]*process)}
+	return &processes{dir: dir, env: env, byName: make(map[string]*process), callersOf: make(map[string]string)}
 }
 
 func (p *processes) logPath(name string) string {
@@ -86,6 +93,23 @@
 	return p.byName[name]
 }
 
+// entryURLs returns the URLs of all entries as they were last started.
+func (p *processes) entryURLs() []string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var urls []string
+	for _, name := range slices.Sorted(maps.Keys(p.callersOf)) {
+		urls = append(urls, "http://"+p.callersOf[name])
+	}
+	return urls
+}
+
+func (p *processes) setCallers(entry, address string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.callersOf[entry] = address
+}
+
 // killAll ends all processes and waits for their end.
 func (p *processes) killAll() {
 	p.mu.Lock()
@@ -142,7 +166,9 @@
 	if !known {
 		ts.Fatalf("no signal %s", args[1])
 	}
-	ts.Check(named(ts, args[0]).cmd.Process.Signal(sig))
+	to := named(ts, args[0])
+	ts.Check(to.cmd.Process.Signal(sig))
+	to.frozen.Store(args[1] == "STOP")
 }
 
 func waitExit(ts *testscript.TestScript, neg bool, args []string) {
--- a/internal/scenario/scenario.go
+++ b/internal/scenario/scenario.go
@@ -16,6 +16,7 @@
 //	ready [ENTRIES WORKERS]       wait until that many serve all blocks
 //	load NAME [FLAGS]             call the entries in the background
 //	waitload NAME                 wait for the end of a load
+//	waitjob ID KEY URL            wait until a job is done
 //	checkload NAME [FLAGS]        check a load's answers against the workers' records
 //	checkworkers [FLAGS]          check the workers' own records
 //
@@ -62,6 +63,7 @@
 
 		"load":         startLoad,
 		"waitload":     waitLoad,
+		"waitjob":      waitJob,
 		"checkload":    checkLoad,
 		"checkworkers": checkWorkers,
 	}
--- a/internal/standin/workerstandin/control.go
+++ b/internal/standin/workerstandin/control.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -94,10 +95,11 @@
 // attempt.
 func (w *Worker) reportLocked(now time.Time) *worker.Report {
 	report := &worker.Report{
-		Worker:   w.config.Name,
-		Epoch:    w.epoch,
-		Requests: w.record.Held.Requests,
-		Tasks:    make([]worker.TaskStatus, 0, len(w.tasks)),
+		Worker:     w.config.Name,
+		Epoch:      w.epoch,
+		Requests:   w.record.Held.Requests,
+		RequestIDs: slices.Sorted(maps.Keys(w.inFlight)),
+		Tasks:      make([]worker.TaskStatus, 0, len(w.tasks)),
 	}
 	for _, t := range w.tasks {
 		report.Tasks = append(report.Tasks, w.statusLocked(t, now))
--- a/internal/standin/workerstandin/request.go
+++ b/internal/standin/workerstandin/request.go
@@ -83,6 +83,7 @@
 	}
 	event.Kind = EventRequestBegin
 	w.record.add(event)
+	w.inFlight[r.ID]++
 	return take(&w.switches.DieAfterRead), nil
 }
 
@@ -95,6 +96,10 @@
 	event := w.requestEvent(r)
 	event.Kind = EventRequestEnd
 	w.record.add(event)
+	w.inFlight[r.ID]--
+	if w.inFlight[r.ID] == 0 {
+		delete(w.inFlight, r.ID)
+	}
 }
 
 func (w *Worker) requestEvent(r worker.Request) Event {
--- a/internal/standin/workerstandin/worker.go
+++ b/internal/standin/workerstandin/worker.go
@@ -76,6 +76,8 @@
 	switches Switches
 	epoch    uint64
 	tasks    map[worker.TaskRef]*task
+	// inFlight counts the requests in flight by id.
+	inFlight map[string]int
 	record   Record
 	conns    map[*conn]struct{}
 }
@@ -89,10 +91,11 @@
 		config.RequestAmount = resource.Amount{Running: 1, Slots: 1}
 	}
 	return &Worker{
-		config: config,
-		tasks:  make(map[worker.TaskRef]*task),
-		record: newRecord(config),
-		conns:  make(map[*conn]struct{}),
+		config:   config,
+		tasks:    make(map[worker.TaskRef]*task),
+		inFlight: make(map[string]int),
+		record:   newRecord(config),
+		conns:    make(map[*conn]struct{}),
 	}
 }
 
--- a/process/capacity/book.go
+++ b/process/capacity/book.go
@@ -2,7 +2,9 @@
 
 import (
 	"hash/maphash"
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -133,9 +135,9 @@
 
 // Reconcile opens a worker that was adopted at epoch with what it reported.
 // Requests in flight that no holding stands for occupy slots until a later
-// report counts fewer, or until straysUntil. It returns false if the worker is
-// not in the book at that epoch.
-func (b *Book) Reconcile(worker string, epoch uint64, holdings []Holding, requestsInFlight int, straysUntil time.Time) bool {
+// report doesn't name them. It returns false if the worker is not in the book at
+// that epoch.
+func (b *Book) Reconcile(worker string, epoch uint64, holdings []Holding, requestsInFlight []string) bool {
 	var ok bool
 	b.with(worker, func(_ *shard, l *ledger) {
 		if l == nil || l.worker.Epoch != epoch {
@@ -145,22 +147,36 @@
 		for _, h := range holdings {
 			l.put(h)
 		}
-		l.strays = requestsInFlight
-		l.straysUntil = straysUntil
+		l.strays = make(map[string]struct{}, len(requestsInFlight))
+		for _, id := range requestsInFlight {
+			l.strays[id] = struct{}{}
+		}
 		l.adopted = true
 		ok = true
 	})
 	return ok
 }
 
-// ReportRequests takes in a later count of a worker's requests in flight. The
-// count includes requests that have holdings, so that it bounds the strays.
-func (b *Book) ReportRequests(worker string, inFlight int) {
+// ReportRequests takes in the ids of a worker's requests in flight from a later
+// report. Strays that it doesn't name are over.
+func (b *Book) ReportRequests(worker string, inFlight []string) {
+	b.with(worker, func(_ *shard, l *ledger) {
+		if l == nil {
+			return
+		}
+		maps.DeleteFunc(l.strays, func(id string, _ struct{}) bool { return !slices.Contains(inFlight, id) })
+	})
+}
+
+// Strays counts the requests in flight that occupy slots without a holding.
+func (b *Book) Strays(worker string) int {
+	count := 0
 	b.with(worker, func(_ *shard, l *ledger) {
 		if l != nil {
-			l.strays = min(l.strays, inFlight)
+			count = len(l.strays)
 		}
 	})
+	return count
 }
 
 // Assume occupies capacity for work about to be handed over. Errors: *FullError,
@@ -242,11 +258,6 @@
 			expired = append(expired, Held{Worker: key.worker, Holding: h})
 		}
 	}
-	for _, l := range s.ledgers {
-		if l.strays > 0 && !now.Before(l.straysUntil) {
-			l.strays = 0
-		}
-	}
 	return expired
 }
 
--- a/process/capacity/book_test.go
+++ b/process/capacity/book_test.go
@@ -47,10 +47,10 @@
 	b.Open(testWorker("w", 2))
 	assert.Assert(t, errors.As(b.Assume("w", request("r", now)), &closed))
 	assert.Assert(t, b.At(0).Closed && b.At(0).Free.IsZero())
-	assert.Assert(t, !b.Reconcile("w", 1, nil, 0, now), "an earlier epoch")
+	assert.Assert(t, !b.Reconcile("w", 1, nil, nil), "an earlier epoch")
 
 	task := Holding{ID: "t", Team: "b", Amount: resource.Amount{MilliCPU: 40_000}}
-	assert.Assert(t, b.Reconcile("w", 2, []Holding{task}, 3, now.Add(time.Minute)))
+	assert.Assert(t, b.Reconcile("w", 2, []Holding{task}, []string{"x", "y", "z"}))
 	err := b.Assume("w", Holding{ID: "t2", Amount: resource.Amount{MilliCPU: 1}})
 	assert.Error(t, err, "worker w is full: milli_cpu")
 	assert.NilError(t, b.Assume("w", request("r1", time.Time{})))
@@ -58,9 +58,11 @@
 	assert.Assert(t, errors.As(b.Assume("w", request("r3", time.Time{})), &full))
 	assert.Equal(t, full.Dimension, DimensionConnections, "3 strays and 2 requests on 6 connections less control")
 
-	b.ReportRequests("w", 2)
+	b.ReportRequests("w", []string{"x", "r1", "r2", "z"})
 	assert.NilError(t, b.Assume("w", request("r3", time.Time{})))
 	b.Expire(now.Add(time.Hour))
+	assert.Assert(t, errors.As(b.Assume("w", request("r4", time.Time{})), &full), "strays run for as long as the worker says")
+	b.ReportRequests("w", []string{"r1"})
 	assert.NilError(t, b.Assume("w", request("r4", time.Time{})), "strays are over")
 
 	b.SetLeaving("w", true)
@@ -84,7 +86,7 @@
 		model := map[holdingKey]Holding{}
 		for _, w := range []string{"w0", "w1", "w2"} {
 			b.Open(testWorker(w, 1))
-			b.Reconcile(w, 1, nil, 0, now)
+			b.Reconcile(w, 1, nil, nil)
 		}
 		draw := func(t *rapid.T) holdingKey {
 			return holdingKey{
@@ -163,7 +165,7 @@
 	for i := range n {
 		name := fmt.Sprintf("worker-%d", i)
 		b.Open(testWorker(name, 1))
-		b.Reconcile(name, 1, nil, 0, time.Time{})
+		b.Reconcile(name, 1, nil, nil)
 		for h := range holdings {
 			if err := b.Assume(name, Holding{ID: fmt.Sprintf("task:job-%d/%d#1", i, h), Team: "a", Kind: "k", Amount: resource.Amount{MilliCPU: 1}}); err != nil {
 				panic(err)
--- a/process/capacity/ledger.go
+++ b/process/capacity/ledger.go
@@ -3,7 +3,6 @@
 import (
 	"cmp"
 	"slices"
-	"time"
 
 	"github.com/kingcuplatch/kingcuplatch/process/placement"
 	"github.com/kingcuplatch/kingcuplatch/process/resource"
@@ -17,13 +16,12 @@
 	used     resource.Amount
 	// connections is how many connections the holdings occupy.
 	connections int
-	// strays counts requests in flight that no holding stands for.
-	strays      int
-	straysUntil time.Time
-	adopted     bool
-	leaving     bool
-	aside       bool
-	silent      bool
+	// strays are requests in flight that no holding stands for.
+	strays  map[string]struct{}
+	adopted bool
+	leaving bool
+	aside   bool
+	silent  bool
 	// all and upstream are the places in the indexes.
 	all, upstream int
 }
@@ -40,7 +38,7 @@
 // occupied is what holdings and stray requests take together.
 func (l *ledger) occupied() resource.Amount {
 	used := l.used
-	used.Slots += int64(l.strays)
+	used.Slots += int64(len(l.strays))
 	return used
 }
 
@@ -54,7 +52,7 @@
 }
 
 func (l *ledger) freeConnections() int {
-	return l.worker.Connections - controlConnections - l.connections - l.strays
+	return l.worker.Connections - controlConnections - l.connections - len(l.strays)
 }
 
 // fits returns the first dimension in which h does not fit. A dimension that h
@@ -99,7 +97,7 @@
 	for id := range l.holdings {
 		l.drop(id)
 	}
-	l.strays = 0
+	l.strays = nil
 }
 
 // sorted returns the holdings in the order of their ids.
--- a/process/dispatch/dispatch.go
+++ b/process/dispatch/dispatch.go
@@ -38,7 +38,7 @@
 	// Send hands the request over and returns what became of it.
 	Send(ctx context.Context, r *attempt.Request, kind *version.Kind) attempt.Outcome
 	// Release gives the room back; after an unknown outcome the place keeps it
-	// until the worker's own report or the deadline.
+	// until the worker's own report says that it is free.
 	Release(outcome attempt.Outcome)
 }
 
--- a/process/entry/build.go
+++ b/process/entry/build.go
@@ -100,7 +100,7 @@
 
 func (e *Entry) newPlaces() *requests.Places {
 	return requests.NewPlaces(requests.PlacesOptions{
-		Book: e.book, Allotments: e.allotments, Owners: e.owners, Remote: e.room, Caller: e.links,
+		Book: e.book, Allotments: e.allotments, Owners: e.guards(), Remote: e.room, Caller: e.links,
 		Client: e.clients.get,
 		Observed: func(string, error) {
 		},
@@ -109,7 +109,7 @@
 
 func (e *Entry) newRequests() *requests.Service {
 	return requests.New(e.ctx, requests.Options{
-		Instance: e.Instance, Guards: e.owners, Caller: e.links,
+		Instance: e.Instance, Guards: e.guards(), Caller: e.links,
 		Snapshot: e.config.Current, Places: e.places,
 		Budget:        e.newBudget,
 		NewDispatcher: e.newDispatcher,
@@ -140,7 +140,7 @@
 func (e *Entry) newJobs() {
 	e.jobs = &jobs.Client{Directory: e.owners, Fleet: e, Caller: e.links}
 	e.owner = tasks.NewOwner(tasks.Config{
-		Owners: e.owners, Book: e.book, Allotments: e.allotments, Keepers: e.jobs,
+		Owners: e.guards(), Book: e.book, Allotments: e.allotments, Keepers: e.jobs,
 		Choose: chooseWorkers, Dial: e.clients.dial, BlockOf: e.blockOf,
 		Lease: e.Timings.TaskLease, Margin: leaseMargin, CallTimeout: callTimeout,
 	})
--- a/process/entry/clients.go
+++ b/process/entry/clients.go
@@ -71,9 +71,9 @@
 	}
 }
 
-// reportFunc takes in a worker's count of requests in flight, given in answer to a
-// call sent at the given time.
-type reportFunc func(name string, sent time.Time, inFlight int)
+// reportFunc takes in the ids of a worker's requests in flight, given in answer to
+// a call sent at the given time.
+type reportFunc func(name string, sent time.Time, inFlight []string)
 
 // reportingClient passes the requests in flight that a worker reports to Places.
 type reportingClient struct {
@@ -87,7 +87,7 @@
 	sent := time.Now()
 	report, err := c.Client.Renew(ctx, epoch, lease)
 	if err == nil {
-		c.report(c.name, sent, report.Requests)
+		c.report(c.name, sent, report.RequestIDs)
 	}
 	return report, err
 }
--- a/process/entry/config.go
+++ b/process/entry/config.go
@@ -76,4 +76,13 @@
 }
 
 // Omissions are the mechanisms that an entry can be run without.
-type Omissions struct{}
+type Omissions struct {
+	// Right: what was once granted is acted on without asking whether it holds.
+	Right bool
+	// Replication: guards remember no request ids.
+	Replication bool
+	// Dedupe: a repeated request id runs like any other.
+	Dedupe bool
+	// Drain: a stop doesn't wait for what runs.
+	Drain bool
+}
--- a/process/entry/doors.go
+++ b/process/entry/doors.go
@@ -35,7 +35,7 @@
 func (d *doors) start(e *Entry) {
 	d.drainFor = min(notReadyFor, e.Timings.Drain/4)
 	d.callers = e.httpServer(d.counted(callers.Handler(callers.Options{
-		Config: e.config, Requests: e.requests, Jobs: e, MaxBodyBytes: e.MaxBodyBytes,
+		Config: e.config, Requests: e.callersRequests(), Jobs: e, MaxBodyBytes: e.MaxBodyBytes,
 		Stopping: e.stopping.Load, NewID: newID,
 	})))
 	d.operators = e.httpServer(d.counted(operators.Handler(operators.Options{
--- a/process/entry/entry.go
+++ b/process/entry/entry.go
@@ -66,7 +66,7 @@
 	e.book = capacity.NewBook()
 	e.room = requests.NewRoom()
 	e.burn = burn.NewRecorder()
-	e.clients = newClients(c.Dial, func(name string, sent time.Time, inFlight int) {
+	e.clients = newClients(c.Dial, func(name string, sent time.Time, inFlight []string) {
 		e.places.WorkerReported(name, sent, inFlight)
 	})
 	e.config = e.newStore()
--- a/process/entry/loops.go
+++ b/process/entry/loops.go
@@ -63,7 +63,7 @@
 	return own
 }
 
-// housekeeping frees lost rooms, tells queues of the fleet and logs whether the
+// housekeeping asks after lost requests, tells queues of the fleet and logs whether the
 // entry admits.
 func (e *Entry) housekeeping() {
 	ticker := time.NewTicker(housekeepingEvery)
@@ -73,7 +73,7 @@
 		case <-e.ctx.Done():
 			return
 		case now := <-ticker.C:
-			e.places.ExpireStrays(now)
+			e.owner.Ask(e.places.Doubtful())
 			e.configureQueues()
 			e.noteAdmission(now)
 		}
--- a/process/requests/places.go
+++ b/process/requests/places.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"math/rand/v2"
+	"slices"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -120,7 +121,7 @@
 		}
 		holding := capacity.Holding{ID: id, Team: r.Team, Kind: kind.Name, Amount: kind.Amount}
 		if p.o.Book.Assume(name, holding) == nil {
-			return &ownPlace{places: p, worker: name, block: w.Block, holding: holding, deadline: r.Deadline}, true
+			return &ownPlace{places: p, worker: name, block: w.Block, holding: holding}, true
 		}
 	}
 	return nil, false
@@ -136,17 +137,14 @@
 	return fleet.At(i).Worker, true
 }
 
-// WorkerReported takes in a worker's own count of requests in flight, which it
-// gave to a call sent at the given time. Rooms whose outcome was lost before that
-// call are free if the worker says that nothing is in flight.
-func (p *Places) WorkerReported(workerName string, sent time.Time, inFlight int) {
-	if inFlight > 0 {
-		return
-	}
+// WorkerReported takes in the ids of a worker's requests in flight, which it gave
+// to a call sent at the given time. Rooms whose outcome was lost before that call
+// are free unless the worker names their request.
+func (p *Places) WorkerReported(workerName string, sent time.Time, inFlight []string) {
 	p.mu.Lock()
 	var free, keep []*ownPlace
 	for _, place := range p.strays[workerName] {
-		if place.lostAt.Before(sent) {
+		if place.lostAt.Before(sent) && !slices.Contains(inFlight, place.holding.ID) {
 			free = append(free, place)
 		} else {
 			keep = append(keep, place)
@@ -159,25 +157,26 @@
 	}
 }
 
-// ExpireStrays frees the rooms whose request's deadline has passed.
-func (p *Places) ExpireStrays(now time.Time) {
+// Doubtful returns the workers on which requests may run whose outcome was lost.
+// They should be asked for a report. What was lost on workers that have another
+// owner by now is that owner's to count.
+func (p *Places) Doubtful() []string {
 	p.mu.Lock()
+	var names []string
 	var free []*ownPlace
 	for name, strays := range p.strays {
-		var keep []*ownPlace
-		for _, place := range strays {
-			if place.deadline.Before(now) {
-				free = append(free, place)
-			} else {
-				keep = append(keep, place)
-			}
+		if _, _, known := p.o.Book.Worker(name); known {
+			names = append(names, name)
+			continue
 		}
-		p.setStrays(name, keep)
+		free = append(free, strays...)
+		delete(p.strays, name)
 	}
 	p.mu.Unlock()
 	for _, place := range free {
 		place.free()
 	}
+	return names
 }
 
 // setStrays replaces a worker's strays; p.mu is held.
@@ -191,12 +190,11 @@
 
 // ownPlace is room on an own worker.
 type ownPlace struct {
-	places   *Places
-	worker   string
-	block    string
-	holding  capacity.Holding
-	deadline time.Time
-	lostAt   time.Time
+	places  *Places
+	worker  string
+	block   string
+	holding capacity.Holding
+	lostAt  time.Time
 }
 
 // Worker implements dispatch.Place.
--- a/process/tasks/agent.go
+++ b/process/tasks/agent.go
@@ -213,6 +213,9 @@
 func (a *agent) pause(now time.Time) time.Duration {
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	if a.owner.Book.Strays(a.worker.Name) > 0 {
+		return earliestRenewal
+	}
 	wait := a.owner.Lease / renewalsPerLease
 	for _, at := range a.attempts {
 		if at.phase == unsure {
--- a/process/tasks/owner.go
+++ b/process/tasks/owner.go
@@ -194,6 +194,15 @@
 	})
 }
 
+// Ask has the named workers asked for a report now.
+func (o *Owner) Ask(workers []string) {
+	for _, name := range workers {
+		if a := o.agent(name); a != nil {
+			a.nudge()
+		}
+	}
+}
+
 func (o *Owner) agent(name string) *agent {
 	o.mu.Lock()
 	defer o.mu.Unlock()
--- a/process/tasks/report.go
+++ b/process/tasks/report.go
@@ -25,8 +25,7 @@
 			holdings = append(holdings, h)
 		}
 	}
-	until := time.Now().Add(a.owner.Lease + a.owner.Margin)
-	a.owner.Book.Reconcile(a.worker.Name, a.worker.Epoch, holdings, report.Requests, until)
+	a.owner.Book.Reconcile(a.worker.Name, a.worker.Epoch, holdings, report.RequestIDs)
 }
 
 func (a *agent) adoptTask(status worker.TaskStatus) (capacity.Holding, bool) {
@@ -46,7 +45,7 @@
 // apply takes in a later report. before lists the attempts that it must name if
 // the worker knows them.
 func (a *agent) apply(report worker.Report, before []worker.TaskRef) {
-	a.owner.Book.ReportRequests(a.worker.Name, report.Requests)
+	a.owner.Book.ReportRequests(a.worker.Name, report.RequestIDs)
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if a.closed {
--- a/scenarios/scenarios_test.go
+++ b/scenarios/scenarios_test.go
@@ -27,6 +27,11 @@
 			defer stop()
 			os.Exit(daemon.Main(ctx, os.Args[1:], os.Stderr))
 		},
+		scenario.ProgramWithout: func() {
+			ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM)
+			defer stop()
+			os.Exit(daemon.MainWith(ctx, os.Args[2:], os.Stderr, without(os.Args[1])))
+		},
 		"kingcuplatch": func() {
 			os.Exit(cli.Main(context.Background(), os.Args[1:], os.Stdin, os.Stdout, os.Stderr))
 		},
--- /dev/null
+++ b/scenarios/without_test.go
@@ -0,0 +1,170 @@
+package scenarios
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"math"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/kingcuplatch/kingcuplatch/conn/worker"
+	"github.com/kingcuplatch/kingcuplatch/conn/worker/httpworker"
+	"github.com/kingcuplatch/kingcuplatch/process/entry"
+	"github.com/kingcuplatch/kingcuplatch/process/platform"
+)
+
+// without returns a change that leaves out the named mechanisms.
+func without(names string) func(*entry.Config) {
+	return func(c *entry.Config) {
+		for _, name := range strings.Split(names, ",") {
+			leaveOut(c, name)
+		}
+	}
+}
+
+func leaveOut(c *entry.Config, name string) {
+	switch name {
+	case "right":
+		c.Omit.Right = true
+	case "replication":
+		c.Omit.Replication = true
+	case "dedupe":
+		c.Omit.Dedupe = true
+	case "drain":
+		c.Omit.Drain = true
+	case "epoch":
+		wrapWorkers(c, func(w worker.Client) worker.Client { return unfenced{w} })
+	case "unknown":
+		wrapWorkers(c, func(w worker.Client) worker.Client { return hasty{w} })
+	case "reports":
+		wrapWorkers(c, func(w worker.Client) worker.Client { return uncounted{w} })
+	case "lease":
+		wrapWorkers(c, func(w worker.Client) worker.Client { return longLeases{w} })
+	case "count":
+		c.Instances = largeWorkers{c.Instances}
+	case "whole":
+		dial := c.Dial
+		c.Dial = func(w platform.Instance) worker.Client { return trusting{dial(w), w.Address} }
+	default:
+		panic("no mechanism is called " + name)
+	}
+}
+
+func wrapWorkers(c *entry.Config, wrap func(worker.Client) worker.Client) {
+	dial := c.Dial
+	c.Dial = func(w platform.Instance) worker.Client { return wrap(dial(w)) }
+}
+
+// unfenced hands work over at an epoch that no worker refuses.
+type unfenced struct{ worker.Client }
+
+const anyEpoch = math.MaxInt64
+
+func (u unfenced) Do(ctx context.Context, r worker.Request, fresh bool) (worker.Response, error) {
+	r.Epoch = anyEpoch
+	return u.Client.Do(ctx, r, fresh)
+}
+
+func (u unfenced) Start(ctx context.Context, _ uint64, tasks []worker.StartTask) ([]worker.TaskStatus, error) {
+	return u.Client.Start(ctx, anyEpoch, tasks)
+}
+
+func (u unfenced) Adopt(ctx context.Context, _ uint64) (worker.Report, error) {
+	return u.Client.Adopt(ctx, anyEpoch)
+}
+
+func (u unfenced) Renew(ctx context.Context, _ uint64, lease time.Duration) (worker.Report, error) {
+	return u.Client.Renew(ctx, anyEpoch, lease)
+}
+
+// hasty takes a lost answer for work that was not handed over.
+type hasty struct{ worker.Client }
+
+func (h hasty) Do(ctx context.Context, r worker.Request, fresh bool) (worker.Response, error) {
+	response, err := h.Client.Do(ctx, r, fresh)
+	return response, notSent(err)
+}
+
+func (h hasty) Start(ctx context.Context, epoch uint64, tasks []worker.StartTask) ([]worker.TaskStatus, error) {
+	statuses, err := h.Client.Start(ctx, epoch, tasks)
+	return statuses, notSent(err)
+}
+
+func notSent(err error) error {
+	if errors.Is(err, worker.ErrUnknown) {
+		return worker.ErrNotSent
+	}
+	return err
+}
+
+// uncounted hides a worker's requests in flight from those who ask for its state.
+type uncounted struct{ worker.Client }
+
+func (u uncounted) Adopt(ctx context.Context, epoch uint64) (worker.Report, error) {
+	return withoutRequests(u.Client.Adopt(ctx, epoch))
+}
+
+func (u uncounted) Renew(ctx context.Context, epoch uint64, lease time.Duration) (worker.Report, error) {
+	return withoutRequests(u.Client.Renew(ctx, epoch, lease))
+}
+
+func withoutRequests(r worker.Report, err error) (worker.Report, error) {
+	r.Requests, r.RequestIDs = 0, nil
+	return r, err
+}
+
+// longLeases has workers hold tasks for longer than their owner waits.
+type longLeases struct{ worker.Client }
+
+const leaseFactor = 10
+
+func (l longLeases) Start(ctx context.Context, epoch uint64, tasks []worker.StartTask) ([]worker.TaskStatus, error) {
+	for i := range tasks {
+		tasks[i].Lease *= leaseFactor
+	}
+	return l.Client.Start(ctx, epoch, tasks)
+}
+
+func (l longLeases) Renew(ctx context.Context, epoch uint64, lease time.Duration) (worker.Report, error) {
+	return l.Client.Renew(ctx, epoch, lease*leaseFactor)
+}
+
+// largeWorkers lists every worker with twice its capacity and connections.
+type largeWorkers struct{ platform.Instances }
+
+func (l largeWorkers) List(ctx context.Context) ([]platform.Instance, error) {
+	list, err := l.Instances.List(ctx)
+	for i := range list {
+		list[i].Capacity.Slots *= 2
+		list[i].Connections *= 2
+	}
+	return list, err
+}
+
+// trusting passes on whatever arrives in answer to a request.
+type trusting struct {
+	worker.Client
+	address string
+}
+
+func (t trusting) Do(ctx context.Context, r worker.Request, _ bool) (worker.Response, error) {
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+t.address+httpworker.PathRequests, bytes.NewReader(r.Body))
+	if err != nil {
+		return worker.Response{}, err
+	}
+	request.Header.Set(httpworker.HeaderID, r.ID)
+	request.Header.Set(httpworker.HeaderEpoch, strconv.FormatUint(r.Epoch, 10))
+	request.Header.Set(httpworker.HeaderTeam, r.Team)
+	request.Header.Set(httpworker.HeaderKind, r.Kind)
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return worker.Response{}, worker.ErrUnknown
+	}
+	defer response.Body.Close()
+	body, _ := io.ReadAll(response.Body)
+	return worker.Response{ID: r.ID, Worker: response.Header.Get(httpworker.HeaderWorker), Status: response.StatusCode, Body: body}, nil
+}
