--- a/process/entry/build.go
+++ b/process/entry/build.go
@@ -26,8 +26,6 @@
 	callTimeout = 2 * time.Second
 	// leaseMargin is added to a task's lease before it is held to have ended.
 	leaseMargin = 3 * time.Second
-	// longestRequest is the longest deadline that a kind's record may give.
-	longestRequest = 24 * time.Hour
 	// jobRetention is how long the rows of ended jobs are kept.
 	jobRetention = 24 * time.Hour
 	// peerSilence is how long a peer counts as known after it was last heard.
@@ -100,7 +98,7 @@
 
 func (e *Entry) newPlaces() *requests.Places {
 	return requests.NewPlaces(requests.PlacesOptions{
-		Book: e.book, Allotments: e.allotments, Owners: e.owners, Remote: e.room, Caller: e.links,
+		Book: e.book, Allotments: e.allotments, Owners: e.guards(), Remote: e.room, Caller: e.links,
 		Client:   e.clients.get,
 		Observed: e.health.requestEnded,
 	})
@@ -108,7 +106,7 @@
 
 func (e *Entry) newRequests() *requests.Service {
 	return requests.New(e.ctx, requests.Options{
-		Instance: e.Instance, Guards: e.owners, Caller: e.links,
+		Instance: e.Instance, Guards: e.guards(), Caller: e.links,
 		Snapshot: e.config.Current, Places: e.places,
 		Budget:        e.newBudget,
 		NewDispatcher: e.newDispatcher,
@@ -139,9 +137,9 @@
 func (e *Entry) newJobs() {
 	e.jobs = &jobs.Client{Directory: e.owners, Fleet: e, Caller: e.links}
 	e.owner = tasks.NewOwner(tasks.Config{
-		Owners: e.owners, Book: e.book, Allotments: e.allotments, Keepers: e.jobs,
+		Owners: e.guards(), Book: e.book, Allotments: e.allotments, Keepers: e.jobs,
 		Choose: tasks.NewChooser().Choose, Dial: e.clients.dial, BlockOf: e.blockOf,
-		Lease: e.Timings.TaskLease, Margin: leaseMargin, CallTimeout: callTimeout, RequestsFor: longestRequest,
+		Lease: e.Timings.TaskLease, Margin: leaseMargin, CallTimeout: callTimeout,
 		Ended: e.health.observe,
 	})
 	e.keeper = jobs.NewKeeper(jobs.Config{
--- a/process/entry/entry.go
+++ b/process/entry/entry.go
@@ -69,7 +69,7 @@
 	e.room = requests.NewRoom()
 	e.burn = burn.NewRecorder()
 	e.health = newHealthWatch(e.book, c.Log)
-	e.clients = newClients(c.Dial, func(name string, sent time.Time, inFlight int) {
+	e.clients = newClients(c.Dial, func(name string, sent time.Time, inFlight []string) {
 		e.places.WorkerReported(name, sent, inFlight)
 	})
 	e.config = e.newStore()
--- a/process/entry/health_test.go
+++ b/process/entry/health_test.go
@@ -21,7 +21,7 @@
 	for i := range 6 {
 		name := fmt.Sprintf("w%d", i)
 		book.Open(capacity.Worker{Instance: platform.Instance{Name: name, Capacity: resource.Amount{Slots: 8}, Connections: 64}, Epoch: 1})
-		book.Reconcile(name, 1, nil, 0, time.Time{})
+		book.Reconcile(name, 1, nil, nil)
 	}
 	open := func() bool {
 		_, open, _ := book.Worker("w0")
--- a/process/tasks/bench_test.go
+++ b/process/tasks/bench_test.go
@@ -48,7 +48,7 @@
 			Instance: platform.Instance{Name: name, Capacity: resource.Amount{MilliCPU: 28}}, Block: name, Epoch: 1,
 		})
 		held := capacity.Holding{ID: "held", Team: "t", Amount: resource.Amount{MilliCPU: int64(28 - i%20/19*28)}}
-		o.Book.Reconcile(name, 1, []capacity.Holding{held}, 0, time.Time{})
+		o.Book.Reconcile(name, 1, []capacity.Holding{held}, nil)
 	}
 	return o
 }
--- a/process/tasks/owner.go
+++ b/process/tasks/owner.go
@@ -42,7 +42,7 @@
 // worker may occur more than once.
 type Choose func(fleet placement.Fleet, want Want) []string
 
-// Config is what an Owner works with. All fields but RequestsFor and Ended are required.
+// Config is what an Owner works with. All fields but Ended are required.
 type Config struct {
 	Owners     ownership.Owners
 	Book       *capacity.Book
@@ -60,10 +60,6 @@
 	Margin time.Duration
 	// CallTimeout bounds each call to a worker or a keeper.
 	CallTimeout time.Duration
-	// RequestsFor is the longest that a request may be in flight. Requests found
-	// on a worker occupy it for that long unless its reports count fewer. Zero
-	// stands for defaultRequestsFor.
-	RequestsFor time.Duration
 	// Ended is told how an attempt ended by itself; it must not call the Owner. Nil
 	// stands for nothing.
 	Ended func(workerName, kind string, failed bool)
@@ -96,9 +92,6 @@
 
 // NewOwner returns an Owner without workers.
 func NewOwner(c Config) *Owner {
-	if c.RequestsFor == 0 {
-		c.RequestsFor = defaultRequestsFor
-	}
 	if c.Ended == nil {
 		c.Ended = func(string, string, bool) {}
 	}
@@ -210,6 +203,15 @@
 	}
 }
 
+// Ask has the named workers asked for a report now.
+func (o *Owner) Ask(workers []string) {
+	for _, name := range workers {
+		if a := o.agent(name); a != nil {
+			a.nudge()
+		}
+	}
+}
+
 func (o *Owner) agent(name string) *agent {
 	o.mu.Lock()
 	defer o.mu.Unlock()
