--- a/conn/peer/links.go
+++ b/conn/peer/links.go
@@ -10,6 +10,8 @@
 
 	"github.com/rotisserie/eris"
 	"github.com/sourcegraph/jsonrpc2"
+
+	"github.com/kingcuplatch/kingcuplatch/conn/traffic"
 )
 
 // Timings of a link.
@@ -47,11 +49,15 @@
 }
 
 // NewLinks returns a Caller without open links.
-func NewLinks() *Links {
+func NewLinks() *Links { return NewCountedLinks(nil) }
+
+// NewCountedLinks is NewLinks with the bytes of all links counted.
+func NewCountedLinks(bytes *traffic.Bytes) *Links {
 	dialer := &net.Dialer{Timeout: dialTimeout}
+	dial := bytes.Dial(dialer.DialContext)
 	return &Links{
 		dial: func(ctx context.Context, address string) (net.Conn, error) {
-			return dialer.DialContext(ctx, "tcp", address)
+			return dial(ctx, "tcp", address)
 		},
 		links: make(map[string]*link),
 	}
--- a/conn/worker/httpworker/client.go
+++ b/conn/worker/httpworker/client.go
@@ -10,6 +10,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"github.com/kingcuplatch/kingcuplatch/conn/traffic"
 	"github.com/kingcuplatch/kingcuplatch/conn/worker"
 )
 
@@ -40,6 +41,8 @@
 	// unless the worker closes it sooner; 0 means 30 seconds. For the control
 	// connection it is one second at most.
 	DrainFor time.Duration
+	// Bytes counts what all connections carry; nil counts nothing.
+	Bytes *traffic.Bytes
 	// MaxAnswerBytes bounds the body of an answer; 0 means 64 MiB.
 	MaxAnswerBytes int64
 }
@@ -69,11 +72,11 @@
 	}
 	c := &Client{
 		options:  options,
-		requests: newPool(max(1, options.MaxConnections-1), options.DrainFor),
+		requests: newPool(max(1, options.MaxConnections-1), options.DrainFor, options.Bytes),
 	}
 	c.control = c.requests
 	if options.MaxConnections > 1 {
-		c.control = newPool(1, min(options.DrainFor, controlDrainFor))
+		c.control = newPool(1, min(options.DrainFor, controlDrainFor), options.Bytes)
 	}
 	return c
 }
--- a/conn/worker/httpworker/lane.go
+++ b/conn/worker/httpworker/lane.go
@@ -47,7 +47,7 @@
 		l.pool.returnPermit()
 		return nil, err
 	}
-	dialled := newConn(raw, l)
+	dialled := newConn(l.pool.bytes.Conn(raw), l)
 	l.mu.Lock()
 	l.conn = dialled
 	l.mu.Unlock()
--- a/conn/worker/httpworker/pool.go
+++ b/conn/worker/httpworker/pool.go
@@ -6,6 +6,8 @@
 	"slices"
 	"sync"
 	"time"
+
+	"github.com/kingcuplatch/kingcuplatch/conn/traffic"
 )
 
 var errClosed = errors.New("client is closed")
@@ -17,6 +19,8 @@
 	// permits holds one token for each connection, also while it drains.
 	permits  chan struct{}
 	drainFor time.Duration
+	// bytes counts what the connections carry.
+	bytes *traffic.Bytes
 	// open ends when the pool is closed.
 	open  context.Context
 	close context.CancelFunc
@@ -26,11 +30,12 @@
 	all  []*lane
 }
 
-func newPool(size int, drainFor time.Duration) *pool {
+func newPool(size int, drainFor time.Duration, bytes *traffic.Bytes) *pool {
 	p := &pool{
 		tokens:   make(chan struct{}, size),
 		permits:  make(chan struct{}, size),
 		drainFor: drainFor,
+		bytes:    bytes,
 	}
 	p.open, p.close = context.WithCancel(context.Background())
 	return p
--- a/internal/trial/cluster.go
+++ b/internal/trial/cluster.go
@@ -11,6 +11,7 @@
 	"sync"
 	"time"
 
+	"github.com/kingcuplatch/kingcuplatch/conn/traffic"
 	"github.com/kingcuplatch/kingcuplatch/conn/worker"
 	"github.com/kingcuplatch/kingcuplatch/conn/worker/httpworker"
 	"github.com/kingcuplatch/kingcuplatch/internal/standin/platformstandin"
@@ -115,13 +116,14 @@
 		*to = listener
 	}
 	name := fmt.Sprintf("entry-%d", n+1)
+	meter := &traffic.Meter{}
 	config := entry.Config{
 		Instance: name, Incarnation: entry.NewIncarnation(name), FailureDomain: domain(n), Region: region,
 		PeerAddress: l.Peers.Addr().String(), OperatorKeySHA256: records.HashKey(OperatorKey),
 		MaxBodyBytes: 1 << 20, MaxHeaderBytes: 64 << 10, MaxQueue: 1000,
 		Timings: Timings(), Listeners: l,
 		Table: c.Platform, Objects: c.Platform.Objects(), Instances: c.Platform,
-		Dial: dial, Log: events.New(c.shape.Logs, name),
+		Traffic: meter, Dial: dial(meter), Log: events.New(c.shape.Logs, name),
 	}
 	c.configs = append(c.configs, config)
 	c.Entries = append(c.Entries, entry.New(config))
@@ -153,8 +155,12 @@
 
 func domain(n int) string { return fmt.Sprintf("domain-%d", n%domainCount) }
 
-func dial(w platform.Instance) worker.Client {
-	return httpworker.New(httpworker.Options{Address: w.Address, MaxConnections: w.Connections, FreshWithin: time.Second})
+func dial(meter *traffic.Meter) func(platform.Instance) worker.Client {
+	return func(w platform.Instance) worker.Client {
+		return httpworker.New(httpworker.Options{
+			Address: w.Address, MaxConnections: w.Connections, FreshWithin: time.Second, Bytes: &meter.Workers,
+		})
+	}
 }
 
 // CallerURLs and OperatorURLs return the doors of all entries, separated by commas.
--- a/process/daemon/daemon.go
+++ b/process/daemon/daemon.go
@@ -14,6 +14,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"github.com/kingcuplatch/kingcuplatch/conn/traffic"
 	"github.com/kingcuplatch/kingcuplatch/conn/worker"
 	"github.com/kingcuplatch/kingcuplatch/conn/worker/httpworker"
 	"github.com/kingcuplatch/kingcuplatch/process/entry"
@@ -88,14 +89,15 @@
 	if err := writeAddresses(addresses, listeners); err != nil {
 		return err
 	}
-	client := httpplatform.New(s.Platform.URL)
+	meter := &traffic.Meter{}
+	client := httpplatform.NewCounted(s.Platform.URL, &meter.Platform)
 	defer client.Close()
-	c := config(s, listeners, client, logs)
+	c := config(s, listeners, client, meter, logs)
 	change(&c)
 	return entry.New(c).Run(ctx)
 }
 
-func config(s *settings.Settings, listeners entry.Listeners, client *httpplatform.Client, logs io.Writer) entry.Config {
+func config(s *settings.Settings, listeners entry.Listeners, client *httpplatform.Client, meter *traffic.Meter, logs io.Writer) entry.Config {
 	peers := s.Advertise.Peers
 	if peers == "" {
 		peers = listeners.Peers.Addr().String()
@@ -113,14 +115,16 @@
 		},
 		Listeners: listeners,
 		Table:     client, Objects: client.Objects(), Instances: client,
-		Dial: dialWorker, Log: events.New(logs, s.Instance),
+		Traffic: meter, Dial: dialWorker(meter), Log: events.New(logs, s.Instance),
 	}
 }
 
-func dialWorker(w platform.Instance) worker.Client {
-	return httpworker.New(httpworker.Options{
-		Address: w.Address, MaxConnections: w.Connections, FreshWithin: freshWithin,
-	})
+func dialWorker(meter *traffic.Meter) func(platform.Instance) worker.Client {
+	return func(w platform.Instance) worker.Client {
+		return httpworker.New(httpworker.Options{
+			Address: w.Address, MaxConnections: w.Connections, FreshWithin: freshWithin, Bytes: &meter.Workers,
+		})
+	}
 }
 
 // listen binds the four listeners.
--- a/process/entry/build.go
+++ b/process/entry/build.go
@@ -198,6 +198,7 @@
 
 func (e *Entry) gained(g ownership.Grant) {
 	e.Log.Log(events.BlockGained, g.Block, g.Epoch)
+	e.metrics.blockChanged("gained")
 	if ownership.IsShard(g.Block) {
 		e.loop(func() { e.loadShard(g.Block) })
 	}
@@ -230,6 +231,7 @@
 
 func (e *Entry) lost(block string) {
 	e.Log.Log(events.BlockLost, block)
+	e.metrics.blockChanged("lost")
 	if ownership.IsShard(block) {
 		e.keeper.Lose(block)
 	}
@@ -240,6 +242,7 @@
 // has own guards remember them too.
 func (e *Entry) tookOver(dead ownership.Member, messages []json.RawMessage) {
 	e.Log.Log(events.EntryTakenOver, dead.Instance, dead.Incarnation)
+	e.metrics.tookOver()
 	e.requests.Import(messages)
 	ctx, cancel := context.WithTimeout(e.ctx, callTimeout)
 	defer cancel()
--- a/process/entry/config.go
+++ b/process/entry/config.go
@@ -13,6 +13,7 @@
 	"net"
 	"time"
 
+	"github.com/kingcuplatch/kingcuplatch/conn/traffic"
 	"github.com/kingcuplatch/kingcuplatch/conn/worker"
 	"github.com/kingcuplatch/kingcuplatch/process/events"
 	"github.com/kingcuplatch/kingcuplatch/process/platform"
@@ -66,6 +67,8 @@
 	Table     platform.Table
 	Objects   platform.Objects
 	Instances platform.Instances
+	// Traffic counts the bytes that the adapters and peer links carry.
+	Traffic *traffic.Meter
 	// Dial returns a client of a worker; it does no I/O.
 	Dial func(platform.Instance) worker.Client
 	Log  *events.Logger
--- a/process/entry/doors.go
+++ b/process/entry/doors.go
@@ -41,7 +41,7 @@
 	d.operators = e.httpServer(d.counted(operators.Handler(operators.Options{
 		Config: operatorsConfig{e.config}, Views: e, KeySHA256: e.OperatorKeySHA256, NewID: newID,
 	})))
-	d.metrics = e.httpServer(e.metrics.handler())
+	d.metrics = e.httpServer(e.metrics.handler(e))
 	d.serve(d.callers, e.Listeners.Callers)
 	d.serve(d.operators, e.Listeners.Operators)
 	d.serve(d.metrics, e.Listeners.Metrics)
--- a/process/entry/entry.go
+++ b/process/entry/entry.go
@@ -61,7 +61,7 @@
 func New(c Config) *Entry {
 	e := &Entry{Config: c, changed: make(chan struct{}, 1)}
 	e.ctx, e.cancel = context.WithCancel(context.Background())
-	e.links = peer.NewLinks()
+	e.links = peer.NewCountedLinks(&c.Traffic.Peers)
 	e.server = peer.NewServer()
 	e.fleet = fleet.New(c.Instances, c.Table)
 	e.book = capacity.NewBook()
@@ -98,7 +98,7 @@
 	e.Log.Log(events.EntryStarted, e.Listeners.Callers.Addr().String(), e.Listeners.Operators.Addr().String(),
 		e.Listeners.Peers.Addr().String(), e.Listeners.Metrics.Addr().String())
 	failed := make(chan error, 1)
-	e.loop(func() { _ = e.server.Serve(e.Listeners.Peers) })
+	e.loop(func() { _ = e.server.Serve(e.Traffic.Peers.Listener(e.Listeners.Peers)) })
 	e.startLoops(failed)
 	e.doors.start(e)
 	var err error
--- a/process/entry/metrics.go
+++ b/process/entry/metrics.go
@@ -2,13 +2,17 @@
 
 import (
 	"fmt"
+	"io"
 	"net/http"
 	"runtime"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 
+	"github.com/kingcuplatch/kingcuplatch/conn/traffic"
 	"github.com/kingcuplatch/kingcuplatch/process/dispatch"
+	"github.com/kingcuplatch/kingcuplatch/process/resource"
+	"github.com/kingcuplatch/kingcuplatch/version"
 )
 
 // instruments are the metrics of an entry, in a set of their own so that several
@@ -27,9 +31,29 @@
 	m.set.NewGauge("kingcuplatch_peers_heard", func() float64 { return float64(e.PeersHeard()) })
 	m.set.NewGauge("kingcuplatch_calls_in_progress", func() float64 { return float64(e.doors.inFlight()) })
 	m.set.NewGauge("kingcuplatch_requests_waiting", e.waiting)
+	m.set.NewGauge("kingcuplatch_goroutines", func() float64 { return float64(runtime.NumGoroutine()) })
+	m.countBytes("peers", &e.Traffic.Peers)
+	m.countBytes("platform", &e.Traffic.Platform)
+	m.countBytes("workers", &e.Traffic.Workers)
 	return m
 }
 
+// countBytes shows what one kind of connection has carried.
+func (m *instruments) countBytes(kind string, bytes *traffic.Bytes) {
+	m.set.NewGauge(fmt.Sprintf(`kingcuplatch_bytes_total{to=%q,direction="sent"}`, kind), func() float64 { return float64(bytes.Sent()) })
+	m.set.NewGauge(fmt.Sprintf(`kingcuplatch_bytes_total{to=%q,direction="received"}`, kind), func() float64 { return float64(bytes.Received()) })
+}
+
+// blockChanged counts a block that was gained or lost.
+func (m *instruments) blockChanged(change string) {
+	m.set.GetOrCreateCounter(fmt.Sprintf(`kingcuplatch_block_changes_total{change=%q}`, change)).Inc()
+}
+
+// tookOver counts a dead entry that was taken over.
+func (m *instruments) tookOver() {
+	m.set.GetOrCreateCounter("kingcuplatch_takeovers_total").Inc()
+}
+
 func oneIf(b bool) float64 {
 	if b {
 		return 1
@@ -59,12 +83,33 @@
 	m.set.GetOrCreateHistogram(fmt.Sprintf(`kingcuplatch_request_waiting_seconds{team=%q,kind=%q}`, o.Team, o.Kind)).Update(o.Waited.Seconds())
 }
 
-func (m *instruments) handler() http.Handler {
+// writeAmounts writes what the workers and the teams' allotments hold now, one line
+// a dimension. Dimensions without limit are left out.
+func (e *Entry) writeAmounts(w io.Writer) {
+	free := e.book.Free()
+	writeAmount(w, "kingcuplatch_workers_free", "", free.Total)
+	writeAmount(w, "kingcuplatch_workers_capacity", "", free.TotalCapacity)
+	for name := range e.config.Current().Teams {
+		label := fmt.Sprintf("team=%q,", name)
+		writeAmount(w, "kingcuplatch_team_allotment", label, e.allotments.Held(name))
+		writeAmount(w, "kingcuplatch_team_used", label, e.allotments.Used(name))
+	}
+}
+
+func writeAmount(w io.Writer, name, label string, amount resource.Amount) {
+	for d, value := range amount.Vector() {
+		if value < version.NoLimit {
+			fmt.Fprintf(w, "%s{%sdimension=%q} %d\n", name, label, resource.Dimension(d), value)
+		}
+	}
+}
+
+func (m *instruments) handler(e *Entry) http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) {
 		m.set.WritePrometheus(w)
+		e.writeAmounts(w)
 		metrics.WriteProcessMetrics(w)
-		fmt.Fprintf(w, "kingcuplatch_goroutines %d\n", runtime.NumGoroutine())
 	})
 	return mux
 }
--- a/process/platform/httpplatform/client.go
+++ b/process/platform/httpplatform/client.go
@@ -9,6 +9,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"github.com/kingcuplatch/kingcuplatch/conn/traffic"
 	"github.com/kingcuplatch/kingcuplatch/process/platform"
 )
 
@@ -31,8 +32,11 @@
 )
 
 // New returns a client of the platform at baseURL, such as "http://10.0.0.1:80".
-func New(baseURL string) *Client {
-	return &Client{wire: newWire(baseURL)}
+func New(baseURL string) *Client { return NewCounted(baseURL, nil) }
+
+// NewCounted is New with the bytes of all connections counted.
+func NewCounted(baseURL string, bytes *traffic.Bytes) *Client {
+	return &Client{wire: newWire(baseURL, bytes)}
 }
 
 // Objects returns the object store of the same platform. It shares the
--- a/process/platform/httpplatform/wire.go
+++ b/process/platform/httpplatform/wire.go
@@ -17,6 +17,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"github.com/kingcuplatch/kingcuplatch/conn/traffic"
 	"github.com/kingcuplatch/kingcuplatch/process/platform"
 )
 
@@ -36,14 +37,14 @@
 	transport *http.Transport
 }
 
-func newWire(baseURL string) wire {
+func newWire(baseURL string, bytes *traffic.Bytes) wire {
 	baseURL = strings.TrimSuffix(baseURL, "/")
 	dialer := net.Dialer{Timeout: dialTimeout}
 	return wire{
 		baseURL: baseURL,
 		peer:    strings.TrimPrefix(baseURL, "http://"),
 		transport: &http.Transport{
-			DialContext:         dialer.DialContext,
+			DialContext:         bytes.Dial(dialer.DialContext),
 			MaxIdleConnsPerHost: maxIdleConns,
 			IdleConnTimeout:     idleConnTimeout,
 			DisableCompression:  true,
