--- a/conn/peer/peer_test.go
+++ b/conn/peer/peer_test.go
@@ -12,7 +12,7 @@
 	"gotest.tools/v3/assert"
 )
 
-func serve(t *testing.T, handlers map[string]Handler) string {
+func serve(t testing.TB, handlers map[string]Handler) string {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
--- a/process/jobs/bench_test.go
+++ b/process/jobs/bench_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"runtime"
 	"testing"
 	"time"
 
@@ -86,3 +87,22 @@
 		})
 	}
 }
+
+// BenchmarkBytes reports the heap that a keeper takes for each task of its jobs,
+// all running.
+func BenchmarkBytes(b *testing.B) {
+	for _, jobs := range []int{100, 2000} {
+		b.Run(fmt.Sprintf("tasks=%d", jobs*25), func(b *testing.B) {
+			var before, after runtime.MemStats
+			for b.Loop() {
+				runtime.GC()
+				runtime.ReadMemStats(&before)
+				k := benchKeeper(b, jobs, 25, Running)
+				runtime.GC()
+				runtime.ReadMemStats(&after)
+				runtime.KeepAlive(k)
+			}
+			b.ReportMetric(float64(int64(after.HeapAlloc)-int64(before.HeapAlloc))/float64(jobs*25), "B/task")
+		})
+	}
+}
--- a/request/queue/bench_test.go
+++ b/request/queue/bench_test.go
@@ -29,3 +29,53 @@
 		})
 	}
 }
+
+// benchQueue has one waiting item of each team.
+func benchQueue(teams int) *Queue {
+	q := New(Config{Total: slot.Times(8 * 50), Limit: 10 * teams})
+	for i := range teams {
+		_, _ = q.Push(start, benchItem(i))
+	}
+	return q
+}
+
+func benchItem(i int) *Item {
+	return &Item{ID: fmt.Sprint("item-", i), Team: fmt.Sprint("team-", i), Amount: slot, Enqueued: start, Deadline: at(time.Hour)}
+}
+
+// BenchmarkDecide is one decision who is next, with all teams waiting: the item is
+// popped, started, finished and queued again.
+func BenchmarkDecide(b *testing.B) {
+	for _, teams := range []int{6, 180} {
+		b.Run(fmt.Sprintf("teams=%d", teams), func(b *testing.B) {
+			q := benchQueue(teams)
+			now := start
+			b.ReportAllocs()
+			for b.Loop() {
+				now = now.Add(time.Millisecond)
+				it := q.Pop(now, func(*Item) bool { return true })
+				q.Started(now, it.Charge())
+				q.Finished(now, it.Charge())
+				it.Deadline = now.Add(time.Hour)
+				if _, err := q.Push(now, it); err != nil {
+					b.Fatal(err)
+				}
+			}
+		})
+	}
+}
+
+// BenchmarkPeerTotals is one report made and taken in by another queue.
+func BenchmarkPeerTotals(b *testing.B) {
+	for _, teams := range []int{6, 180} {
+		b.Run(fmt.Sprintf("teams=%d", teams), func(b *testing.B) {
+			from, to := benchQueue(teams), benchQueue(teams)
+			number := uint64(0)
+			for b.Loop() {
+				number++
+				now := at(time.Duration(number) * time.Millisecond)
+				to.SetPeerTotals(now, "peer", number, from.Totals(now))
+			}
+		})
+	}
+}
