--- a/internal/scenario/cluster.go
+++ b/internal/scenario/cluster.go
@@ -23,6 +23,10 @@
 	operatorKeySHA256 = "4489ff2f9ea96e76d15846c1b6fb8fe5e2831f2433aebb54ccf3be9db7d1418d"
 )
 
+// ProgramWithout runs an entry without the mechanisms that its first argument
+// names. The test binary registers it.
+const ProgramWithout = "kingcuplatchd-without"
+
 // domains is how many failure domains a cluster has.
 const domains = 3
 
@@ -37,7 +41,7 @@
 	upstream string
 	// relays puts a relay before the platform and the peers' listener of each entry.
 	relays bool
-	// without is a mechanism that the entries leave out.
+	// without names the mechanisms that the entries leave out.
 	without string
 }
 
@@ -48,9 +52,9 @@
 	positive(ts, neg)
 	c := parseCluster(ts, args)
 	procs := processesOf(ts)
+	procs.clusterOf = c
 	ts.Check(procs.start(ts.MkAbs("."), "platform", "platform", []string{"-listen", "127.0.0.1:0", "-addr-file", "platform.addr"}))
 	addr(ts, false, []string{"PLATFORM", "platform.addr"})
-	procs.clusterOf = c
 	for n := 1; n <= c.entries; n++ {
 		if c.relays {
 			c.startRelays(ts, n)
@@ -73,7 +77,7 @@
 	flags.IntVar(&c.workers, "workers", 3, "workers")
 	flags.StringVar(&c.upstream, "upstream", "bookings", "upstream of the workers")
 	flags.BoolVar(&c.relays, "relays", false, "put relays between each entry and platform and peers")
-	flags.StringVar(&c.without, "without", "", "mechanism that the entries leave out")
+	flags.StringVar(&c.without, "without", "", "mechanisms that the entries leave out, separated by commas; "+ProgramWithout+" runs them")
 	flags.StringVar(&c.timings, "timings", "", "settings of timings, separated by commas")
 	ts.Check(flags.Parse(args))
 	c.extra = flags.Args()
@@ -117,12 +121,13 @@
 	c := processesOf(ts).clusterOf
 	program := []string{name, "kingcuplatchd"}
 	if c.without != "" {
-		program = []string{name, "kingcuplatchd-without", c.without}
+		program = []string{name, ProgramWithout, c.without}
 	}
 	start(ts, false, append(program, "-config", name+".toml", "-addresses", dir))
 	for variable, file := range map[string]string{"ENTRY": "callers", "OPS": "operators", "PEER": "peers", "METRICS": "metrics"} {
 		addr(ts, false, []string{variable + args[0], filepath.Join(dir, file)})
 	}
+	processesOf(ts).setCallers(name, ts.Getenv("ENTRY"+args[0]))
 	n, err := strconv.Atoi(args[0])
 	ts.Check(err)
 	putInstance(ts, platform.Instance{
@@ -180,7 +185,7 @@
 	var blocks, open, running float64
 	for n := 1; n <= c.entries; n++ {
 		p := procs.get(fmt.Sprintf("entry-%d", n))
-		if p == nil || !p.running() {
+		if p == nil || !p.running() || p.frozen.Load() {
 			continue
 		}
 		got, err := call(http.MethodGet, "http://"+ts.Getenv("METRICS"+strconv.Itoa(n))+"/metrics", "")
--- a/internal/scenario/key.go
+++ b/internal/scenario/key.go
@@ -12,28 +12,17 @@
 	"github.com/kingcuplatch/kingcuplatch/internal/standin/workerstandin"
 )
 
-// marksKey is the key of map[string]time.Time among a script's values.
-type marksKey struct{}
-
-// mark notes the time.
-func mark(ts *testscript.TestScript, neg bool, args []string) {
-	positive(ts, neg)
-	usage(ts, args, 1, 1, "mark NAME")
-	ts.Value(marksKey{}).(map[string]time.Time)[args[0]] = time.Now()
-}
-
+// marked returns the time that mark put into a variable.
 func marked(ts *testscript.TestScript, name string) time.Time {
-	at, ok := ts.Value(marksKey{}).(map[string]time.Time)[name]
-	if !ok {
-		ts.Fatalf("no mark %s was set", name)
-	}
+	at, err := time.Parse(time.RFC3339Nano, ts.Getenv(name))
+	ts.Check(err)
 	return at
 }
 
 // waitMark waits until a time after a mark.
 func waitMark(ts *testscript.TestScript, neg bool, args []string) {
 	positive(ts, neg)
-	usage(ts, args, 2, 2, "waitmark NAME DURATION")
+	usage(ts, args, 2, 2, "waitmark VAR DURATION")
 	d, err := time.ParseDuration(args[1])
 	ts.Check(err)
 	time.Sleep(time.Until(marked(ts, args[0]).Add(d)))
--- a/internal/scenario/scenario.go
+++ b/internal/scenario/scenario.go
@@ -16,10 +16,13 @@
 //	ready [ENTRIES WORKERS]       wait until that many serve all blocks
 //	load NAME [FLAGS]             call the entries in the background
 //	waitload NAME                 wait for the end of a load
+//	waitjob ID KEY URL            wait until a job is done
 //	checkload NAME [FLAGS]        check a load's answers against the workers' records
 //	checkworkers [FLAGS]          check the workers' own records
-//	mark NAME                     note the time
-//	waitmark NAME DURATION        wait until that long after the mark
+//	mark VAR                      put the present time into $VAR
+//	checkteams [FLAGS]            check how much of a team ran at a time
+//	waitstarted N                 wait until N attempts of tasks were started
+//	waitmark VAR DURATION         wait until that long after the mark
 //	checkkey LOAD [FLAGS]         check when the load's key began or ceased to work
 //	checkidle WORKER [FLAGS]      check that a worker began nothing after a mark
 //
@@ -52,25 +55,28 @@
 // Commands returns the commands by name.
 func Commands() map[string]func(ts *testscript.TestScript, neg bool, args []string) {
 	return map[string]command{
-		"start":    start,
-		"signal":   signal,
-		"waitexit": waitExit,
-		"addr":     addr,
-		"subst":    subst,
-		"waithttp": waitHTTP,
-		"get":      get,
-		"post":     post,
-		"cluster":  startCluster,
-		"entry":    startEntry,
-		"ready":    ready,
+		"start":       start,
+		"signal":      signal,
+		"waitexit":    waitExit,
+		"addr":        addr,
+		"subst":       subst,
+		"waithttp":    waitHTTP,
+		"get":         get,
+		"post":        post,
+		"mark":        mark,
+		"checkteams":  checkTeams,
+		"waitstarted": waitStarted,
+		"cluster":     startCluster,
+		"entry":       startEntry,
+		"ready":       ready,
 
-		"mark":      mark,
 		"waitmark":  waitMark,
 		"checkkey":  checkKey,
 		"checkidle": checkIdle,
 
 		"load":         startLoad,
 		"waitload":     waitLoad,
+		"waitjob":      waitJob,
 		"checkload":    checkLoad,
 		"checkworkers": checkWorkers,
 	}
@@ -81,7 +87,6 @@
 	procs := newProcesses(env.WorkDir, env.Vars)
 	env.Values[processesKey{}] = procs
 	env.Values[loadsKey{}] = make(map[string]*load)
-	env.Values[marksKey{}] = make(map[string]time.Time)
 	env.Defer(procs.killAll)
 	return nil
 }
--- a/process/entry/config.go
+++ b/process/entry/config.go
@@ -13,6 +13,7 @@
 	"net"
 	"time"
 
+	"github.com/kingcuplatch/kingcuplatch/conn/traffic"
 	"github.com/kingcuplatch/kingcuplatch/conn/worker"
 	"github.com/kingcuplatch/kingcuplatch/process/events"
 	"github.com/kingcuplatch/kingcuplatch/process/platform"
@@ -66,6 +67,8 @@
 	Table     platform.Table
 	Objects   platform.Objects
 	Instances platform.Instances
+	// Traffic counts the bytes that the adapters and peer links carry.
+	Traffic *traffic.Meter
 	// Dial returns a client of a worker; it does no I/O.
 	Dial func(platform.Instance) worker.Client
 	Log  *events.Logger
@@ -77,6 +80,14 @@
 
 // Omissions are the mechanisms that an entry can be run without.
 type Omissions struct {
+	// Right: what was once granted is acted on without asking whether it holds.
+	Right bool
+	// Replication: guards remember no request ids.
+	Replication bool
+	// Dedupe: a repeated request id runs like any other.
+	Dedupe bool
+	// Drain: a stop doesn't wait for what runs.
+	Drain bool
 	// ConfigBound: the entry admits however long it had no news of the configuration.
 	ConfigBound bool
 	// PeerNews: it hears nothing of the configuration from its peers.
--- a/process/entry/loops.go
+++ b/process/entry/loops.go
@@ -64,7 +64,7 @@
 	return own
 }
 
-// housekeeping frees lost rooms, tells queues of the fleet and logs whether the
+// housekeeping asks after lost requests, tells queues of the fleet and logs whether the
 // entry admits.
 func (e *Entry) housekeeping() {
 	ticker := time.NewTicker(housekeepingEvery)
@@ -74,13 +74,24 @@
 		case <-e.ctx.Done():
 			return
 		case now := <-ticker.C:
-			e.places.ExpireStrays(now)
+			e.owner.Ask(e.places.Doubtful())
+			e.health.step(now)
+			e.shrinkTeams()
 			e.configureQueues()
 			e.noteAdmission(now)
 		}
 	}
 }
 
+// shrinkTeams checkpoints tasks of teams whose limit was lowered below what runs.
+func (e *Entry) shrinkTeams() {
+	for _, over := range e.allotments.Over() {
+		if n := e.owner.Checkpoint(over.Team, over.Excess); n > 0 {
+			e.Log.Log(events.TeamShrunk, over.Team, n)
+		}
+	}
+}
+
 func (e *Entry) noteAdmission(now time.Time) {
 	admits := e.config.Admitting(now)
 	if e.admitting.Swap(admits) == admits {
@@ -110,6 +121,7 @@
 	e.requests.Each(func(_ string, d *dispatch.Dispatcher) {
 		d.Configure(func(q *queue.Queue, now time.Time) { q.SetTeams(now, teams) })
 	})
+	e.allotments.Refresh()
 	e.burn.SetObjectives(objectives(s))
 }
 
--- a/process/jobs/keeper.go
+++ b/process/jobs/keeper.go
@@ -53,8 +53,8 @@
 	Snapshot  func() *version.Snapshot
 	// Order decides who is next; nil stands for ByShare.
 	Order Order
-	// Usage returns what the teams have running across the fleet; nil stands for
-	// what this keeper has started.
+	// Usage returns what the teams have running across the fleet; a team may occur
+	// more than once. nil stands for what this keeper has started.
 	Usage func() []capacity.TeamUsage
 	// CallTimeout bounds each call to an owner or to the table.
 	CallTimeout time.Duration
@@ -102,7 +102,10 @@
 
 	mu   sync.Mutex
 	lost bool
-	jobs map[string]*job
+	// refusedBy is the fence condition that the table has refused since the last
+	// write of the shard; the zero value for none.
+	refusedBy platform.Condition
+	jobs      map[string]*job
 	// waiting are the jobs that may have tasks to start.
 	waiting map[string]*job
 	// ended are the jobs whose rows are to be deleted after Retention.
--- a/process/requests/places.go
+++ b/process/requests/places.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"math/rand/v2"
+	"slices"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -50,7 +51,7 @@
 	// Client returns the client of an owned worker.
 	Client func(workerName string) (worker.Client, bool)
 	// Observed is told how each hand-over to a worker ended.
-	Observed func(workerName string, err error)
+	Observed func(workerName, kind string, response worker.Response, err error)
 }
 
 // Places finds room for requests on own workers and at peers. It implements
@@ -74,10 +75,15 @@
 	}
 }
 
-// Find implements dispatch.Finder: own workers first, then peers.
+// Find implements dispatch.Finder: own workers first, then peers. A request whose
+// team has no allotment left here waits for it, since allotments follow demand.
 func (p *Places) Find(r *attempt.Request, kind *version.Kind, avoid string) (dispatch.Place, bool) {
-	if place, ok := p.FindOwn(r, kind, avoid); ok {
+	place, shortage := p.findOwn(r, kind, avoid)
+	switch shortage {
+	case shortOfNothing:
 		return place, true
+	case shortOfAllotment:
+		return nil, false
 	}
 	address, instance, ok := p.o.Remote.Pick(kind.Upstream, kind.Amount)
 	if !ok {
@@ -88,14 +94,29 @@
 
 // FindOwn assumes room on a worker that this entry owns.
 func (p *Places) FindOwn(r *attempt.Request, kind *version.Kind, avoid string) (dispatch.Place, bool) {
-	if !p.o.Allotments.Take(r.Team, kind.Amount) {
-		return nil, false
+	place, shortage := p.findOwn(r, kind, avoid)
+	return place, shortage == shortOfNothing
+}
+
+// shortage is why no room was assumed.
+type shortage int
+
+const (
+	shortOfNothing shortage = iota
+	shortOfWorkers
+	shortOfAllotment
+)
+
+func (p *Places) findOwn(r *attempt.Request, kind *version.Kind, avoid string) (dispatch.Place, shortage) {
+	place, ok := p.assume(r, kind, avoid)
+	if !ok {
+		return nil, shortOfWorkers
 	}
-	if place, ok := p.assume(r, kind, avoid); ok {
-		return place, true
+	if !p.o.Allotments.Take(r.Team, kind.Amount) {
+		p.o.Book.Forget(place.worker, place.holding.ID)
+		return nil, shortOfAllotment
 	}
-	p.o.Allotments.Give(r.Team, kind.Amount)
-	return nil, false
+	return place, shortOfNothing
 }
 
 func (p *Places) assume(r *attempt.Request, kind *version.Kind, avoid string) (*ownPlace, bool) {
@@ -120,7 +141,7 @@
 		}
 		holding := capacity.Holding{ID: id, Team: r.Team, Kind: kind.Name, Amount: kind.Amount}
 		if p.o.Book.Assume(name, holding) == nil {
-			return &ownPlace{places: p, worker: name, block: w.Block, holding: holding, deadline: r.Deadline}, true
+			return &ownPlace{places: p, worker: name, block: w.Block, holding: holding}, true
 		}
 	}
 	return nil, false
@@ -136,17 +157,14 @@
 	return fleet.At(i).Worker, true
 }
 
-// WorkerReported takes in a worker's own count of requests in flight, which it
-// gave to a call sent at the given time. Rooms whose outcome was lost before that
-// call are free if the worker says that nothing is in flight.
-func (p *Places) WorkerReported(workerName string, sent time.Time, inFlight int) {
-	if inFlight > 0 {
-		return
-	}
+// WorkerReported takes in the ids of a worker's requests in flight, which it gave
+// to a call sent at the given time. Rooms whose outcome was lost before that call
+// are free unless the worker names their request.
+func (p *Places) WorkerReported(workerName string, sent time.Time, inFlight []string) {
 	p.mu.Lock()
 	var free, keep []*ownPlace
 	for _, place := range p.strays[workerName] {
-		if place.lostAt.Before(sent) {
+		if place.lostAt.Before(sent) && !slices.Contains(inFlight, place.holding.ID) {
 			free = append(free, place)
 		} else {
 			keep = append(keep, place)
@@ -159,25 +177,26 @@
 	}
 }
 
-// ExpireStrays frees the rooms whose request's deadline has passed.
-func (p *Places) ExpireStrays(now time.Time) {
+// Doubtful returns the workers on which requests may run whose outcome was lost.
+// They should be asked for a report. What was lost on workers that have another
+// owner by now is that owner's to count.
+func (p *Places) Doubtful() []string {
 	p.mu.Lock()
+	var names []string
 	var free []*ownPlace
 	for name, strays := range p.strays {
-		var keep []*ownPlace
-		for _, place := range strays {
-			if place.deadline.Before(now) {
-				free = append(free, place)
-			} else {
-				keep = append(keep, place)
-			}
+		if _, _, known := p.o.Book.Worker(name); known {
+			names = append(names, name)
+			continue
 		}
-		p.setStrays(name, keep)
+		free = append(free, strays...)
+		delete(p.strays, name)
 	}
 	p.mu.Unlock()
 	for _, place := range free {
 		place.free()
 	}
+	return names
 }
 
 // setStrays replaces a worker's strays; p.mu is held.
@@ -191,12 +210,11 @@
 
 // ownPlace is room on an own worker.
 type ownPlace struct {
-	places   *Places
-	worker   string
-	block    string
-	holding  capacity.Holding
-	deadline time.Time
-	lostAt   time.Time
+	places  *Places
+	worker  string
+	block   string
+	holding capacity.Holding
+	lostAt  time.Time
 }
 
 // Worker implements dispatch.Place.
@@ -215,7 +233,7 @@
 	}
 	request := worker.Request{ID: o.holding.ID, Epoch: grant.Epoch, Team: r.Team, Kind: r.Kind, Body: r.Body}
 	response, err := client.Do(ctx, request, !kind.Idempotent)
-	o.places.o.Observed(o.worker, err)
+	o.places.o.Observed(o.worker, r.Kind, response, err)
 	if err != nil {
 		return workerFailure(err)
 	}
