Let flags before a command's name win over the environment

Cause: each command read the environment after the root had read the flags, so KINGCUPLATCH_ENTRIES in the environment beat -entries before the name. All scripts that named an entry that way called the first one. Change: only the root reads the environment. Ruled out: order of flags in scripts, as people type it that way too. Conclusion: scripts go through the entries that they name.

--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -119,11 +119,12 @@
 	return set
 }
 
-// command returns a command whose flags add to the common ones.
+// command returns a command whose flags add to the common ones. Only the root
+// reads the environment: a command is parsed after it, and would put the
+// environment above flags that stand before its name.
 func (a *app) command(name, usage, help string, set *flag.FlagSet, exec func(context.Context, []string) error) *ffcli.Command {
 	return &ffcli.Command{
 		Name: name, ShortUsage: "kingcuplatch " + name + " " + usage, ShortHelp: help, FlagSet: set,
-		Options: []ff.Option{ff.WithEnvVarPrefix("KINGCUPLATCH")},
 		Exec: func(ctx context.Context, args []string) error {
 			if a.output != "text" && a.output != "json" {
 				return &usageError{"-o: want text or json"}
--- a/internal/scenario/cluster.go
+++ b/internal/scenario/cluster.go
@@ -180,6 +180,27 @@
 // shards is how many key shards there are beside the blocks of workers.
 const shards = 64
 
+// balanced waits until every entry serves a worker. Blocks that were claimed before
+// all entries had come move later, so it waits twice as long as other commands.
+func balanced(ts *testscript.TestScript, neg bool, args []string) {
+	positive(ts, neg)
+	usage(ts, args, 0, 0, "balanced")
+	c := processesOf(ts).clusterOf
+	serving := func() bool {
+		for n := 1; n <= c.entries; n++ {
+			got, err := call(http.MethodGet, "http://"+ts.Getenv("METRICS"+strconv.Itoa(n))+"/metrics", "")
+			if err != nil || metric(got.body, "kingcuplatch_workers_open") < 1 {
+				return false
+			}
+		}
+		return true
+	}
+	if !poll(serving) && !poll(serving) {
+		logTails(ts)
+		ts.Fatalf("an entry serves no worker after %v", 2*waitBound)
+	}
+}
+
 // lacks says what the cluster lacks to be ready.
 func (c *cluster) lacks(ts *testscript.TestScript, procs *processes, entries, workers int) string {
 	var blocks, open, running float64
--- a/internal/scenario/key.go
+++ b/internal/scenario/key.go
@@ -89,7 +89,8 @@
 	}
 	for _, begin := range begins {
 		if !c.works && begin.After(c.from) {
-			c.found.add("late: %s began %v after the bound", call.id, begin.Sub(c.from))
+			sent := call.tries[0].started
+			c.found.add("late: %s began %v after the bound, %v after it was sent to %s", call.id, begin.Sub(c.from), begin.Sub(sent), call.tries[0].entry)
 		}
 	}
 }
--- a/internal/scenario/scenario.go
+++ b/internal/scenario/scenario.go
@@ -14,6 +14,7 @@
 //	cluster [FLAGS]               start a platform, entries and workers
 //	entry N                       start an entry of the cluster again
 //	ready [ENTRIES WORKERS]       wait until that many serve all blocks
+//	balanced                      wait until every entry serves a worker
 //	load NAME [FLAGS]             call the entries in the background
 //	waitload NAME                 wait for the end of a load
 //	waitjob ID KEY URL            wait until a job is done
@@ -69,6 +70,7 @@
 		"cluster":     startCluster,
 		"entry":       startEntry,
 		"ready":       ready,
+		"balanced":    balanced,
 
 		"waitmark":  waitMark,
 		"checkkey":  checkKey,
