--- a/conn/callers/callers.go
+++ b/conn/callers/callers.go
@@ -105,6 +105,8 @@
 		c, err := d.admit(w, r)
 		if err == nil {
 			err = handle(c)
+		} else {
+			doubtNamed(err, r)
 		}
 		if err != nil {
 			api.WriteError(w, asAPIError(err))
@@ -132,6 +134,15 @@
 	return &call{w: w, r: r, snapshot: snapshot, team: record.Team}, nil
 }
 
+// doubtNamed takes "not run" back where a request names its id: another entry may
+// have run it when it was handed in before.
+func doubtNamed(err error, r *http.Request) {
+	var refused *api.Error
+	if r.Header.Get(api.HeaderRequestID) != "" && errors.As(err, &refused) && refused.RetryAfter > 0 {
+		refused.Ran = api.RanUnknown
+	}
+}
+
 func bearer(r *http.Request) (string, error) {
 	key, ok := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
 	if !ok || key == "" {
--- a/conn/peer/server.go
+++ b/conn/peer/server.go
@@ -74,6 +74,24 @@
 	}
 }
 
+// Drain refuses new calls and waits until those in progress are answered.
+func (s *Server) Drain(ctx context.Context) error {
+	s.mu.Lock()
+	s.closed = true
+	s.mu.Unlock()
+	answered := make(chan struct{})
+	go func() {
+		s.calls.Wait()
+		close(answered)
+	}()
+	select {
+	case <-answered:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
 // Close ends all links and waits for the handlers.
 func (s *Server) Close() {
 	s.mu.Lock()
--- a/internal/scenario/load.go
+++ b/internal/scenario/load.go
@@ -33,9 +33,9 @@
 
 // load is a bounded stream of calls and what became of them.
 type load struct {
-	name    string
-	kind    string
-	keys    []teamKey
+	name string
+	kind string
+	keys []teamKey
 	// entries returns the URLs of the entries that are called.
 	entries func() []string
 	rate    float64
--- a/process/entry/entry.go
+++ b/process/entry/entry.go
@@ -137,11 +137,12 @@
 	e.Log.Log(events.EntryDrains, e.doors.inFlight())
 	ctx, cancel := context.WithTimeout(context.Background(), e.Timings.Drain)
 	defer cancel()
-	unfinished := e.doors.drain(ctx)
+	unfinished := e.drain(ctx)
 	e.handOverRemembered(ctx)
 	e.releaseAll(ctx)
 	e.cancel()
 	_ = e.Listeners.Peers.Close()
+	_ = e.server.Drain(ctx)
 	e.server.Close()
 	e.loops.Wait()
 	e.doors.close()
@@ -150,6 +151,20 @@
 	e.Log.Log(events.EntryStopped, unfinished)
 }
 
+// drain waits for the calls of callers and then for the requests of other entries.
+// It returns how many calls were cut off.
+func (e *Entry) drain(ctx context.Context) int64 {
+	if e.Omit.Drain {
+		e.doors.close()
+		return e.doors.inFlight()
+	}
+	unfinished := e.doors.drain(ctx)
+	if err := e.requests.Drain(ctx); err != nil {
+		e.Log.Log(events.OwnershipFailed, "drain requests of other entries", err)
+	}
+	return unfinished
+}
+
 // releaseAll gives allotments and blocks back.
 func (e *Entry) releaseAll(ctx context.Context) {
 	if err := e.allotments.Release(ctx); err != nil {
--- a/process/requests/service.go
+++ b/process/requests/service.go
@@ -81,6 +81,7 @@
 type Service struct {
 	o          Options
 	flights    *dedupe.Table
+	forwarded  *gate
 	replicator *dedupe.Replicator
 
 	mu          sync.Mutex
@@ -93,6 +94,7 @@
 	s := &Service{
 		o:           o,
 		flights:     dedupe.NewTable(),
+		forwarded:   newGate(),
 		dispatchers: make(map[string]*dispatch.Dispatcher),
 		ctx:         ctx,
 	}
@@ -151,17 +153,28 @@
 	}
 	address, instance, ok := s.o.Guards.OwnerOf(shard)
 	if !ok || instance == s.o.Instance {
-		return attempt.NotRun(api.CodeMoved, errMoved.Error(), comeBack)
+		return unreached(api.CodeMoved, errMoved)
 	}
 	callCtx, cancel := context.WithDeadline(ctx, r.Deadline)
 	defer cancel()
 	var outcome attempt.Outcome
 	if err := s.o.Caller.Call(callCtx, address, methodHome, r, &outcome); err != nil {
-		return peerFailure(err)
+		outcome = peerFailure(err)
+		if outcome.WasNotRun() {
+			return unreached(api.CodeUnavailable, err)
+		}
 	}
 	return outcome
 }
 
+// unreached says that a named request didn't reach its home. It may have done so
+// when it was handed in before, so that only the home could say "not run".
+func unreached(code string, cause error) attempt.Outcome {
+	return attempt.Outcome{Err: &api.Error{
+		Code: code, Message: cause.Error(), Ran: api.RanUnknown, RetryAfter: comeBack,
+	}}
+}
+
 // peerFailure turns the error of a peer call into an outcome.
 func peerFailure(err error) attempt.Outcome {
 	var remote *peer.RemoteError
@@ -265,9 +278,13 @@
 	if refusal != nil {
 		return *refusal, nil
 	}
+	if !s.forwarded.enter() {
+		return unreached(api.CodeMoved, errMoved), nil
+	}
+	defer s.forwarded.leave()
 	shard := ownership.ShardOf(r.Key())
 	if _, owned := s.o.Guards.MayHandOver(shard); !owned {
-		return attempt.NotRun(api.CodeMoved, errMoved.Error(), comeBack), nil
+		return unreached(api.CodeMoved, errMoved), nil
 	}
 	return s.atHome(ctx, &r, kind, shard), nil
 }
@@ -282,6 +299,10 @@
 	if refusal != nil {
 		return *refusal, nil
 	}
+	if !s.forwarded.enter() {
+		return attempt.NotRun(api.CodeNoWorker, "this entry is stopping", comeBack), nil
+	}
+	defer s.forwarded.leave()
 	place, ok := s.o.Places.FindOwn(&r, kind, "")
 	if !ok {
 		return attempt.NotRun(api.CodeNoWorker, "no room here", comeBack), nil
@@ -294,6 +315,9 @@
 	return outcome, nil
 }
 
+// Drain lets no more requests of other entries in and waits for those in progress.
+func (s *Service) Drain(ctx context.Context) error { return s.forwarded.drain(ctx) }
+
 // handedOver is the message that guards keep.
 type handedOver struct {
 	Requests []string `json:"requests"`
