Read a shard's owner anew when a request met another entry

Change: who meets an entry that doesn't own the block reads that row, at most every 200 ms. Ruled out: more frequent scans (cost of all rows at all times).

--- a/process/entry/callers.go
+++ b/process/entry/callers.go
@@ -18,7 +18,7 @@
 
 // settled repeats a call while nobody keeps the job's shard, which a shard that
 // moves between two live entries has again at once. Such a call had no effect.
-func settled[T any](ctx context.Context, call func() (T, error)) (T, error) {
+func settled[T any](ctx context.Context, e *Entry, id string, call func() (T, error)) (T, error) {
 	until := time.Now().Add(settleFor)
 	for {
 		result, err := call()
@@ -29,6 +29,7 @@
 		case <-ctx.Done():
 			return result, err
 		case <-time.After(settleEvery):
+			e.owners.Look(ctx, jobs.ShardOf(id))
 		}
 	}
 }
@@ -37,7 +38,7 @@
 
 // Submit implements callers.Jobs.
 func (e *Entry) Submit(ctx context.Context, team string, spec api.JobSpec) (api.JobView, error) {
-	job, err := settled(ctx, func() (jobs.Job, error) {
+	job, err := settled(ctx, e, spec.ID, func() (jobs.Job, error) {
 		return e.jobs.Submit(ctx, jobs.Spec{
 			ID: spec.ID, Team: team, Kind: spec.Kind, Tasks: spec.Tasks,
 			Amount: spec.Amount, Payload: spec.Payload, Deadline: spec.Deadline, Created: time.Now(),
@@ -48,7 +49,7 @@
 
 // Get implements callers.Jobs.
 func (e *Entry) Get(ctx context.Context, team, id string) (api.JobView, error) {
-	job, err := settled(ctx, func() (jobs.Job, error) { return e.jobs.Get(ctx, team, id) })
+	job, err := settled(ctx, e, id, func() (jobs.Job, error) { return e.jobs.Get(ctx, team, id) })
 	return jobView(job), jobError(err)
 }
 
@@ -64,7 +65,7 @@
 
 // Cancel implements callers.Jobs.
 func (e *Entry) Cancel(ctx context.Context, team, id string) (api.JobView, error) {
-	_, err := settled(ctx, func() (struct{}, error) { return struct{}{}, e.jobs.Cancel(ctx, team, id) })
+	_, err := settled(ctx, e, id, func() (struct{}, error) { return struct{}{}, e.jobs.Cancel(ctx, team, id) })
 	if err != nil {
 		return api.JobView{}, jobError(err)
 	}
@@ -73,7 +74,7 @@
 
 // Explain implements callers.Jobs.
 func (e *Entry) Explain(ctx context.Context, team, id string) (api.Explanation, error) {
-	x, err := settled(ctx, func() (jobs.Explanation, error) { return e.jobs.Explain(ctx, team, id) })
+	x, err := settled(ctx, e, id, func() (jobs.Explanation, error) { return e.jobs.Explain(ctx, team, id) })
 	if err != nil {
 		return api.Explanation{}, jobError(err)
 	}
--- a/process/ownership/fence.go
+++ b/process/ownership/fence.go
@@ -1,7 +1,9 @@
 package ownership
 
 import (
+	"context"
 	"strings"
+	"time"
 
 	"github.com/kingcuplatch/kingcuplatch/process/platform"
 )
@@ -39,3 +41,22 @@
 	_, owned := m.MayHandOver(block)
 	return platform.Condition{Key: blockPrefix + block, Version: seen.Version}, owned && seen.Version != 0
 }
+
+// lookEvery bounds how often Look reads one block's row.
+const lookEvery = 200 * time.Millisecond
+
+// Look reads a block's row from the table, for a caller that met an entry that
+// doesn't own it: what entries tell each other of changes may be lost, and all
+// rows are read only now and then. It does nothing if the row was read just now.
+func (m *Manager) Look(ctx context.Context, block string) {
+	now := time.Now()
+	m.mu.Lock()
+	recent := now.Sub(m.looked[block]) < lookEvery
+	if !recent {
+		m.looked[block] = now
+	}
+	m.mu.Unlock()
+	if !recent {
+		m.refresh(ctx, blockPrefix+block)
+	}
+}
