--- a/internal/scenario/scenario.go
+++ b/internal/scenario/scenario.go
@@ -22,6 +22,9 @@
 //	mark VAR                      put the present time into $VAR
 //	checkteams [FLAGS]            check how much of a team ran at a time
 //	waitstarted N                 wait until N attempts of tasks were started
+//	waitmark VAR DURATION         wait until that long after the mark
+//	checkkey LOAD [FLAGS]         check when the load's key began or ceased to work
+//	checkidle WORKER [FLAGS]      check that a worker began nothing after a mark
 //
 // The two checks know nothing of the product but its public messages; with ! they
 // want a violation. Their flags bound what has to be seen.
@@ -67,6 +70,10 @@
 		"entry":       startEntry,
 		"ready":       ready,
 
+		"waitmark":  waitMark,
+		"checkkey":  checkKey,
+		"checkidle": checkIdle,
+
 		"load":         startLoad,
 		"waitload":     waitLoad,
 		"waitjob":      waitJob,
--- a/process/entry/loops.go
+++ b/process/entry/loops.go
@@ -60,6 +60,7 @@
 			own = append(own, w)
 		}
 	}
+	e.markLeaving(own)
 	return own
 }
 
@@ -147,6 +148,8 @@
 		Free:   e.freeByUpstream(),
 		Tasks:  e.book.Free(),
 		Queues: e.queueTotals(),
+
+		Leaving: e.leavingWorkers(),
 	}
 }
 
@@ -195,11 +198,12 @@
 
 // heard takes in a message of a peer.
 func (e *Entry) heard(p exchange.Peer) {
-	if !p.SaidAfter.IsZero() {
+	if !p.SaidAfter.IsZero() && !e.Omit.PeerNews {
 		e.config.ObservePeer(p.Instance, p.Status, p.SaidAfter)
 	}
 	e.room.Heard(p)
 	e.hearQueues(p)
+	e.hearLeaving()
 	e.requests.Wake()
 }
 
--- a/scenarios/without_test.go
+++ b/scenarios/without_test.go
@@ -49,6 +49,28 @@
 	case "whole":
 		dial := c.Dial
 		c.Dial = func(w platform.Instance) worker.Client { return trusting{dial(w), w.Address} }
+	default:
+		leaveOutConfig(c, name)
+	}
+}
+
+// leaveOutConfig leaves out mechanisms of keys, configuration and leaving.
+func leaveOutConfig(c *entry.Config, name string) {
+	switch name {
+	case "config-bound":
+		c.Omit.ConfigBound = true
+	case "peer-news":
+		c.Omit.PeerNews = true
+	case "conditions":
+		c.Omit.Conditions = true
+	case "read-back":
+		c.Omit.ReadBack = true
+	case "team-of-work":
+		c.Omit.TeamOfWork = true
+	case "leaving":
+		c.Omit.Leaving = true
+	case "peers-leaving":
+		c.Omit.PeersLeaving = true
 	default:
 		panic("no mechanism is called " + name)
 	}
