Add a bounded soak with entries as processes, run by hand

Cause: what one entry costs, and what callers see under faults, was measured nowhere with entries as processes of their own.

Change: go run ./internal/soak starts nine entries from its own binary, with the platform and 50 workers as stand-ins in the driver, sends requests of five teams and jobs, provokes faults if asked, and prints waiting time by kind, refusals by code, closeness to share, and processor time, memory and bytes by kind of connection of each entry. The example records are read in one place for the trial, the benchmark and the soak.

--- a/internal/cli/trial.go
+++ b/internal/cli/trial.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"io"
-	"io/fs"
 	"net/http"
 	"strings"
 	"time"
@@ -12,7 +11,6 @@
 	"github.com/peterbourgon/ff/v3/ffcli"
 
 	"github.com/kingcuplatch/kingcuplatch/conn/api"
-	"github.com/kingcuplatch/kingcuplatch/examples"
 	"github.com/kingcuplatch/kingcuplatch/internal/trial"
 )
 
@@ -78,25 +76,17 @@
 
 // trialApply applies the example records of both users.
 func (a *app) trialApply(ctx context.Context) error {
-	paths, err := fs.Glob(examples.Files, "*/*.toml")
+	request, err := trial.ExampleRecords()
 	if err != nil {
 		return err
 	}
-	var files []api.File
-	for _, path := range paths {
-		data, err := examples.Files.ReadFile(path)
-		if err != nil {
-			return err
-		}
-		files = append(files, api.File{Name: path, Data: string(data)})
-	}
 	a.key = trial.OperatorKey
 	var result api.ApplyResult
-	if err := a.exchange(ctx, a.operators, http.MethodPost, "/v1/apply", api.ApplyRequest{Files: files}, &result); err != nil {
+	if err := a.exchange(ctx, a.operators, http.MethodPost, "/v1/apply", request, &result); err != nil {
 		return err
 	}
 	fmt.Fprintf(a.stdout, "\nApplied %d files: %d changes, version %d in force on %s.\n",
-		len(files), len(result.Changes), result.Version, strings.Join(result.Confirmed, ", "))
+		len(request.Files), len(result.Changes), result.Version, strings.Join(result.Confirmed, ", "))
 	return nil
 }
 
--- /dev/null
+++ b/internal/soak/cluster.go
@@ -0,0 +1,236 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"time"
+
+	"github.com/kingcuplatch/kingcuplatch/internal/standin"
+	"github.com/kingcuplatch/kingcuplatch/internal/standin/platformstandin"
+	"github.com/kingcuplatch/kingcuplatch/internal/standin/workerstandin"
+	"github.com/kingcuplatch/kingcuplatch/internal/trial"
+	"github.com/kingcuplatch/kingcuplatch/process/platform"
+	"github.com/kingcuplatch/kingcuplatch/process/resource"
+	"github.com/kingcuplatch/kingcuplatch/version/records"
+)
+
+const (
+	domains     = 3
+	rackSize    = 8
+	connections = 64
+	upstream    = "bookings"
+	lookEvery   = 50 * time.Millisecond
+)
+
+var capacity = resource.Amount{MilliCPU: 30_000, MemoryMB: 64_000, Slots: 8}
+
+// cluster is the stand-ins and the processes of the entries.
+type cluster struct {
+	shape
+	dir         string
+	platform    *platformstandin.Platform
+	platformURL string
+	workers     []*workerstandin.Worker
+
+	mu      sync.Mutex
+	entries []entryProcess
+}
+
+// entryProcess is one entry and the addresses of its listeners by name.
+type entryProcess struct {
+	command   *exec.Cmd
+	addresses map[string]string
+	restarted bool
+}
+
+func startCluster(s shape) (*cluster, error) {
+	dir, err := os.MkdirTemp("", "soak")
+	if err != nil {
+		return nil, err
+	}
+	c := &cluster{shape: s, dir: dir, platform: platformstandin.New(), entries: make([]entryProcess, s.entries)}
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	c.platformURL = "http://" + listener.Addr().String()
+	go func() { _ = http.Serve(listener, c.platform.Handler()) }()
+	for n := range s.workers {
+		if err := c.addWorker(n); err != nil {
+			return nil, err
+		}
+	}
+	for n := range c.entries {
+		if err := c.startEntry(n); err != nil {
+			c.stop()
+			return nil, err
+		}
+	}
+	return c, nil
+}
+
+func domain(n int) string { return fmt.Sprintf("domain-%d", n%domains) }
+
+func (c *cluster) addWorker(n int) error {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return err
+	}
+	name := fmt.Sprintf("worker-%d", n+1)
+	w := workerstandin.New(workerstandin.Config{Name: name, Capacity: capacity, Connections: connections})
+	go func() { _ = w.Serve(listener) }()
+	c.workers = append(c.workers, w)
+	c.list(platform.Instance{
+		Name: name, Role: platform.RoleWorker, Address: listener.Addr().String(), Upstream: upstream, Region: "region-1",
+		FailureDomain: domain(n), Rack: fmt.Sprintf("rack-%d", n/rackSize), Capacity: capacity, Connections: connections,
+	})
+	return nil
+}
+
+func (c *cluster) list(instance platform.Instance) {
+	c.platform.ChangeInstances(platformstandin.InstancesChange{Put: []platform.Instance{instance}})
+}
+
+// startEntry starts an entry, or starts it again.
+func (c *cluster) startEntry(n int) error {
+	name := fmt.Sprintf("entry-%d", n+1)
+	settings := fmt.Sprintf("instance = %q\nregion = \"region-1\"\nfailure_domain = %q\noperator_key_sha256 = %q\n"+
+		"[listen]\ncallers = \"127.0.0.1:0\"\noperators = \"127.0.0.1:0\"\npeers = \"127.0.0.1:0\"\nmetrics = \"127.0.0.1:0\"\n"+
+		"[platform]\nurl = %q\n", name, domain(n), records.HashKey(trial.OperatorKey), c.platformURL)
+	path, addresses := filepath.Join(c.dir, name+".toml"), filepath.Join(c.dir, name)
+	if err := errors.Join(os.RemoveAll(addresses), os.WriteFile(path, []byte(settings), 0o600)); err != nil {
+		return err
+	}
+	log, err := os.OpenFile(filepath.Join(c.dir, name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		return err
+	}
+	defer log.Close()
+	program, err := os.Executable()
+	if err != nil {
+		return err
+	}
+	p := entryProcess{command: exec.Command(program, entryRole, "-config", path, "-addresses", addresses), addresses: make(map[string]string)}
+	p.command.Stderr = log
+	if err := p.command.Start(); err != nil {
+		return err
+	}
+	for _, door := range []string{"callers", "operators", "peers", "metrics"} {
+		p.addresses[door] = waitForFile(filepath.Join(addresses, door))
+	}
+	c.mu.Lock()
+	p.restarted = c.entries[n].command != nil
+	c.entries[n] = p
+	c.mu.Unlock()
+	c.list(platform.Instance{
+		Name: name, Role: platform.RoleEntry, Address: p.addresses["peers"], Region: "region-1", FailureDomain: domain(n),
+	})
+	return nil
+}
+
+// waitForFile returns the text of a file once it is there, or "" after readyFor.
+func waitForFile(path string) string {
+	for until := time.Now().Add(readyFor); time.Now().Before(until); time.Sleep(lookEvery) {
+		if text, err := os.ReadFile(path); err == nil {
+			return string(text)
+		}
+	}
+	return ""
+}
+
+func (c *cluster) stop() {
+	for _, e := range c.all() {
+		if e.command != nil {
+			_ = e.command.Process.Kill()
+			_ = e.command.Wait()
+		}
+	}
+	_ = os.RemoveAll(c.dir)
+}
+
+func (c *cluster) all() []entryProcess {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return append([]entryProcess(nil), c.entries...)
+}
+
+// ready waits until all workers are open, every entry has some and hears all others.
+func (c *cluster) ready(ctx context.Context) error {
+	for {
+		open, heard, without := 0.0, 0.0, 0
+		for _, values := range c.costs() {
+			open += values["kingcuplatch_workers_open"]
+			heard += values["kingcuplatch_peers_heard"]
+			if values["kingcuplatch_workers_open"] == 0 {
+				without++
+			}
+		}
+		if without == 0 && int(open) == c.shape.workers && int(heard) == c.shape.entries*(c.shape.entries-1) {
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return fmt.Errorf("%v of %d workers are open, %d entries have none: %w", open, c.shape.workers, without, ctx.Err())
+		case <-time.After(lookEvery):
+		}
+	}
+}
+
+// apply puts the example records into force.
+func (c *cluster) apply(ctx context.Context) error {
+	request, err := trial.ExampleRecords()
+	if err != nil {
+		return err
+	}
+	body, err := json.Marshal(request)
+	if err != nil {
+		return err
+	}
+	_, _, refusal := call(ctx, http.MethodPost, "http://"+c.all()[0].addresses["operators"]+"/v1/apply", trial.OperatorKey, body)
+	if refusal != "" {
+		return fmt.Errorf("apply: %s", refusal)
+	}
+	return nil
+}
+
+// provoke spreads the faults over the length of the soak.
+func (c *cluster) provoke(ctx context.Context) {
+	part := c.length / 20
+	c.workers[0].Change(func(s *workerstandin.Switches) { s.Broken = true })
+	for _, fault := range []struct {
+		name string
+		act  func()
+	}{
+		{"the platform takes 300 ms a call", func() {
+			c.platform.Change(func(s *platformstandin.Switches) { s.Delay = standin.Duration(300 * time.Millisecond) })
+		}},
+		{"connections of 5 workers fall silent", c.silence},
+		{"the platform is down", func() { c.platform.Change(func(s *platformstandin.Switches) { s.Delay, s.Down = 0, true }) }},
+		{"the last entry is killed", func() { _ = c.all()[c.shape.entries-1].command.Process.Kill() }},
+		{"the platform is back", func() { c.platform.Change(func(s *platformstandin.Switches) { s.Down = false }) }},
+		{"the last entry starts again", func() { _ = c.startEntry(c.shape.entries - 1) }},
+		{"connections of 5 workers fall silent", c.silence},
+	} {
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(2 * part):
+		}
+		fmt.Println("fault:", fault.name)
+		fault.act()
+	}
+}
+
+func (c *cluster) silence() {
+	for _, w := range c.workers[1:min(6, len(c.workers))] {
+		w.Change(func(s *workerstandin.Switches) { s.Silence = true })
+	}
+}
--- a/internal/trial/bench_test.go
+++ b/internal/trial/bench_test.go
@@ -6,14 +6,11 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"io/fs"
 	"net/http"
 	"strings"
 	"testing"
 	"time"
 
-	"github.com/kingcuplatch/kingcuplatch/conn/api"
-	"github.com/kingcuplatch/kingcuplatch/examples"
 	"github.com/kingcuplatch/kingcuplatch/internal/standin/platformstandin"
 )
 
@@ -35,13 +32,11 @@
 
 func apply(b *testing.B, c *Cluster) {
 	b.Helper()
-	var files []api.File
-	paths, _ := fs.Glob(examples.Files, "*/*.toml")
-	for _, path := range paths {
-		data, _ := examples.Files.ReadFile(path)
-		files = append(files, api.File{Name: path, Data: string(data)})
+	request, err := ExampleRecords()
+	if err != nil {
+		b.Fatal(err)
 	}
-	body, _ := json.Marshal(api.ApplyRequest{Files: files})
+	body, _ := json.Marshal(request)
 	if status := post(b, strings.Split(c.OperatorURLs(), ",")[0]+"/v1/apply", OperatorKey, body); status != http.StatusOK {
 		b.Fatal("apply: status", status)
 	}
