--- a/internal/scenario/scenario.go
+++ b/internal/scenario/scenario.go
@@ -14,6 +14,17 @@
 //	cluster [FLAGS]               start a platform, entries and workers
 //	entry N                       start an entry of the cluster again
 //	ready [ENTRIES WORKERS]       wait until that many serve all blocks
+//	load NAME [FLAGS]             call the entries in the background
+//	waitload NAME                 wait for the end of a load
+//	waitjob ID KEY URL            wait until a job is done
+//	checkload NAME [FLAGS]        check a load's answers against the workers' records
+//	checkworkers [FLAGS]          check the workers' own records
+//	mark VAR                      put the present time into $VAR
+//	checkteams [FLAGS]            check how much of a team ran at a time
+//	waitstarted N                 wait until N attempts of tasks were started
+//
+// The two checks know nothing of the product but its public messages; with ! they
+// want a violation. Their flags bound what has to be seen.
 //
 // Every wait ends with a failure after 30 seconds. All processes are killed at
 // the end of the script. Use it as
@@ -41,17 +52,26 @@
 // Commands returns the commands by name.
 func Commands() map[string]func(ts *testscript.TestScript, neg bool, args []string) {
 	return map[string]command{
-		"start":    start,
-		"signal":   signal,
-		"waitexit": waitExit,
-		"addr":     addr,
-		"subst":    subst,
-		"waithttp": waitHTTP,
-		"get":      get,
-		"post":     post,
-		"cluster":  startCluster,
-		"entry":    startEntry,
-		"ready":    ready,
+		"start":       start,
+		"signal":      signal,
+		"waitexit":    waitExit,
+		"addr":        addr,
+		"subst":       subst,
+		"waithttp":    waitHTTP,
+		"get":         get,
+		"post":        post,
+		"mark":        mark,
+		"checkteams":  checkTeams,
+		"waitstarted": waitStarted,
+		"cluster":     startCluster,
+		"entry":       startEntry,
+		"ready":       ready,
+
+		"load":         startLoad,
+		"waitload":     waitLoad,
+		"waitjob":      waitJob,
+		"checkload":    checkLoad,
+		"checkworkers": checkWorkers,
 	}
 }
 
@@ -59,6 +79,7 @@
 func Setup(env *testscript.Env) error {
 	procs := newProcesses(env.WorkDir, env.Vars)
 	env.Values[processesKey{}] = procs
+	env.Values[loadsKey{}] = make(map[string]*load)
 	env.Defer(procs.killAll)
 	return nil
 }
--- a/process/entry/build.go
+++ b/process/entry/build.go
@@ -4,7 +4,6 @@
 	"context"
 	"encoding/json"
 	"errors"
-	"math/rand/v2"
 	"time"
 
 	"github.com/kingcuplatch/kingcuplatch/process/capacity"
@@ -13,7 +12,6 @@
 	"github.com/kingcuplatch/kingcuplatch/process/exchange"
 	"github.com/kingcuplatch/kingcuplatch/process/jobs"
 	"github.com/kingcuplatch/kingcuplatch/process/ownership"
-	"github.com/kingcuplatch/kingcuplatch/process/placement"
 	"github.com/kingcuplatch/kingcuplatch/process/platform"
 	"github.com/kingcuplatch/kingcuplatch/process/requests"
 	"github.com/kingcuplatch/kingcuplatch/process/tasks"
@@ -100,16 +98,15 @@
 
 func (e *Entry) newPlaces() *requests.Places {
 	return requests.NewPlaces(requests.PlacesOptions{
-		Book: e.book, Allotments: e.allotments, Owners: e.owners, Remote: e.room, Caller: e.links,
-		Client: e.clients.get,
-		Observed: func(string, error) {
-		},
+		Book: e.book, Allotments: e.allotments, Owners: e.guards(), Remote: e.room, Caller: e.links,
+		Client:   e.clients.get,
+		Observed: e.health.requestEnded,
 	})
 }
 
 func (e *Entry) newRequests() *requests.Service {
 	return requests.New(e.ctx, requests.Options{
-		Instance: e.Instance, Guards: e.owners, Caller: e.links,
+		Instance: e.Instance, Guards: e.guards(), Caller: e.links,
 		Snapshot: e.config.Current, Places: e.places,
 		Budget:        e.newBudget,
 		NewDispatcher: e.newDispatcher,
@@ -140,9 +137,10 @@
 func (e *Entry) newJobs() {
 	e.jobs = &jobs.Client{Directory: e.owners, Fleet: e, Caller: e.links}
 	e.owner = tasks.NewOwner(tasks.Config{
-		Owners: e.owners, Book: e.book, Allotments: e.allotments, Keepers: e.jobs,
-		Choose: chooseWorkers, Dial: e.clients.dial, BlockOf: e.blockOf,
+		Owners: e.guards(), Book: e.book, Allotments: e.allotments, Keepers: e.jobs,
+		Choose: tasks.NewChooser().Choose, Dial: e.clients.dial, BlockOf: e.blockOf,
 		Lease: e.Timings.TaskLease, Margin: leaseMargin, CallTimeout: callTimeout,
+		Ended: e.health.observe,
 	})
 	e.keeper = jobs.NewKeeper(jobs.Config{
 		Instance: e.Instance, Table: e.Table, Fence: e.owners.Fence, Directory: e.owners, Fleet: e,
@@ -168,23 +166,6 @@
 	return owners
 }
 
-// chooseWorkers places tasks by the policy of their kind.
-func chooseWorkers(view placement.Fleet, want tasks.Want) []string {
-	rng := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
-	ask := placement.Ask{Amount: want.Amount, Policy: want.Policy}
-	index := placement.IndexOf(view)
-	var names []string
-	for range want.Count {
-		i, _ := placement.Choose(ask, index, rng)
-		if i < 0 {
-			break
-		}
-		names = append(names, index.At(i).Worker)
-		index.Take(i, want.Amount)
-	}
-	return names
-}
-
 // fleetUsage returns what the teams have running at this entry and its peers.
 func (e *Entry) fleetUsage() []capacity.TeamUsage {
 	usage := e.book.TeamUsage()
--- a/process/entry/entry.go
+++ b/process/entry/entry.go
@@ -43,6 +43,7 @@
 	keeper     *jobs.Keeper
 	jobs       *jobs.Client
 	burn       *burn.Recorder
+	health     *healthWatch
 	metrics    *instruments
 
 	// ctx bounds the loops; the doors end before it.
@@ -67,7 +68,8 @@
 	e.book = capacity.NewBook()
 	e.room = requests.NewRoom()
 	e.burn = burn.NewRecorder()
-	e.clients = newClients(c.Dial, func(name string, sent time.Time, inFlight int) {
+	e.health = newHealthWatch(e.book, c.Log)
+	e.clients = newClients(c.Dial, func(name string, sent time.Time, inFlight []string) {
 		e.places.WorkerReported(name, sent, inFlight)
 	})
 	e.config = e.newStore()
--- a/process/tasks/bench_test.go
+++ b/process/tasks/bench_test.go
@@ -1,7 +1,7 @@
 package tasks
 
 import (
-	"encoding/json"
+	"context"
 	"fmt"
 	"testing"
 	"time"
@@ -10,92 +10,45 @@
 	"github.com/kingcuplatch/kingcuplatch/process/capacity"
 	"github.com/kingcuplatch/kingcuplatch/process/platform"
 	"github.com/kingcuplatch/kingcuplatch/process/resource"
-	"github.com/kingcuplatch/kingcuplatch/version"
 )
 
-var benchAmount = resource.Amount{Running: 1, MilliCPU: 1000, MemoryMB: 2000}
-
-func benchRef(i int) worker.TaskRef {
-	return worker.TaskRef{Task: fmt.Sprintf("attendance-2026-11-30/%d", i), Attempt: 1}
-}
-
-func encodedBytes(b *testing.B, messages ...any) float64 {
-	total := 0
-	for _, m := range messages {
-		body, err := json.Marshal(m)
-		if err != nil {
-			b.Fatal(err)
+// BenchmarkReserve reserves and releases tasks of one job on the workers of one
+// owner, of which most are full.
+func BenchmarkReserve(b *testing.B) {
+	for _, workers := range []int{20, 880, 7900} {
+		for _, tasks := range []int{1, 128} {
+			b.Run(fmt.Sprintf("workers=%d/tasks=%d", workers, tasks), func(b *testing.B) {
+				o := benchOwner(workers)
+				r := ReserveRequest{Job: "j", Team: "t", Amount: oneTask, For: time.Hour}
+				for i := range tasks {
+					r.Refs = append(r.Refs, worker.TaskRef{Task: fmt.Sprintf("j/%d", i), Attempt: 1})
+				}
+				placed := 0
+				for b.Loop() {
+					for _, made := range o.Reserve(context.Background(), r).Reservations {
+						if h, ok := o.Book.Forget(made.Worker, holdingID(made.TaskRef)); ok {
+							o.Allotments.Give(h.Team, h.Amount)
+							placed++
+						}
+					}
+				}
+				b.ReportMetric(float64(b.Elapsed().Nanoseconds())/float64(placed), "ns/placed")
+			})
 		}
-		total += len(body)
-	}
-	return float64(total)
-}
-
-// BenchmarkMessageBytes encodes what keeper, owner and worker say to one another
-// about the tasks of one job, and reports the bytes a task.
-func BenchmarkMessageBytes(b *testing.B) {
-	for _, n := range []int{1, 28} {
-		b.Run(fmt.Sprintf("tasks=%d", n), func(b *testing.B) {
-			reserve := ReserveRequest{
-				Job: "attendance-2026-11-30", Team: "team-17", Kind: "attendance-rebuild",
-				Policy: version.PolicyBatch, Amount: benchAmount, For: 10 * time.Second,
-			}
-			var reserved ReserveReply
-			var start StartRequest
-			var started Outcomes
-			var events []Event
-			report := worker.Report{Worker: "worker-1234", Epoch: 3}
-			for i := range n {
-				ref := benchRef(i)
-				at := Located{TaskRef: ref, Worker: "worker-1234"}
-				reserve.Refs = append(reserve.Refs, ref)
-				reserved.Reservations = append(reserved.Reservations, Reservation{
-					Located: at, Block: "r/region-1/rack-123", Epoch: 3, FailureDomain: "domain-1", Rack: "rack-123",
-				})
-				start.Starts = append(start.Starts, Start{Worker: at.Worker, Epoch: 3, Task: worker.StartTask{
-					Task: ref.Task, Attempt: 1, Team: "team-17", Kind: "attendance-rebuild", Amount: benchAmount,
-					RunTime: 10 * time.Minute, Lease: 30 * time.Second,
-				}})
-				started.Outcomes = append(started.Outcomes, Outcome{Ref: ref, State: StateRunning})
-				events = append(events, Event{Located: at, Block: "r/region-1/rack-123", Epoch: 3, State: worker.TaskDone, Usage: benchAmount})
-				report.Tasks = append(report.Tasks, worker.TaskStatus{
-					Task: ref.Task, Attempt: 1, Team: "team-17", Kind: "attendance-rebuild", State: worker.TaskRunning,
-					Amount: benchAmount, Usage: benchAmount,
-				})
-			}
-			perTask := func(messages ...any) float64 { return encodedBytes(b, messages...) / float64(n) }
-			for b.Loop() {
-				_, _ = json.Marshal(report)
-			}
-			b.ReportMetric(perTask(reserve, reserved), "B/task-reserve")
-			b.ReportMetric(perTask(start, started), "B/task-start")
-			b.ReportMetric(perTask(events), "B/task-event")
-			b.ReportMetric(perTask(report), "B/task-report")
-		})
 	}
 }
 
-// BenchmarkApply is what an owner does with one renewal's report, all tasks known
-// and running.
-func BenchmarkApply(b *testing.B) {
-	for _, n := range []int{7, 28} {
-		b.Run(fmt.Sprintf("tasks=%d", n), func(b *testing.B) {
-			o := &Owner{Config: Config{Book: capacity.NewBook(), Lease: 30 * time.Second}}
-			a := &agent{
-				owner:    o,
-				worker:   capacity.Worker{Instance: platform.Instance{Name: "worker-1"}},
-				attempts: make(map[worker.TaskRef]*attempt), lost: make(map[worker.TaskRef]bool),
-			}
-			report := worker.Report{Worker: "worker-1"}
-			for i := range n {
-				ref := benchRef(i)
-				a.attempts[ref] = &attempt{phase: running}
-				report.Tasks = append(report.Tasks, worker.TaskStatus{Task: ref.Task, Attempt: 1, State: worker.TaskRunning})
-			}
-			b.ReportAllocs()
-			for b.Loop() {
-				a.apply(report, a.settled())
-			}
+func benchOwner(workers int) *Owner {
+	w := &world{ownerOf: make(map[string]string), epochs: make(map[string]uint64)}
+	o := NewOwner(Config{Owners: rights{w, "A"}, Book: capacity.NewBook(), Allotments: &teams{}, Choose: NewChooser().Choose})
+	for i := range workers {
+		name := fmt.Sprintf("w%d", i)
+		w.ownerOf[name], w.epochs[name] = "A", 1
+		o.Book.Open(capacity.Worker{
+			Instance: platform.Instance{Name: name, Capacity: resource.Amount{MilliCPU: 28}}, Block: name, Epoch: 1,
 		})
+		held := capacity.Holding{ID: "held", Team: "t", Amount: resource.Amount{MilliCPU: int64(28 - i%20/19*28)}}
+		o.Book.Reconcile(name, 1, []capacity.Holding{held}, nil)
 	}
+	return o
 }
--- a/process/tasks/ids.go
+++ b/process/tasks/ids.go
@@ -13,12 +13,13 @@
 	holdingPrefix = "task:"
 	// expiryInterval is how often expired reservations are freed.
 	expiryInterval = 250 * time.Millisecond
-	// defaultRequestsFor is how long requests found on a worker occupy it at most.
-	defaultRequestsFor = 10 * time.Minute
 	// renewalsPerLease is how often a lease is renewed while it lasts.
 	renewalsPerLease = 3
 	// retryInterval is the pause after a failed call to a worker.
 	retryInterval = time.Second
+	// freshRenewal is the least pause while an attempt has just been started; the
+	// pause doubles from there.
+	freshRenewal = time.Second
 	// earliestRenewal is the least pause between two renewals.
 	earliestRenewal = 200 * time.Millisecond
 	// deliveryInterval is how long events are gathered into one message.
--- a/process/tasks/report.go
+++ b/process/tasks/report.go
@@ -25,8 +25,7 @@
 			holdings = append(holdings, h)
 		}
 	}
-	until := time.Now().Add(a.owner.RequestsFor)
-	a.owner.Book.Reconcile(a.worker.Name, a.worker.Epoch, holdings, report.Requests, until)
+	a.owner.Book.Reconcile(a.worker.Name, a.worker.Epoch, holdings, report.RequestIDs)
 }
 
 func (a *agent) adoptTask(status worker.TaskStatus) (capacity.Holding, bool) {
@@ -46,7 +45,7 @@
 // apply takes in a later report. before lists the attempts that it must name if
 // the worker knows them.
 func (a *agent) apply(report worker.Report, before []worker.TaskRef) {
-	a.owner.Book.ReportRequests(a.worker.Name, report.Requests)
+	a.owner.Book.ReportRequests(a.worker.Name, report.RequestIDs)
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if a.closed {
@@ -106,6 +105,9 @@
 	at.phase = ended
 	at.event = a.event(ref, status)
 	a.owner.outbox.put(at.event)
+	if status.State == worker.TaskDone || status.State == worker.TaskFailed {
+		a.owner.Ended(a.worker.Name, at.kind, status.State == worker.TaskFailed)
+	}
 }
 
 func (a *agent) event(ref worker.TaskRef, status worker.TaskStatus) Event {
