Send a request back to the queue when a peer has no room after all

Change: a peer without room says so by a code of its own; the request waits for its turn again and is given up at its deadline only. While allotments can't follow demand, since the table is out of reach, a request short of allotment goes to a peer that may have some. Ruled out: counting the bounces up to the deadline's share (no bound fits all).

--- a/conn/api/api.go
+++ b/conn/api/api.go
@@ -58,6 +58,7 @@
 	CodeTeamLimit    = "team_limit"
 	CodeDeadline     = "deadline"
 	CodeNoWorker     = "no_worker"
+	CodeNoRoom       = "no_room"
 	CodeUnavailable  = "unavailable"
 	CodeStopping     = "stopping"
 	CodeMoved        = "moved"
--- a/process/allotment/ledger.go
+++ b/process/allotment/ledger.go
@@ -5,6 +5,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/kingcuplatch/kingcuplatch/process/platform"
@@ -60,6 +61,8 @@
 	sweptAt time.Time
 	// refused wakes Run.
 	refused chan struct{}
+	// stuck says that Run's last step failed.
+	stuck atomic.Bool
 }
 
 type shard struct {
@@ -217,6 +220,10 @@
 	l.with(name, func(t *team) { t.used = t.used.Sub(a) })
 }
 
+// Stuck reports whether allotments can't follow demand now, since the table can't
+// be reached.
+func (l *Ledger) Stuck() bool { return l.stuck.Load() }
+
 // Used returns what the team uses at this entry.
 func (l *Ledger) Used(name string) resource.Amount {
 	var used resource.Amount
--- a/process/allotment/step.go
+++ b/process/allotment/step.go
@@ -33,7 +33,7 @@
 func (l *Ledger) Run(ctx context.Context) {
 	for ctx.Err() == nil {
 		// A failed step changes nothing; the next one reads back.
-		_ = l.Step(ctx)
+		l.stuck.Store(l.Step(ctx) != nil)
 		l.Stepped()
 		pause(ctx, l.Every/soonest, nil)
 		pause(ctx, l.Every-l.Every/soonest, l.refused)
--- a/process/dispatch/dispatch.go
+++ b/process/dispatch/dispatch.go
@@ -125,6 +125,10 @@
 	for n := 1; ; n++ {
 		outcome, sentTo, placed := d.once(ctx, r, kind, avoid, handOver)
 		seen.Waited = placed.Sub(started)
+		if noRoom(outcome) && time.Now().Before(r.Deadline) {
+			n--
+			continue
+		}
 		mayHaveRun = mayHaveRun || !outcome.WasNotRun()
 		if d.repeats(outcome, kind, r, n, sentTo) {
 			avoid = sentTo
@@ -138,6 +142,10 @@
 	}
 }
 
+// noRoom reports whether a peer that told of room had none after all. The request
+// was sent to no worker and goes back to the queue.
+func noRoom(o attempt.Outcome) bool { return o.Err != nil && o.Err.Code == api.CodeNoRoom }
+
 // final returns what the caller is told: after an attempt that may have run, "not
 // run" would not be true.
 func final(o attempt.Outcome, mayHaveRun bool) attempt.Outcome {
--- a/process/dispatch/dispatch_test.go
+++ b/process/dispatch/dispatch_test.go
@@ -170,6 +170,25 @@
 	})
 }
 
+// A peer that has no room after all sends the request back to the queue, however
+// often; it is given up at its deadline only.
+func TestNoRoomAtPeersIsNoRefusal(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := &fakeFinder{free: 1, took: time.Second, next: func(n int) attempt.Outcome {
+			if n < 30 {
+				return attempt.NotRun(api.CodeNoRoom, "full", 0)
+			}
+			return answered(n)
+		}}
+		outcome := start(t, f, 10).Do(t.Context(), request(time.Minute), quote, mayHandOver)
+		assert.Equal(t, outcome.Status, 200)
+		assert.Equal(t, outcome.Waited, 29*time.Second)
+		f.sent = 0
+		outcome = start(t, f, 10).Do(t.Context(), request(10*time.Second), quote, mayHandOver)
+		assert.Assert(t, outcome.WasNotRun())
+	})
+}
+
 func TestNothingIsSentWhenHandOverFails(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := &fakeFinder{free: 1, next: answered}
--- a/process/requests/places.go
+++ b/process/requests/places.go
@@ -30,6 +30,8 @@
 type Allotments interface {
 	Take(team string, a resource.Amount) bool
 	Give(team string, a resource.Amount)
+	// Stuck reports whether allotments can't follow demand now.
+	Stuck() bool
 }
 
 // RemoteRoom tells which peers have room.
@@ -76,14 +78,17 @@
 }
 
 // Find implements dispatch.Finder: own workers first, then peers. A request whose
-// team has no allotment left here waits for it, since allotments follow demand.
+// team has no allotment left here waits for it, since allotments follow demand; while
+// they can't, it goes to a peer that may have some.
 func (p *Places) Find(r *attempt.Request, kind *version.Kind, avoid string) (dispatch.Place, bool) {
 	place, shortage := p.findOwn(r, kind, avoid)
 	switch shortage {
 	case shortOfNothing:
 		return place, true
 	case shortOfAllotment:
-		return nil, false
+		if !p.o.Allotments.Stuck() {
+			return nil, false
+		}
 	}
 	address, instance, ok := p.o.Remote.Pick(kind.Upstream, kind.Amount)
 	if !ok {
--- a/process/requests/service.go
+++ b/process/requests/service.go
@@ -308,7 +308,7 @@
 	defer s.forwarded.leave()
 	place, ok := s.o.Places.FindOwn(&r, kind, "")
 	if !ok {
-		return attempt.NotRun(api.CodeNoWorker, "no room here", comeBack), nil
+		return attempt.NotRun(api.CodeNoRoom, "no room here", comeBack), nil
 	}
 	sendCtx, cancel := context.WithDeadline(context.WithoutCancel(ctx), r.Deadline)
 	defer cancel()
