Keep workers with free accelerators for work that waits for them

Cause: on a full fleet small work takes every hole on workers with accelerators, so that work that needs one rarely finds the processors beside it. Change: while work that needs accelerators is passed over, other work that isn't urgent stays off workers that have as many free. Ruled out: more holds (one start for each held worker in about 30 s).

--- a/internal/policytrial/trial_test.go
+++ b/internal/policytrial/trial_test.go
@@ -206,8 +206,10 @@
 		b.Run(c.name, func(b *testing.B) {
 			fmt.Printf("\n### %s times capacity\n\n| policy | waiting p50/p99 by kind (started) | shortfall largest/mean (windows) | used | refused | small teams refused | failed | goodput/s |\n|---|---|---|---|---|---|---|---|\n", c.name)
 			for _, s := range schedulers {
-				c.setup.NewScheduler = s.make
-				fmt.Printf("| %s | %s\n", s.name, run(c.setup).row())
+				b.Run(s.name, func(*testing.B) {
+					c.setup.NewScheduler = s.make
+					fmt.Printf("| %s | %s\n", s.name, run(c.setup).row())
+				})
 			}
 		})
 	}
--- a/process/dispatch/dispatch.go
+++ b/process/dispatch/dispatch.go
@@ -74,6 +74,8 @@
 	maxHolds int
 	// passedOver were asked about by the latest turn and did not fit.
 	passedOver []*queue.Item
+	// spare is the fewest accelerators that passed over work needs, 0 if none.
+	spare int64
 }
 
 // New returns a dispatcher over the queue and the index.
@@ -91,6 +93,7 @@
 		return start, true
 	}
 	worker := -1
+	d.spare = d.wantedAccelerators()
 	d.passedOver = d.passedOver[:0]
 	it := d.Queue.PopWhere(now, func(it *queue.Item) queue.Answer {
 		var answer queue.Answer
@@ -105,12 +108,28 @@
 	return Start{}, false
 }
 
+// wantedAccelerators returns the fewest accelerators that work passed over in the turn
+// before needs and still waits for.
+func (d *Dispatcher) wantedAccelerators() int64 {
+	var fewest int64
+	for _, it := range d.passedOver {
+		n := it.Amount.Accelerators
+		if n > 0 && (fewest == 0 || n < fewest) {
+			fewest = n
+		}
+	}
+	return fewest
+}
+
 // place returns the worker for the item, or why there is none.
 func (d *Dispatcher) place(it *queue.Item) (int, queue.Answer) {
 	if !d.policy.Allowed(it) {
 		return -1, queue.Refuse
 	}
 	ask := d.policy.Ask(it)
+	if !it.Urgent {
+		ask.SpareAccelerators = d.spare
+	}
 	worker, _ := placement.Choose(ask, d.Index, d.rand)
 	if worker >= 0 {
 		return worker, queue.Admit
--- a/process/placement/ask.go
+++ b/process/placement/ask.go
@@ -16,6 +16,9 @@
 	Upstream string
 	// Avoid names workers that must not be chosen: those tried before.
 	Avoid []string
+	// SpareAccelerators, unless 0, keeps work that needs no accelerator off workers
+	// that have at least so many free: others wait for them.
+	SpareAccelerators int64
 	// SpreadUsed, when set, returns how many tasks of the same service run in
 	// the rack and in the failure domain. Only PolicyService looks at it.
 	SpreadUsed func(rack, domain string) SpreadCount
@@ -37,8 +40,9 @@
 	// Workers is the size of the fleet.
 	Workers int
 	// Looked is how many workers the counts below describe.
-	Looked        int
-	Closed        int
+	Looked int
+	Closed int
+	// Avoided workers were tried before or are kept for work with accelerators.
 	Avoided       int
 	OtherUpstream int
 	// Short counts workers by the first dimension of which they had too little.
@@ -80,7 +84,7 @@
 		r.Closed++
 	case !ask.carriedBy(c):
 		r.OtherUpstream++
-	case slices.Contains(ask.Avoid, c.Worker):
+	case slices.Contains(ask.Avoid, c.Worker), ask.spares(c):
 		r.Avoided++
 	default:
 		d, short := ask.Amount.FirstOver(c.Free)
@@ -96,7 +100,12 @@
 	return a.Upstream == "" || a.Upstream == c.Upstream
 }
 
+// spares reports whether the worker's accelerators are kept for others.
+func (a *Ask) spares(c *Candidate) bool {
+	return a.SpareAccelerators > 0 && a.Amount.Accelerators == 0 && c.Free.Accelerators >= a.SpareAccelerators
+}
+
 // takes reports whether the worker does for the ask.
 func (a *Ask) takes(c *Candidate) bool {
-	return !c.Closed && a.carriedBy(c) && a.Amount.Fits(c.Free) && !slices.Contains(a.Avoid, c.Worker)
+	return !c.Closed && !a.spares(c) && a.carriedBy(c) && a.Amount.Fits(c.Free) && !slices.Contains(a.Avoid, c.Worker)
 }
--- a/process/placement/misses.go
+++ b/process/placement/misses.go
@@ -14,6 +14,7 @@
 	upstream string
 	policy   version.Policy
 	amount   resource.Amount
+	spare    int64
 	reason   Reason
 }
 
@@ -24,7 +25,7 @@
 func (m *misses) find(ask *Ask) (Reason, bool) {
 	for i := range m.list {
 		known := &m.list[i]
-		if known.amount == ask.Amount && known.policy == ask.Policy && known.upstream == ask.Upstream {
+		if known.amount == ask.Amount && known.policy == ask.Policy && known.upstream == ask.Upstream && known.spare == ask.SpareAccelerators {
 			return known.reason, true
 		}
 	}
@@ -36,7 +37,7 @@
 	if len(ask.Avoid) > 0 || len(m.list) >= maxMisses {
 		return
 	}
-	m.list = append(m.list, miss{upstream: ask.Upstream, policy: ask.Policy, amount: ask.Amount, reason: reason})
+	m.list = append(m.list, miss{upstream: ask.Upstream, policy: ask.Policy, amount: ask.Amount, spare: ask.SpareAccelerators, reason: reason})
 }
 
 func (m *misses) clear() { m.list = m.list[:0] }
--- a/process/placement/placement_test.go
+++ b/process/placement/placement_test.go
@@ -63,7 +63,7 @@
 			if step%20 == 19 {
 				ix.SetClosed(rng.IntN(ix.Len()), rng.IntN(2) == 0)
 			}
-			ask := Ask{Policy: rapid.SampledFrom(policies).Draw(t, "policy"), Avoid: []string{"w1"}, Amount: resource.Amount{
+			ask := Ask{Policy: rapid.SampledFrom(policies).Draw(t, "policy"), Avoid: []string{"w1"}, SpareAccelerators: max(0, rapid.Int64Range(-3, 5).Draw(t, "spare")), Amount: resource.Amount{
 				Running:  1,
 				MilliCPU: rapid.Int64Range(0, 9000).Draw(t, "cpu"), MemoryMB: rapid.Int64Range(0, 20000).Draw(t, "memory"),
 				Accelerators: max(0, rapid.Int64Range(-9, 3).Draw(t, "accelerators")), Slots: rapid.Int64Range(0, 2).Draw(t, "slots"),
@@ -91,6 +91,14 @@
 		assert.Equal(t, ix.At(i).Capacity.Accelerators, int64(0))
 		ix.Take(i, task.Amount)
 	}
+	for i, _ := Choose(task, ix, rng); i != none; i, _ = Choose(task, ix, rng) {
+		ix.Take(i, task.Amount)
+		if ix.At(i).Capacity.Accelerators > 0 {
+			ix.Give(i, task.Amount)
+			task.SpareAccelerators = 1
+		}
+	}
+	assert.Equal(t, task.SpareAccelerators, int64(1))
 	whole := Ask{Policy: version.PolicyAllAtOnce, Amount: resource.Amount{Running: 1, Accelerators: 8}}
 	plan, _ := ChooseAll(whole, 10, ix, rng)
 	assert.Equal(t, len(plan), 10)
--- a/process/placement/search.go
+++ b/process/placement/search.go
@@ -51,7 +51,7 @@
 	if ask.Amount.Accelerators > 0 {
 		from = int(min(ask.Amount.Accelerators+1, maxClass))
 	}
-	for class := from; class <= maxClass; class++ {
+	for class := from; class <= lastClass(ask); class++ {
 		if g := u.classes[class]; g != nil {
 			if i := ix.tightest(ask, g); i != none {
 				return i
@@ -61,6 +61,14 @@
 	return none
 }
 
+// lastClass returns the last class that does for the ask.
+func lastClass(ask *Ask) int {
+	if ask.SpareAccelerators > 0 && ask.Amount.Accelerators == 0 {
+		return int(min(ask.SpareAccelerators, maxClass))
+	}
+	return maxClass
+}
+
 // tightest returns the best fit in a grid for tasks: row by row the tightest cell
 // that has a fit, until a row by itself leaves more over than the best found.
 func (ix *Index) tightest(ask *Ask, g *grid) int {
