Tell the queues' peers apart by incarnation

Cause: a peer that restarts begins its totals anew; under its instance's name they would have been compared with those of its former life. Change: totals go by incarnation; those of a former life are forgotten.

--- a/process/entry/entry.go
+++ b/process/entry/entry.go
@@ -51,6 +51,8 @@
 	cancel   context.CancelFunc
 	loops    sync.WaitGroup
 	stopping atomic.Bool
+	// heardAs is the incarnation under which each peer was last heard.
+	heardAs sync.Map
 	// admitting is the last state that was logged.
 	admitting atomic.Bool
 	// changed wakes the loop that serves the workers of owned blocks.
--- a/process/entry/loops.go
+++ b/process/entry/loops.go
@@ -167,9 +167,12 @@
 
 // hearQueues tells the queues what a peer's queues let teams use.
 func (e *Entry) hearQueues(p exchange.Peer) {
+	if before, known := e.heardAs.Swap(p.Instance, p.Incarnation); known && before != p.Incarnation {
+		e.forgetTotals(before.(string))
+	}
 	for _, totals := range p.State.Queues {
 		e.requests.Dispatcher(totals.Upstream).Configure(func(q *queue.Queue, now time.Time) {
-			q.SetPeerTotals(now, p.Instance, p.Number, totals.Totals)
+			q.SetPeerTotals(now, p.Incarnation, p.Number, totals.Totals)
 		})
 	}
 }
@@ -207,11 +210,18 @@
 	e.requests.Wake()
 }
 
-func (e *Entry) peerFailed(instance string, err error) {
-	e.room.Forget(instance)
+// forgetTotals drops what a peer's queues let teams use.
+func (e *Entry) forgetTotals(incarnation string) {
 	e.requests.Each(func(_ string, d *dispatch.Dispatcher) {
-		d.Configure(func(q *queue.Queue, now time.Time) { q.ForgetPeer(now, instance) })
+		d.Configure(func(q *queue.Queue, now time.Time) { q.ForgetPeer(now, incarnation) })
 	})
+}
+
+func (e *Entry) peerFailed(instance string, err error) {
+	e.room.Forget(instance)
+	if incarnation, known := e.heardAs.LoadAndDelete(instance); known {
+		e.forgetTotals(incarnation.(string))
+	}
 	e.Log.Log(events.PeerFailed, instance, err)
 }
 
