Prove capacity, one place, at most once, whole answers and draining

Scripts with separate processes for what fails: a frozen owner, killed owners, lost starts, a worker cut off, ids handed in again at another entry, lost and broken answers, a rolling restart. TestWithout runs the same scripts without the mechanism and wants the violation.

--- a/internal/scenario/check.go
+++ b/internal/scenario/check.go
@@ -52,6 +52,28 @@
 	return records
 }
 
+// findWorker waits until a worker's record contains a text and puts the worker's
+// address, as in $WORKERn, into a variable.
+func findWorker(ts *testscript.TestScript, neg bool, args []string) {
+	positive(ts, neg)
+	usage(ts, args, 2, 2, "findworker VAR TEXT")
+	found := poll(func() bool {
+		for n := 1; n <= processesOf(ts).clusterOf.workers; n++ {
+			address := ts.Getenv("WORKER" + strconv.Itoa(n))
+			got, err := call(http.MethodGet, "http://"+address+workerstandin.PathRecord, "")
+			if err == nil && strings.Contains(got.body, args[1]) {
+				ts.Setenv(args[0], address)
+				return true
+			}
+		}
+		return false
+	})
+	if !found {
+		logTails(ts)
+		ts.Fatalf("no worker's record contains %q after %v", args[1], waitBound)
+	}
+}
+
 // checkWorkers checks the workers' own records: capacity, connections, that no
 // task ran in two places and that no request of a kind outside -idempotent was
 // begun twice.
--- a/internal/scenario/cluster.go
+++ b/internal/scenario/cluster.go
@@ -27,6 +27,10 @@
 // names. The test binary registers it.
 const ProgramWithout = "kingcuplatchd-without"
 
+// EnvWithout holds the mechanisms that a script's entries leave out, separated by
+// commas. The condition [without] tells a script of it.
+const EnvWithout = "WITHOUT"
+
 // domains is how many failure domains a cluster has.
 const domains = 3
 
@@ -66,12 +70,11 @@
 }
 
 func parseCluster(ts *testscript.TestScript, args []string) *cluster {
-	c := &cluster{}
+	c := &cluster{without: ts.Getenv(EnvWithout)}
 	flags := flag.NewFlagSet("cluster", flag.ContinueOnError)
 	flags.IntVar(&c.entries, "entries", 3, "entries")
 	flags.IntVar(&c.workers, "workers", 3, "workers")
 	flags.StringVar(&c.upstream, "upstream", "bookings", "upstream of the workers")
-	flags.StringVar(&c.without, "without", "", "mechanisms that the entries leave out, separated by commas; "+ProgramWithout+" runs them")
 	flags.StringVar(&c.timings, "timings", "", "settings of timings, separated by commas")
 	ts.Check(flags.Parse(args))
 	c.extra = flags.Args()
--- a/internal/scenario/load.go
+++ b/internal/scenario/load.go
@@ -23,7 +23,10 @@
 	// maxInFlight bounds the calls of one load that run at a time.
 	maxInFlight = 128
 	// maxTries bounds how often one id is handed in.
-	maxTries = 5
+	maxTries = 6
+	// comeBack is the least pause before the same call is handed in again after an
+	// answer that it wasn't run or that its outcome isn't known.
+	comeBack = time.Second
 	// tryTimeout bounds one try; it is above the deadlines of the examples.
 	tryTimeout = 15 * time.Second
 )
@@ -111,7 +114,7 @@
 	flags.Float64Var(&l.rate, "rate", 100, "calls a second; 0 for all at once")
 	flags.IntVar(&l.count, "n", 100, "calls")
 	flags.BoolVar(&l.named, "ids", false, "name the requests")
-	flags.BoolVar(&l.again, "again", false, "hand in again at another entry what got no answer or was refused by a stopping entry")
+	flags.BoolVar(&l.again, "again", false, "hand in again at another entry what wasn't answered")
 	flags.IntVar(&l.times, "times", 1, "how often each call is handed in, at once and at one entry after the other")
 	flags.BoolVar(&l.ready, "ready", false, "pass over entries that say they aren't ready, as a balancer does")
 	flags.IntVar(&l.workMS, "work-ms", 0, "how long the work takes, in milliseconds")
@@ -179,9 +182,12 @@
 		l.mu.Lock()
 		call.tries = append(call.tries, t)
 		l.mu.Unlock()
-		if !l.again || t.status != 0 && t.refusal.Code != api.CodeStopping {
+		if !l.again || t.answered() {
 			return
 		}
+		if t.status != 0 {
+			time.Sleep(max(t.refusal.RetryAfter, comeBack))
+		}
 	}
 }
 
--- a/internal/scenario/scenario.go
+++ b/internal/scenario/scenario.go
@@ -18,6 +18,7 @@
 //	waitload NAME                 wait for the end of a load
 //	waitjob ID KEY URL            wait until a job is done
 //	checkload NAME [FLAGS]        check a load's answers against the workers' records
+//	findworker VAR TEXT           wait for TEXT in a worker's record, put its address into $VAR
 //	checkworkers [FLAGS]          check the workers' own records
 //
 // The two checks know nothing of the product but its public messages; with ! they
@@ -65,6 +66,7 @@
 		"waitload":     waitLoad,
 		"waitjob":      waitJob,
 		"checkload":    checkLoad,
+		"findworker":   findWorker,
 		"checkworkers": checkWorkers,
 	}
 }
--- a/scenarios/scenarios_test.go
+++ b/scenarios/scenarios_test.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"errors"
 	"os"
 	"os/signal"
 	"path/filepath"
@@ -41,15 +42,29 @@
 }
 
 func TestScenarios(t *testing.T) {
+	p := params(t, "")
+	p.Dir = "testdata"
+	testscript.Run(t, p)
+}
+
+// params are those of scripts whose entries leave out the named mechanisms.
+func params(t *testing.T, without string) testscript.Params {
+	t.Helper()
 	examples, err := filepath.Abs("../examples")
 	assert.NilError(t, err)
-	testscript.Run(t, testscript.Params{
-		Dir:  "testdata",
+	return testscript.Params{
 		Cmds: scenario.Commands(),
+		Condition: func(name string) (bool, error) {
+			if name != "without" {
+				return false, errors.New("no condition is called " + name)
+			}
+			return without != "", nil
+		},
 		Setup: func(env *testscript.Env) error {
 			env.Setenv("EXAMPLES", examples)
 			env.Setenv("OPERATOR_KEY", scenario.OperatorKey)
+			env.Setenv(scenario.EnvWithout, without)
 			return scenario.Setup(env)
 		},
-	})
+	}
 }
--- a/scenarios/without_test.go
+++ b/scenarios/without_test.go
@@ -9,14 +9,42 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"testing"
 	"time"
 
+	"github.com/rogpeppe/go-internal/testscript"
+
 	"github.com/kingcuplatch/kingcuplatch/conn/worker"
 	"github.com/kingcuplatch/kingcuplatch/conn/worker/httpworker"
 	"github.com/kingcuplatch/kingcuplatch/process/entry"
 	"github.com/kingcuplatch/kingcuplatch/process/platform"
 )
 
+// TestWithout runs proofs without the mechanism that they prove; the scripts want
+// to see the violation then.
+func TestWithout(t *testing.T) {
+	for script, mechanisms := range map[string]string{
+		"frozen-owner":    "right,epoch",
+		"killed-owner":    "reports",
+		"late-work":       "reports",
+		"last-slot":       "count",
+		"lost-start":      "unknown,stop",
+		"cut-worker":      "lease",
+		"same-id":         "replication",
+		"same-id-twice":   "dedupe",
+		"lost-answers":    "unknown",
+		"whole-answers":   "whole",
+		"rolling-restart": "drain",
+	} {
+		t.Run(script, func(t *testing.T) {
+			t.Parallel()
+			p := params(t, mechanisms)
+			p.Files = []string{"testdata/promise-" + script + ".txtar"}
+			testscript.Run(t, p)
+		})
+	}
+}
+
 // without returns a change that leaves out the named mechanisms.
 func without(names string) func(*entry.Config) {
 	return func(c *entry.Config) {
@@ -40,6 +68,8 @@
 		wrapWorkers(c, func(w worker.Client) worker.Client { return unfenced{w} })
 	case "unknown":
 		wrapWorkers(c, func(w worker.Client) worker.Client { return hasty{w} })
+	case "stop":
+		wrapWorkers(c, func(w worker.Client) worker.Client { return unstopped{w} })
 	case "reports":
 		wrapWorkers(c, func(w worker.Client) worker.Client { return uncounted{w} })
 	case "lease":
@@ -101,6 +131,13 @@
 	return err
 }
 
+// unstopped leaves attempts running that are to be stopped.
+type unstopped struct{ worker.Client }
+
+func (unstopped) Stop(context.Context, uint64, []worker.TaskRef) ([]worker.TaskStatus, error) {
+	return nil, nil
+}
+
 // uncounted hides a worker's requests in flight from those who ask for its state.
 type uncounted struct{ worker.Client }
 
