--- a/internal/scenario/scenario.go
+++ b/internal/scenario/scenario.go
@@ -20,6 +20,12 @@
 //	checkload NAME [FLAGS]        check a load's answers against the workers' records
 //	findworker VAR TEXT           wait for TEXT in a worker's record, put its address into $VAR
 //	checkworkers [FLAGS]          check the workers' own records
+//	mark VAR                      put the present time into $VAR
+//	checkteams [FLAGS]            check how much of a team ran at a time
+//	waitstarted N                 wait until N attempts of tasks were started
+//	waitmark VAR DURATION         wait until that long after the mark
+//	checkkey LOAD [FLAGS]         check when the load's key began or ceased to work
+//	checkidle WORKER [FLAGS]      check that a worker began nothing after a mark
 //
 // The two checks know nothing of the product but its public messages; with ! they
 // want a violation. Their flags bound what has to be seen.
@@ -50,17 +56,24 @@
 // Commands returns the commands by name.
 func Commands() map[string]func(ts *testscript.TestScript, neg bool, args []string) {
 	return map[string]command{
-		"start":    start,
-		"signal":   signal,
-		"waitexit": waitExit,
-		"addr":     addr,
-		"subst":    subst,
-		"waithttp": waitHTTP,
-		"get":      get,
-		"post":     post,
-		"cluster":  startCluster,
-		"entry":    startEntry,
-		"ready":    ready,
+		"start":       start,
+		"signal":      signal,
+		"waitexit":    waitExit,
+		"addr":        addr,
+		"subst":       subst,
+		"waithttp":    waitHTTP,
+		"get":         get,
+		"post":        post,
+		"mark":        mark,
+		"checkteams":  checkTeams,
+		"waitstarted": waitStarted,
+		"cluster":     startCluster,
+		"entry":       startEntry,
+		"ready":       ready,
+
+		"waitmark":  waitMark,
+		"checkkey":  checkKey,
+		"checkidle": checkIdle,
 
 		"load":         startLoad,
 		"waitload":     waitLoad,
--- a/process/daemon/daemon.go
+++ b/process/daemon/daemon.go
@@ -14,6 +14,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"github.com/kingcuplatch/kingcuplatch/conn/traffic"
 	"github.com/kingcuplatch/kingcuplatch/conn/worker"
 	"github.com/kingcuplatch/kingcuplatch/conn/worker/httpworker"
 	"github.com/kingcuplatch/kingcuplatch/process/entry"
@@ -88,20 +89,21 @@
 	if err := writeAddresses(addresses, listeners); err != nil {
 		return err
 	}
-	client := httpplatform.New(s.Platform.URL)
+	meter := &traffic.Meter{}
+	client := httpplatform.NewCounted(s.Platform.URL, &meter.Platform)
 	defer client.Close()
-	c := config(s, listeners, client, logs)
+	c := config(s, listeners, client, meter, logs)
 	change(&c)
 	return entry.New(c).Run(ctx)
 }
 
-func config(s *settings.Settings, listeners entry.Listeners, client *httpplatform.Client, logs io.Writer) entry.Config {
+func config(s *settings.Settings, listeners entry.Listeners, client *httpplatform.Client, meter *traffic.Meter, logs io.Writer) entry.Config {
 	peers := s.Advertise.Peers
 	if peers == "" {
 		peers = listeners.Peers.Addr().String()
 	}
 	return entry.Config{
-		Instance: s.Instance, Incarnation: entry.NewIncarnation(), FailureDomain: s.FailureDomain, Region: s.Region,
+		Instance: s.Instance, Incarnation: entry.NewIncarnation(s.Instance), FailureDomain: s.FailureDomain, Region: s.Region,
 		PeerAddress: peers, PerRack: settings.Block(s.Block) == settings.BlockRack,
 		OperatorKeySHA256: s.OperatorKeySHA256,
 		MaxBodyBytes:      s.Limits.MaxBodyBytes, MaxQueue: s.Limits.MaxQueue, MaxHeaderBytes: s.Limits.MaxHeaderBytes,
@@ -113,14 +115,16 @@
 		},
 		Listeners: listeners,
 		Table:     client, Objects: client.Objects(), Instances: client,
-		Dial: dialWorker, Log: events.New(logs, s.Instance),
+		Traffic: meter, Dial: dialWorker(meter), Log: events.New(logs, s.Instance),
 	}
 }
 
-func dialWorker(w platform.Instance) worker.Client {
-	return httpworker.New(httpworker.Options{
-		Address: w.Address, MaxConnections: w.Connections, FreshWithin: freshWithin,
-	})
+func dialWorker(meter *traffic.Meter) func(platform.Instance) worker.Client {
+	return func(w platform.Instance) worker.Client {
+		return httpworker.New(httpworker.Options{
+			Address: w.Address, MaxConnections: w.Connections, FreshWithin: freshWithin, Bytes: &meter.Workers,
+		})
+	}
 }
 
 // listen binds the four listeners.
--- a/process/entry/build.go
+++ b/process/entry/build.go
@@ -4,7 +4,6 @@
 	"context"
 	"encoding/json"
 	"errors"
-	"math/rand/v2"
 	"time"
 
 	"github.com/kingcuplatch/kingcuplatch/process/capacity"
@@ -13,7 +12,6 @@
 	"github.com/kingcuplatch/kingcuplatch/process/exchange"
 	"github.com/kingcuplatch/kingcuplatch/process/jobs"
 	"github.com/kingcuplatch/kingcuplatch/process/ownership"
-	"github.com/kingcuplatch/kingcuplatch/process/placement"
 	"github.com/kingcuplatch/kingcuplatch/process/platform"
 	"github.com/kingcuplatch/kingcuplatch/process/requests"
 	"github.com/kingcuplatch/kingcuplatch/process/tasks"
@@ -101,9 +99,8 @@
 func (e *Entry) newPlaces() *requests.Places {
 	return requests.NewPlaces(requests.PlacesOptions{
 		Book: e.book, Allotments: e.allotments, Owners: e.guards(), Remote: e.room, Caller: e.links,
-		Client: e.clients.get,
-		Observed: func(string, error) {
-		},
+		Client:   e.clients.get,
+		Observed: e.health.requestEnded,
 	})
 }
 
@@ -141,8 +138,9 @@
 	e.jobs = &jobs.Client{Directory: e.owners, Fleet: e, Caller: e.links}
 	e.owner = tasks.NewOwner(tasks.Config{
 		Owners: e.guards(), Book: e.book, Allotments: e.allotments, Keepers: e.jobs,
-		Choose: chooseWorkers, Dial: e.clients.dial, BlockOf: e.blockOf,
+		Choose: tasks.NewChooser().Choose, Dial: e.clients.dial, BlockOf: e.blockOf,
 		Lease: e.Timings.TaskLease, Margin: leaseMargin, CallTimeout: callTimeout,
+		Ended: e.health.observe,
 	})
 	e.keeper = jobs.NewKeeper(jobs.Config{
 		Instance: e.Instance, Table: e.Table, Fence: e.owners.Fence, Directory: e.owners, Fleet: e,
@@ -168,23 +166,6 @@
 	return owners
 }
 
-// chooseWorkers places tasks by the policy of their kind.
-func chooseWorkers(view placement.Fleet, want tasks.Want) []string {
-	rng := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
-	ask := placement.Ask{Amount: want.Amount, Policy: want.Policy}
-	index := placement.IndexOf(view)
-	var names []string
-	for range want.Count {
-		i, _ := placement.Choose(ask, index, rng)
-		if i < 0 {
-			break
-		}
-		names = append(names, index.At(i).Worker)
-		index.Take(i, want.Amount)
-	}
-	return names
-}
-
 // fleetUsage returns what the teams have running at this entry and its peers.
 func (e *Entry) fleetUsage() []capacity.TeamUsage {
 	usage := e.book.TeamUsage()
@@ -198,6 +179,7 @@
 
 func (e *Entry) gained(g ownership.Grant) {
 	e.Log.Log(events.BlockGained, g.Block, g.Epoch)
+	e.metrics.blockChanged("gained")
 	if ownership.IsShard(g.Block) {
 		e.loop(func() { e.loadShard(g.Block) })
 	}
@@ -230,6 +212,7 @@
 
 func (e *Entry) lost(block string) {
 	e.Log.Log(events.BlockLost, block)
+	e.metrics.blockChanged("lost")
 	if ownership.IsShard(block) {
 		e.keeper.Lose(block)
 	}
@@ -240,6 +223,7 @@
 // has own guards remember them too.
 func (e *Entry) tookOver(dead ownership.Member, messages []json.RawMessage) {
 	e.Log.Log(events.EntryTakenOver, dead.Instance, dead.Incarnation)
+	e.metrics.tookOver()
 	e.requests.Import(messages)
 	ctx, cancel := context.WithTimeout(e.ctx, callTimeout)
 	defer cancel()
@@ -247,7 +231,6 @@
 	if err != nil && !errors.Is(err, ownership.ErrNoGuards) {
 		e.Log.Log(events.OwnershipFailed, "replicate remembered requests", err)
 	}
-	e.allotments.Inherit(dead.Incarnation)
 }
 
 func (e *Entry) rejoined(self ownership.Member) {
--- a/process/entry/config.go
+++ b/process/entry/config.go
@@ -13,6 +13,7 @@
 	"net"
 	"time"
 
+	"github.com/kingcuplatch/kingcuplatch/conn/traffic"
 	"github.com/kingcuplatch/kingcuplatch/conn/worker"
 	"github.com/kingcuplatch/kingcuplatch/process/events"
 	"github.com/kingcuplatch/kingcuplatch/process/platform"
@@ -66,6 +67,8 @@
 	Table     platform.Table
 	Objects   platform.Objects
 	Instances platform.Instances
+	// Traffic counts the bytes that the adapters and peer links carry.
+	Traffic *traffic.Meter
 	// Dial returns a client of a worker; it does no I/O.
 	Dial func(platform.Instance) worker.Client
 	Log  *events.Logger
@@ -85,4 +88,18 @@
 	Dedupe bool
 	// Drain: a stop doesn't wait for what runs.
 	Drain bool
+	// ConfigBound: the entry admits however long it had no news of the configuration.
+	ConfigBound bool
+	// PeerNews: it hears nothing of the configuration from its peers.
+	PeerNews bool
+	// Conditions: it moves the configuration's head whatever the head is.
+	Conditions bool
+	// ReadBack: it takes a commit whose answer was lost for one without effect.
+	ReadBack bool
+	// TeamOfWork: jobs and request ids of all teams are one set.
+	TeamOfWork bool
+	// Leaving: it doesn't see that workers leave or are drained.
+	Leaving bool
+	// PeersLeaving: it doesn't learn from its peers which workers leave.
+	PeersLeaving bool
 }
--- a/process/entry/entry.go
+++ b/process/entry/entry.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/kingcuplatch/kingcuplatch/conn/peer"
+	"github.com/kingcuplatch/kingcuplatch/process/allotment"
 	"github.com/kingcuplatch/kingcuplatch/process/burn"
 	"github.com/kingcuplatch/kingcuplatch/process/capacity"
 	"github.com/kingcuplatch/kingcuplatch/process/events"
@@ -32,7 +33,7 @@
 	exchange   *exchange.Exchange
 	owners     *ownership.Manager
 	config     *store.Store
-	allotments *localLimits
+	allotments *allotment.Ledger
 	book       *capacity.Book
 	clients    *clients
 	places     *requests.Places
@@ -42,6 +43,7 @@
 	keeper     *jobs.Keeper
 	jobs       *jobs.Client
 	burn       *burn.Recorder
+	health     *healthWatch
 	metrics    *instruments
 
 	// ctx bounds the loops; the doors end before it.
@@ -58,14 +60,16 @@
 
 // New returns an entry that does nothing until Run.
 func New(c Config) *Entry {
+	c.leaveOut()
 	e := &Entry{Config: c, changed: make(chan struct{}, 1)}
 	e.ctx, e.cancel = context.WithCancel(context.Background())
-	e.links = peer.NewLinks()
+	e.links = peer.NewCountedLinks(&c.Traffic.Peers)
 	e.server = peer.NewServer()
 	e.fleet = fleet.New(c.Instances, c.Table)
 	e.book = capacity.NewBook()
 	e.room = requests.NewRoom()
 	e.burn = burn.NewRecorder()
+	e.health = newHealthWatch(e.book, c.Log)
 	e.clients = newClients(c.Dial, func(name string, sent time.Time, inFlight []string) {
 		e.places.WorkerReported(name, sent, inFlight)
 	})
@@ -84,7 +88,6 @@
 // register gives the peers' server its methods.
 func (e *Entry) register() {
 	e.server.Register(e.owners.Handlers())
-	e.server.Register(e.allotments.Handlers())
 	e.server.Register(e.exchange.Handlers())
 	e.server.Register(e.requests.Handlers())
 	e.server.Register(e.owner.Handlers())
@@ -98,7 +101,7 @@
 	e.Log.Log(events.EntryStarted, e.Listeners.Callers.Addr().String(), e.Listeners.Operators.Addr().String(),
 		e.Listeners.Peers.Addr().String(), e.Listeners.Metrics.Addr().String())
 	failed := make(chan error, 1)
-	e.loop(func() { _ = e.server.Serve(e.Listeners.Peers) })
+	e.loop(func() { _ = e.server.Serve(e.Traffic.Peers.Listener(e.Listeners.Peers)) })
 	e.startLoops(failed)
 	e.doors.start(e)
 	var err error
@@ -175,12 +178,6 @@
 	}
 }
 
-// NewIncarnation makes up the name of one life of the process.
-func NewIncarnation() string { return newID()[:incarnationLength] }
-
-// incarnationLength is the length of an incarnation's name.
-const incarnationLength = 12
-
 // idBytes is the length of a made-up id before encoding.
 const idBytes = 12
 
--- a/process/entry/loops.go
+++ b/process/entry/loops.go
@@ -60,6 +60,7 @@
 			own = append(own, w)
 		}
 	}
+	e.markLeaving(own)
 	return own
 }
 
@@ -74,12 +75,23 @@
 			return
 		case now := <-ticker.C:
 			e.owner.Ask(e.places.Doubtful())
+			e.health.step(now)
+			e.shrinkTeams()
 			e.configureQueues()
 			e.noteAdmission(now)
 		}
 	}
 }
 
+// shrinkTeams checkpoints tasks of teams whose limit was lowered below what runs.
+func (e *Entry) shrinkTeams() {
+	for _, over := range e.allotments.Over() {
+		if n := e.owner.Checkpoint(over.Team, over.Excess); n > 0 {
+			e.Log.Log(events.TeamShrunk, over.Team, n)
+		}
+	}
+}
+
 func (e *Entry) noteAdmission(now time.Time) {
 	admits := e.config.Admitting(now)
 	if e.admitting.Swap(admits) == admits {
@@ -109,6 +121,7 @@
 	e.requests.Each(func(_ string, d *dispatch.Dispatcher) {
 		d.Configure(func(q *queue.Queue, now time.Time) { q.SetTeams(now, teams) })
 	})
+	e.allotments.Refresh()
 	e.burn.SetObjectives(objectives(s))
 }
 
@@ -135,6 +148,8 @@
 		Free:   e.freeByUpstream(),
 		Tasks:  e.book.Free(),
 		Queues: e.queueTotals(),
+
+		Leaving: e.leavingWorkers(),
 	}
 }
 
@@ -183,11 +198,12 @@
 
 // heard takes in a message of a peer.
 func (e *Entry) heard(p exchange.Peer) {
-	if !p.SaidAfter.IsZero() {
+	if !p.SaidAfter.IsZero() && !e.Omit.PeerNews {
 		e.config.ObservePeer(p.Instance, p.Status, p.SaidAfter)
 	}
 	e.room.Heard(p)
 	e.hearQueues(p)
+	e.hearLeaving()
 	e.requests.Wake()
 }
 
--- a/process/jobs/keeper_test.go
+++ b/process/jobs/keeper_test.go
@@ -331,9 +331,8 @@
 			_, err := k.Submit(ctx, Spec{ID: "j", Team: "a", Kind: "batch", Tasks: 8})
 			assert.NilError(t, err)
 			time.Sleep(20 * time.Second)
-			w.do(func() { clear(w.workers[0].runs) })
+			w.do(func() { clear(w.workers["e0"].runs) })
 			w.addOwner(ctx, "e0", 8)
-			w.Owner = w.owners["e0"]
 			time.Sleep(5 * time.Minute)
 			assert.Equal(t, w.ended("a", "j")(), !off)
 		})
--- a/process/platform/httpplatform/client.go
+++ b/process/platform/httpplatform/client.go
@@ -6,9 +6,11 @@
 	"net/http"
 	"net/url"
 	"strconv"
+	"sync/atomic"
 
 	"github.com/rotisserie/eris"
 
+	"github.com/kingcuplatch/kingcuplatch/conn/traffic"
 	"github.com/kingcuplatch/kingcuplatch/process/platform"
 )
 
@@ -17,6 +19,14 @@
 // use.
 type Client struct {
 	wire wire
+	// list is the last answer to List.
+	list atomic.Pointer[taggedList]
+}
+
+// taggedList is a list of instances with the tag that the platform gave it.
+type taggedList struct {
+	tag       string
+	instances []platform.Instance
 }
 
 // Objects is the object store of a Client's platform.
@@ -31,8 +41,11 @@
 )
 
 // New returns a client of the platform at baseURL, such as "http://10.0.0.1:80".
-func New(baseURL string) *Client {
-	return &Client{wire: newWire(baseURL)}
+func New(baseURL string) *Client { return NewCounted(baseURL, nil) }
+
+// NewCounted is New with the bytes of all connections counted.
+func NewCounted(baseURL string, bytes *traffic.Bytes) *Client {
+	return &Client{wire: newWire(baseURL, bytes)}
 }
 
 // Objects returns the object store of the same platform. It shares the
@@ -85,13 +98,26 @@
 	return answer.Version, nil
 }
 
-// List implements platform.Instances.
+// List implements platform.Instances. The list is sent only if it changed since the
+// last call (RFC 9110, section 13); callers must not change it.
 func (c *Client) List(ctx context.Context) ([]platform.Instance, error) {
-	var answer InstancesAnswer
-	err := c.wire.readJSON(ctx, "list instances", PathInstances, nil, &answer)
+	const step = "list instances"
+	last := c.list.Load()
+	if last == nil {
+		last = &taggedList{}
+	}
+	got, err := c.wire.readIfChanged(ctx, step, PathInstances, last.tag)
 	if err != nil {
 		return nil, err
 	}
+	if got.status == http.StatusNotModified {
+		return last.instances, nil
+	}
+	var answer InstancesAnswer
+	if err := json.Unmarshal(got.body, &answer); err != nil {
+		return nil, c.wire.fail(platform.ErrUnavailable, step, err)
+	}
+	c.list.Store(&taggedList{tag: got.tag, instances: answer.Instances})
 	return answer.Instances, nil
 }
 
--- a/process/requests/service.go
+++ b/process/requests/service.go
@@ -57,6 +57,8 @@
 // Guards remembers ids of requests outside this process.
 type Guards interface {
 	ownership.Owners
+	// Look reads anew who owns the block.
+	Look(ctx context.Context, block string)
 	// Replicate returns nil when every guard holds the message.
 	Replicate(ctx context.Context, message json.RawMessage) error
 }
@@ -130,6 +132,7 @@
 		if !moved(outcome) || !s.settles(ctx, until) {
 			return outcome
 		}
+		s.o.Guards.Look(ctx, shard)
 	}
 }
 
--- a/process/tasks/owner.go
+++ b/process/tasks/owner.go
@@ -42,7 +42,7 @@
 // worker may occur more than once.
 type Choose func(fleet placement.Fleet, want Want) []string
 
-// Config is what an Owner works with. All fields are required.
+// Config is what an Owner works with. All fields but Ended are required.
 type Config struct {
 	Owners     ownership.Owners
 	Book       *capacity.Book
@@ -60,6 +60,9 @@
 	Margin time.Duration
 	// CallTimeout bounds each call to a worker or a keeper.
 	CallTimeout time.Duration
+	// Ended is told how an attempt ended by itself; it must not call the Owner. Nil
+	// stands for nothing.
+	Ended func(workerName, kind string, failed bool)
 }
 
 // Owner runs tasks on the workers of the blocks that this entry owns.
@@ -89,6 +92,9 @@
 
 // NewOwner returns an Owner without workers.
 func NewOwner(c Config) *Owner {
+	if c.Ended == nil {
+		c.Ended = func(string, string, bool) {}
+	}
 	o := &Owner{Config: c, agents: make(map[string]*agent)}
 	o.holds.workers = make(map[string]workerHold)
 	o.outbox.events = make(map[Located]Event)
@@ -175,23 +181,26 @@
 	}
 }
 
+// drop ends an agent. Requests in flight keep their connections for a while.
 func (o *Owner) drop(name string, a *agent) {
 	delete(o.agents, name)
 	a.end()
-	o.giveLater(o.Book.Close(name))
+	held := o.Book.Close(name)
+	time.AfterFunc(o.Lease+o.Margin, func() {
+		a.client.Close()
+		o.give(held)
+	})
 	o.outbox.dropWorker(name)
 }
 
-// giveLater returns what tasks took of their teams' allotments once the next
-// owner must have counted them or their leases have ended.
-func (o *Owner) giveLater(held []capacity.Holding) {
-	time.AfterFunc(o.Lease+o.Margin, func() {
-		for _, h := range held {
-			if isTask(h.ID) {
-				o.Allotments.Give(h.Team, h.Amount)
-			}
+// give returns what tasks took of their teams' allotments. It is called once the
+// next owner must have counted them or their leases have ended.
+func (o *Owner) give(held []capacity.Holding) {
+	for _, h := range held {
+		if isTask(h.ID) {
+			o.Allotments.Give(h.Team, h.Amount)
 		}
-	})
+	}
 }
 
 // Ask has the named workers asked for a report now.
