Look at the blocks of others without hashing each heartbeat

Cause: each heartbeat an entry hashed every block that it doesn't own over all live entries, and made the list of live entries anew for each block that it does: 1.13 ms with 500 blocks and 36 entries, 8.0 ms with 4,000 (go test -run ^$ -bench QuietStep -benchtime 1s ./process/ownership).

Change: a block of a live owner is passed over before its desired owner is worked out; the list of live entries is made once a look.

Ruled out: keeping the result between heartbeats, which would have to follow every change of list, rows and grants.

After, the same command: 0.16 ms and 1.21 ms; with 9 entries 0.49 to 0.12 ms and 3.4 to 1.06 ms. go test -race ./process/ownership passes.

Conclusion: the look no longer grows with blocks x entries while nothing moves.

--- a/process/ownership/claim.go
+++ b/process/ownership/claim.go
@@ -153,16 +153,16 @@
 	if seen.Row.Owner == m.self.Instance {
 		return c, true
 	}
+	w := m.entries[seen.Row.Owner]
+	if seen.Row.Owner != "" && w.row.Live {
+		return c, false
+	}
 	if owner, ok := desiredOwner(b, live); !ok || owner.Instance != m.self.Instance {
 		return c, false
 	}
 	if seen.Row.Owner == "" {
 		return c, true
 	}
-	w := m.entries[seen.Row.Owner]
-	if w.row.Live {
-		return c, false
-	}
 	c.dead = &platform.Condition{Key: entryPrefix + seen.Row.Owner, Version: w.version}
 	return c, true
 }
@@ -258,8 +258,8 @@
 // giveBack releases some of the blocks that another live entry should own.
 func (m *Manager) giveBack(ctx context.Context) {
 	given := 0
-	for _, b := range m.allBlocks() {
-		if _, granted := (*m.grants.Load())[b.ID]; !granted || !m.misplaced(b) {
+	for _, b := range m.misplaced() {
+		if _, granted := (*m.grants.Load())[b.ID]; !granted {
 			continue
 		}
 		if m.giveOne(ctx, b.ID) {
@@ -271,11 +271,23 @@
 	}
 }
 
-func (m *Manager) misplaced(b Block) bool {
+// misplaced returns the blocks granted to this entry that another live one should
+// own.
+func (m *Manager) misplaced() []Block {
+	grants := *m.grants.Load()
 	m.mu.Lock()
-	defer m.mu.Unlock()
-	owner, ok := desiredOwner(b, m.live())
-	return ok && owner.Instance != m.self.Instance
+	live := m.live()
+	m.mu.Unlock()
+	var all []Block
+	for _, b := range m.allBlocks() {
+		if _, granted := grants[b.ID]; !granted {
+			continue
+		}
+		if owner, ok := desiredOwner(b, live); ok && owner.Instance != m.Options.Self.Instance {
+			all = append(all, b)
+		}
+	}
+	return all
 }
 
 // giveOne releases a block if nothing runs in it. The grant is revoked before
