--- a/internal/scenario/cluster.go
+++ b/internal/scenario/cluster.go
@@ -27,6 +27,10 @@
 // names. The test binary registers it.
 const ProgramWithout = "kingcuplatchd-without"
 
+// EnvWithout holds the mechanisms that a script's entries leave out, separated by
+// commas. The condition [without] tells a script of it.
+const EnvWithout = "WITHOUT"
+
 // domains is how many failure domains a cluster has.
 const domains = 3
 
@@ -77,7 +81,7 @@
 	flags.IntVar(&c.workers, "workers", 3, "workers")
 	flags.StringVar(&c.upstream, "upstream", "bookings", "upstream of the workers")
 	flags.BoolVar(&c.relays, "relays", false, "put relays between each entry and platform and peers")
-	flags.StringVar(&c.without, "without", "", "mechanisms that the entries leave out, separated by commas; "+ProgramWithout+" runs them")
+	flags.StringVar(&c.without, "without", ts.Getenv(EnvWithout), "mechanisms that the entries leave out, separated by commas; "+ProgramWithout+" runs them")
 	flags.StringVar(&c.timings, "timings", "", "settings of timings, separated by commas")
 	ts.Check(flags.Parse(args))
 	c.extra = flags.Args()
--- a/internal/scenario/scenario.go
+++ b/internal/scenario/scenario.go
@@ -19,6 +19,7 @@
 //	waitload NAME                 wait for the end of a load
 //	waitjob ID KEY URL            wait until a job is done
 //	checkload NAME [FLAGS]        check a load's answers against the workers' records
+//	findworker VAR TEXT           wait for TEXT in a worker's record, put its address into $VAR
 //	checkworkers [FLAGS]          check the workers' own records
 //	mark VAR                      put the present time into $VAR
 //	checkteams [FLAGS]            check how much of a team ran at a time
@@ -80,6 +81,7 @@
 		"waitload":     waitLoad,
 		"waitjob":      waitJob,
 		"checkload":    checkLoad,
+		"findworker":   findWorker,
 		"checkworkers": checkWorkers,
 	}
 }
--- a/process/entry/entry.go
+++ b/process/entry/entry.go
@@ -51,6 +51,8 @@
 	cancel   context.CancelFunc
 	loops    sync.WaitGroup
 	stopping atomic.Bool
+	// heardAs is the incarnation under which each peer was last heard.
+	heardAs sync.Map
 	// admitting is the last state that was logged.
 	admitting atomic.Bool
 	// changed wakes the loop that serves the workers of owned blocks.
@@ -140,11 +142,12 @@
 	e.Log.Log(events.EntryDrains, e.doors.inFlight())
 	ctx, cancel := context.WithTimeout(context.Background(), e.Timings.Drain)
 	defer cancel()
-	unfinished := e.doors.drain(ctx)
+	unfinished := e.drain(ctx)
 	e.handOverRemembered(ctx)
 	e.releaseAll(ctx)
 	e.cancel()
 	_ = e.Listeners.Peers.Close()
+	_ = e.server.Drain(ctx)
 	e.server.Close()
 	e.loops.Wait()
 	e.doors.close()
@@ -153,6 +156,20 @@
 	e.Log.Log(events.EntryStopped, unfinished)
 }
 
+// drain waits for the calls of callers and then for the requests of other entries.
+// It returns how many calls were cut off.
+func (e *Entry) drain(ctx context.Context) int64 {
+	if e.Omit.Drain {
+		e.doors.close()
+		return e.doors.inFlight()
+	}
+	unfinished := e.doors.drain(ctx)
+	if err := e.requests.Drain(ctx); err != nil {
+		e.Log.Log(events.OwnershipFailed, "drain requests of other entries", err)
+	}
+	return unfinished
+}
+
 // releaseAll gives allotments and blocks back.
 func (e *Entry) releaseAll(ctx context.Context) {
 	if err := e.allotments.Release(ctx); err != nil {
--- a/process/ownership/fence_test.go
+++ b/process/ownership/fence_test.go
@@ -23,6 +23,16 @@
 	assert.Assert(t, !owned, "the older row came back")
 }
 
+// What an entry missed it reads when it is told that it is wrong.
+func TestLookReadsTheRow(t *testing.T) {
+	row := platform.Row{Key: blockPrefix + "s/00", Version: 3, Value: encode(blockRow{Owner: "e2", Epoch: 2})}
+	m := New(Options{Self: Member{Instance: "e1"}, Table: &fakeTable{rows: map[string]platform.Row{row.Key: row}}})
+	m.see(seenBlock{ID: "s/00", Version: 1, Row: blockRow{Owner: "e3", Epoch: 1}})
+	m.Look(t.Context(), "s/00")
+	_, owner, _ := m.OwnerOf("s/00")
+	assert.Equal(t, owner, "e2")
+}
+
 // heard records calls by address.
 type heard struct{ calls map[string]changedParams }
 
--- a/process/ownership/manager.go
+++ b/process/ownership/manager.go
@@ -88,6 +88,8 @@
 	blocks   map[string]seenBlock
 	contacts map[string]contact
 	deltas   []delta
+	// looked is when Look last read a block's row.
+	looked   map[string]time.Time
 	deltaSeq uint64
 	scanned  time.Time
 	renewAt  time.Time
@@ -114,6 +116,7 @@
 		entries:  make(map[string]watch),
 		blocks:   make(map[string]seenBlock),
 		contacts: make(map[string]contact),
+		looked:   make(map[string]time.Time),
 	}
 	m.grants.Store(&map[string]Grant{})
 	return m
