--- a/internal/scenario/cluster.go
+++ b/internal/scenario/cluster.go
@@ -199,10 +199,13 @@
 		}
 		return true
 	}
-	if !poll(serving) && !poll(serving) {
-		logTails(ts)
-		ts.Fatalf("an entry serves no worker after %v", 2*waitBound)
+	for range 2 {
+		if poll(serving) {
+			return
+		}
 	}
+	logTails(ts)
+	ts.Fatalf("an entry serves no worker after %v", 2*waitBound)
 }
 
 // lacks says what the cluster lacks to be ready.
