--- a/process/tasks/save.go
+++ b/process/tasks/save.go
@@ -96,21 +96,7 @@
 
 // saveMarked checkpoints in one call what is marked.
 func (a *agent) saveMarked(ctx context.Context) error {
-	refs := a.savings()
-	if len(refs) == 0 {
-		return nil
-	}
-	if !a.owner.right(a.worker) {
-		return errNoRight
-	}
-	ctx, cancel := context.WithTimeout(ctx, a.owner.CallTimeout)
-	defer cancel()
-	statuses, err := a.client.Checkpoint(ctx, a.worker.Epoch, refs)
-	if err != nil {
-		return err
-	}
-	a.stopped(statuses)
-	return nil
+	return a.endAttempts(ctx, a.savings(), a.client.Checkpoint)
 }
 
 func (a *agent) savings() []worker.TaskRef {
--- a/process/tasks/stop.go
+++ b/process/tasks/stop.go
@@ -8,7 +8,11 @@
 
 // stopMarked stops in one call what is marked to be stopped or was given up.
 func (a *agent) stopMarked(ctx context.Context) error {
-	refs := a.marked()
+	return a.endAttempts(ctx, a.marked(), a.client.Stop)
+}
+
+// endAttempts makes one call that ends attempts and takes in how they ended.
+func (a *agent) endAttempts(ctx context.Context, refs []worker.TaskRef, call endCall) error {
 	if len(refs) == 0 {
 		return nil
 	}
@@ -17,7 +21,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, a.owner.CallTimeout)
 	defer cancel()
-	statuses, err := a.client.Stop(ctx, a.worker.Epoch, refs)
+	statuses, err := call(ctx, a.worker.Epoch, refs)
 	if err != nil {
 		return err
 	}
@@ -25,6 +29,9 @@
 	return nil
 }
 
+// endCall is Stop or Checkpoint of a worker.
+type endCall func(ctx context.Context, epoch uint64, refs []worker.TaskRef) ([]worker.TaskStatus, error)
+
 func (a *agent) marked() []worker.TaskRef {
 	a.mu.Lock()
 	defer a.mu.Unlock()
