Step allotments early only for a team that has nothing running here

Cause: at 1.5 times capacity every refusal made all nine ledgers step ten times a second, and their batches conflicted. Change: only a team that uses nothing at an entry makes it step before its period. Ruled out: a longer least pause (first requests would wait for it).

--- a/process/allotment/ledger.go
+++ b/process/allotment/ledger.go
@@ -34,8 +34,8 @@
 	Table       platform.Table
 	// Limits returns the limits of all teams, from the version in force.
 	Limits func() []TeamLimit
-	// Every (1 s) is the period of Run's steps. A refusal makes Run step sooner, but
-	// not more often than ten times a period.
+	// Every (1 s) is the period of Run's steps. A refusal of a team that uses nothing
+	// here makes Run step sooner, but not more often than ten times a period.
 	Every time.Duration
 	// Stepped is called after each of Run's steps; nil stands for nothing.
 	Stepped func()
@@ -156,7 +156,7 @@
 		return false
 	}
 	taken := t.take(a)
-	if !taken {
+	if !taken && t.used.IsZero() {
 		l.wake()
 	}
 	return taken
