--- a/internal/scenario/load.go
+++ b/internal/scenario/load.go
@@ -107,6 +107,7 @@
 		Transport: &http.Transport{MaxIdleConnsPerHost: maxInFlight},
 	}}
 	var keys, entries string
+	var leaveMS int
 	flags := flag.NewFlagSet("load", flag.ContinueOnError)
 	flags.StringVar(&l.kind, "kind", "quote", "kind of work")
 	flags.StringVar(&keys, "keys", "", "TEAM:KEY, separated by commas; calls take turns")
@@ -116,11 +117,15 @@
 	flags.BoolVar(&l.named, "ids", false, "name the requests")
 	flags.BoolVar(&l.again, "again", false, "hand in again at another entry what wasn't answered")
 	flags.IntVar(&l.times, "times", 1, "how often each call is handed in, at once and at one entry after the other")
+	flags.IntVar(&leaveMS, "leave-ms", 0, "how long callers wait before they leave, in milliseconds; 0 for long")
 	flags.BoolVar(&l.ready, "ready", false, "pass over entries that say they aren't ready, as a balancer does")
 	flags.IntVar(&l.workMS, "work-ms", 0, "how long the work takes, in milliseconds")
 	flags.IntVar(&l.deadlineMS, "deadline-ms", 0, "deadline of each call, in milliseconds; 0 for that of the kind")
 	flags.IntVar(&l.pad, "pad", 0, "bytes added to each body")
 	ts.Check(flags.Parse(args[1:]))
+	if leaveMS > 0 {
+		l.client.Timeout = time.Duration(leaveMS) * time.Millisecond
+	}
 	for _, pair := range strings.Split(keys, ",") {
 		team, key, ok := strings.Cut(pair, ":")
 		if !ok {
