Start what waited only while its key is known to be valid

Change: right before the hand-over the key is looked up again in the configuration in force, and an entry that doesn't know whether it is the newest starts nothing; a home whose configuration is older than the one that admitted doesn't judge. The proof of the frozen owner now also leaves out this check, as it keeps the thawed owner from starting anything, too.

--- a/conn/callers/callers.go
+++ b/conn/callers/callers.go
@@ -9,8 +9,6 @@
 
 import (
 	"context"
-	"crypto/sha256"
-	"encoding/hex"
 	"encoding/json"
 	"errors"
 	"io"
@@ -22,6 +20,7 @@
 	"github.com/kingcuplatch/kingcuplatch/conn/api"
 	"github.com/kingcuplatch/kingcuplatch/request/attempt"
 	"github.com/kingcuplatch/kingcuplatch/version"
+	"github.com/kingcuplatch/kingcuplatch/version/records"
 )
 
 // Bounds of the door.
@@ -99,6 +98,8 @@
 	r        *http.Request
 	snapshot *version.Snapshot
 	team     string
+	// keySHA256 is the hex SHA-256 of the key.
+	keySHA256 string
 	// bodyRead says that the whole body was read.
 	bodyRead bool
 }
@@ -157,12 +158,12 @@
 	if err != nil {
 		return nil, err
 	}
-	sum := sha256.Sum256([]byte(key))
-	record, ok := snapshot.Keys[hex.EncodeToString(sum[:])]
+	hash := records.HashKey(key)
+	record, ok := snapshot.Keys[hash]
 	if !ok {
 		return nil, notRun(api.CodeUnauthorized, "authorization", "the key isn't valid")
 	}
-	return &call{w: w, r: r, snapshot: snapshot, team: record.Team}, nil
+	return &call{w: w, r: r, snapshot: snapshot, team: record.Team, keySHA256: hash}, nil
 }
 
 // doubtNamed takes "not run" back where a request names its id: another entry may
@@ -223,7 +224,7 @@
 	if err != nil {
 		return nil, err
 	}
-	r := &attempt.Request{Team: c.team, Kind: kind.Name, Deadline: time.Now().Add(deadline)}
+	r := &attempt.Request{Team: c.team, Kind: kind.Name, KeySHA256: c.keySHA256, Version: c.snapshot.Number, Deadline: time.Now().Add(deadline)}
 	r.ID = c.r.Header.Get(api.HeaderRequestID)
 	r.Named = r.ID != ""
 	if !r.Named {
--- a/process/dispatch/dispatch.go
+++ b/process/dispatch/dispatch.go
@@ -179,13 +179,23 @@
 	sendCtx, cancel := context.WithDeadline(context.WithoutCancel(ctx), r.Deadline)
 	defer cancel()
 	if err := handOver(sendCtx); err != nil {
-		outcome = attempt.NotRun(api.CodeUnavailable, err.Error(), time.Second)
+		outcome = handOverFailure(err)
 		return outcome, "", placed
 	}
 	outcome = place.Send(sendCtx, r, kind)
 	return outcome, place.Worker(), placed
 }
 
+// handOverFailure turns an error of handOver into the outcome of a request that was
+// not run.
+func handOverFailure(err error) attempt.Outcome {
+	var typed *api.Error
+	if errors.As(err, &typed) {
+		return attempt.Outcome{Err: typed}
+	}
+	return attempt.NotRun(api.CodeUnavailable, err.Error(), time.Second)
+}
+
 // wait queues the request until it has a place or is given up.
 func (d *Dispatcher) wait(ctx context.Context, r *attempt.Request, kind *version.Kind, avoid string) (Place, attempt.Outcome) {
 	t := &ticket{request: r, kind: kind, avoid: avoid, settled: make(chan verdict, 1)}
--- a/process/entry/build.go
+++ b/process/entry/build.go
@@ -110,6 +110,7 @@
 		Snapshot: e.config.Current, Places: e.places,
 		Budget:        e.newBudget,
 		NewDispatcher: e.newDispatcher,
+		Withdrawn:     e.withdrawn,
 		Unknown: func(r *attempt.Request, outcome attempt.Outcome) {
 			e.Log.Log(events.RequestUnknown, r.ID, r.Team, outcome.Worker, outcome.Err)
 		},
--- a/process/entry/configure.go
+++ b/process/entry/configure.go
@@ -15,6 +15,7 @@
 	"github.com/kingcuplatch/kingcuplatch/process/events"
 	"github.com/kingcuplatch/kingcuplatch/process/exchange"
 	"github.com/kingcuplatch/kingcuplatch/process/platform"
+	"github.com/kingcuplatch/kingcuplatch/request/attempt"
 	"github.com/kingcuplatch/kingcuplatch/version/store"
 )
 
@@ -170,3 +171,20 @@
 func sortFree(all []exchange.Free) {
 	slices.SortFunc(all, func(a, b exchange.Free) int { return cmp.Compare(a.Upstream, b.Upstream) })
 }
+
+// withdrawn implements requests.Options.Withdrawn. What waited, or was held up by a
+// pause of the process, starts only while its key is known to be valid.
+func (e *Entry) withdrawn(r *attempt.Request) *api.Error {
+	config := e.admission()
+	if !config.Admitting(time.Now()) {
+		return &api.Error{
+			Code: api.CodeUnavailable, Message: "the configuration in force isn't known here",
+			Ran: api.NotRun, RetryAfter: comeBackToPlatform,
+		}
+	}
+	snapshot := config.Current()
+	if _, valid := snapshot.Keys[r.KeySHA256]; !valid && snapshot.Number >= r.Version {
+		return &api.Error{Code: api.CodeUnauthorized, Message: "the key was withdrawn", Ran: api.NotRun}
+	}
+	return nil
+}
--- a/process/requests/service.go
+++ b/process/requests/service.go
@@ -75,6 +75,9 @@
 	Budget func(upstream string) dispatch.Budget
 	// Dispatcher returns a new dispatcher's queue configuration.
 	NewDispatcher func(upstream string, finder dispatch.Finder, budget dispatch.Budget) *dispatch.Dispatcher
+	// Withdrawn returns why a request that was admitted may no longer start, or
+	// nil: its key was withdrawn, or this entry doesn't know any more whether it was.
+	Withdrawn func(r *attempt.Request) *api.Error
 	// Unknown is told of requests whose answer was lost.
 	Unknown func(r *attempt.Request, outcome attempt.Outcome)
 }
@@ -229,7 +232,12 @@
 
 // run brings the request to a worker.
 func (s *Service) run(ctx context.Context, r *attempt.Request, kind *version.Kind, handOver func(context.Context) error) attempt.Outcome {
-	outcome := s.Dispatcher(kind.Upstream).Do(ctx, r, kind, handOver)
+	outcome := s.Dispatcher(kind.Upstream).Do(ctx, r, kind, func(ctx context.Context) error {
+		if refusal := s.o.Withdrawn(r); refusal != nil {
+			return refusal
+		}
+		return handOver(ctx)
+	})
 	if outcome.Err != nil && outcome.Err.Ran == api.RanUnknown {
 		s.o.Unknown(r, outcome)
 	}
--- a/request/attempt/attempt.go
+++ b/request/attempt/attempt.go
@@ -18,6 +18,10 @@
 	ID   string `json:"id"`
 	Team string `json:"team"`
 	Kind string `json:"kind"`
+	// KeySHA256 is the hex SHA-256 of the key that the request came with.
+	KeySHA256 string `json:"key_sha256"`
+	// Version is the configuration that it was admitted by.
+	Version uint64 `json:"version"`
 	// Named is set when the caller chose the id, so that it may come again.
 	Named    bool      `json:"named,omitempty"`
 	Deadline time.Time `json:"deadline"`
--- a/scenarios/without_test.go
+++ b/scenarios/without_test.go
@@ -24,7 +24,7 @@
 // to see the violation then.
 func TestWithout(t *testing.T) {
 	for script, mechanisms := range map[string]string{
-		"frozen-owner":    "right,epoch",
+		"frozen-owner":    "right,epoch,config-bound",
 		"killed-owner":    "reports",
 		"late-work":       "reports",
 		"last-slot":       "count",
