--- a/process/allotment/ledger.go
+++ b/process/allotment/ledger.go
@@ -5,6 +5,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/kingcuplatch/kingcuplatch/process/platform"
@@ -33,8 +34,8 @@
 	Table       platform.Table
 	// Limits returns the limits of all teams, from the version in force.
 	Limits func() []TeamLimit
-	// Every (1 s) is the period of Run's steps. A refusal makes Run step sooner, but
-	// not more often than ten times a period.
+	// Every (1 s) is the period of Run's steps. A refusal of a team that uses nothing
+	// here makes Run step sooner, but not more often than ten times a period.
 	Every time.Duration
 	// Stepped is called after each of Run's steps; nil stands for nothing.
 	Stepped func()
@@ -60,6 +61,8 @@
 	sweptAt time.Time
 	// refused wakes Run.
 	refused chan struct{}
+	// stuck says that Run's last step failed.
+	stuck atomic.Bool
 }
 
 type shard struct {
@@ -153,7 +156,7 @@
 		return false
 	}
 	taken := t.take(a)
-	if !taken {
+	if !taken && t.used.IsZero() {
 		l.wake()
 	}
 	return taken
@@ -217,6 +220,10 @@
 	l.with(name, func(t *team) { t.used = t.used.Sub(a) })
 }
 
+// Stuck reports whether allotments can't follow demand now, since the table can't
+// be reached.
+func (l *Ledger) Stuck() bool { return l.stuck.Load() }
+
 // Used returns what the team uses at this entry.
 func (l *Ledger) Used(name string) resource.Amount {
 	var used resource.Amount
