Hand requests over only while their answer can be in time

Cause: a request waited in the queue up to its deadline, and was handed over although its answer could no longer come in time.

Change: the dispatcher learns how long requests of a kind take once handed over (process/learning, 95% of them) and queues them with that run time, so that the queue gives them up earlier, at once and as not run. At most half of what is left to a request is kept free, so that one that finds a place at once is tried.

Ruled out: a fixed margin, which fits neither short nor long kinds; learning from answers alone, which leaves out those that took too long.

The test fails without the run time and passes with it.

--- a/process/dispatch/dispatch.go
+++ b/process/dispatch/dispatch.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"github.com/kingcuplatch/kingcuplatch/conn/api"
+	"github.com/kingcuplatch/kingcuplatch/process/learning"
 	"github.com/kingcuplatch/kingcuplatch/request/attempt"
 	"github.com/kingcuplatch/kingcuplatch/request/queue"
 	"github.com/kingcuplatch/kingcuplatch/version"
@@ -82,8 +83,10 @@
 	observe func(Observation)
 	changed chan struct{}
 
-	mu       sync.Mutex
-	queue    *queue.Queue
+	mu    sync.Mutex
+	queue *queue.Queue
+	// learned is how long requests of a kind take once handed over.
+	learned  *learning.Learner
 	sequence uint64
 }
 
@@ -95,6 +98,7 @@
 		observe: o.Observe,
 		changed: make(chan struct{}, 1),
 		queue:   queue.New(o.Queue),
+		learned: learning.New(),
 	}
 }
 
@@ -182,7 +186,9 @@
 		outcome = attempt.NotRun(api.CodeUnavailable, err.Error(), time.Second)
 		return outcome, "", placed
 	}
+	sent := time.Now()
 	outcome = place.Send(sendCtx, r, kind)
+	d.learn(kind, time.Since(sent), outcome)
 	return outcome, place.Worker(), placed
 }
 
@@ -214,6 +220,7 @@
 		Kind:     t.kind.Name,
 		Urgent:   t.kind.Urgent,
 		Deadline: t.request.Deadline,
+		RunTime:  d.runTime(t.kind, t.request.Deadline.Sub(now)),
 		Amount:   t.kind.Amount,
 		Enqueued: now,
 		Value:    t,
--- a/process/dispatch/dispatch_test.go
+++ b/process/dispatch/dispatch_test.go
@@ -200,3 +200,25 @@
 		assert.Equal(t, f.free, 1)
 	})
 }
+
+// Requests of the kind have taken a second. One that would be handed over later than
+// that before its deadline isn't, and one that finds a place at once still is.
+func TestHandedOverOnlyWhileTheAnswerCanBeInTime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := &fakeFinder{free: 1, next: answered, took: time.Second}
+		d := start(t, f, 10)
+		for range 30 {
+			assert.Assert(t, d.Do(t.Context(), request(time.Hour), quote, mayHandOver).Err == nil)
+		}
+		assert.Assert(t, d.Do(t.Context(), request(1500*time.Millisecond), quote, mayHandOver).Err == nil)
+		f.took = 3500 * time.Millisecond
+		go d.Do(t.Context(), request(time.Hour), quote, mayHandOver)
+		synctest.Wait()
+		began := time.Now()
+		outcome := d.Do(t.Context(), request(4*time.Second), quote, mayHandOver)
+		assert.Assert(t, outcome.WasNotRun() && outcome.Err.Code == api.CodeDeadline, "%v", outcome)
+		assert.Assert(t, time.Since(began) <= 3*time.Second+time.Millisecond, "%v", time.Since(began))
+		time.Sleep(f.took)
+		synctest.Wait()
+	})
+}
