Keep a small part of every limit at each entry without demand

Change: all entries together keep a quarter of each limit while nobody else wants it; rows are looked at every 10 s for what others want. Ruled out: sending more requests around (a peer is tried once a heartbeat).

--- a/process/allotment/ended.go
+++ b/process/allotment/ended.go
@@ -6,8 +6,9 @@
 	"github.com/kingcuplatch/kingcuplatch/process/resource"
 )
 
-// sweepEvery is the period of looking at all rows for ended incarnations.
-const sweepEvery = time.Minute
+// sweepEvery is the period of looking at all rows, for ended incarnations and for what
+// others want.
+const sweepEvery = 10 * time.Second
 
 // fate is what becomes of an incarnation's grant.
 type fate int
--- a/process/allotment/grant.go
+++ b/process/allotment/grant.go
@@ -113,6 +113,8 @@
 	peak resource.Amount
 	// want is what was refused since the last plan.
 	want resource.Amount
+	// base is kept without demand while nobody else wants it.
+	base resource.Amount
 	// idle says that nothing was refused for a while, so that no headroom is
 	// kept.
 	idle bool
@@ -128,6 +130,7 @@
 // equal part of what the contented ones leave.
 func plan(dm demand, others []entry, limit resource.Amount) (grant, resource.Amount) {
 	used, peak, want := dm.used.Vector(), dm.peak.Vector(), dm.want.Vector()
+	base := dm.base.Vector()
 	now, free := limit.Vector(), room(others, limit).Vector()
 	var next, ceiling [resource.Dimensions]int64
 	for d := range now {
@@ -143,12 +146,26 @@
 		if part, contested := fairPart(others, resource.Dimension(d), limit); contested {
 			wish = min(wish, part)
 			ceiling[d] = part
+		} else {
+			wish = max(wish, base[d])
 		}
 		next[d] = min(max(wish, used[d]), free[d])
 	}
 	return grant{Amount: resource.FromVector(next), Limit: counted(limit)}, resource.FromVector(ceiling)
 }
 
+// baseOf returns what one of n entries keeps of a limit without demand.
+func baseOf(limit resource.Amount, n int) resource.Amount {
+	if n <= 0 {
+		return resource.Amount{}
+	}
+	v := counted(limit).Vector()
+	for d := range v {
+		v[d] /= int64(n) * basePart
+	}
+	return resource.FromVector(v)
+}
+
 // counted returns the limit with zero in the dimensions that aren't counted.
 func counted(limit resource.Amount) resource.Amount {
 	v := limit.Vector()
--- a/process/allotment/ledger.go
+++ b/process/allotment/ledger.go
@@ -18,6 +18,11 @@
 // idleAfter is how long after the last refusal headroom is given back.
 const idleAfter = 5 * time.Second
 
+// basePart is the part of each limit that all entries together keep without
+// demand, so that a first request starts at once, and an entry that loses the table
+// has something of every team.
+const basePart = 4
+
 // omissions leaves out mechanisms, for tests that show what each one is needed
 // for. Product code uses the zero value.
 type omissions struct {
@@ -37,6 +42,9 @@
 	// Every (1 s) is the period of Run's steps. A refusal of a team that uses nothing
 	// here makes Run step sooner, but not more often than ten times a period.
 	Every time.Duration
+	// Entries returns how many entries share the limits; nil stands for many. Each
+	// keeps a small part of every limit while nobody else wants it.
+	Entries func() int
 	// Stepped is called after each of Run's steps; nil stands for nothing.
 	Stepped func()
 	// Ended reports whether an incarnation's right has surely ended. Nil stands
@@ -103,6 +111,9 @@
 		Options: o, seed: maphash.MakeSeed(), stepping: make(chan struct{}, 1),
 		endedAt: make(map[string]time.Time), refused: make(chan struct{}, 1),
 	}
+	if l.Entries == nil {
+		l.Entries = func() int { return 0 }
+	}
 	if l.Stepped == nil {
 		l.Stepped = func() {}
 	}
--- a/process/allotment/step.go
+++ b/process/allotment/step.go
@@ -215,9 +215,11 @@
 
 // changes plans all teams and puts what shrinks into force.
 func (l *Ledger) changes(names []string) []change {
+	entries := l.Entries()
 	var all []change
 	for _, name := range names {
 		l.with(name, func(t *team) {
+			t.base = baseOf(t.limit, entries)
 			if next, ok := t.change(l.Incarnation, time.Now(), l.fateOf, l.omit); ok {
 				all = append(all, change{team: name, version: t.version, next: next})
 			}
--- a/process/entry/allot.go
+++ b/process/entry/allot.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/kingcuplatch/kingcuplatch/process/allotment"
+	"github.com/kingcuplatch/kingcuplatch/process/platform"
 	"github.com/kingcuplatch/kingcuplatch/version"
 )
 
@@ -14,12 +15,20 @@
 
 func (e *Entry) newAllotments() *allotment.Ledger {
 	return allotment.New(allotment.Options{
-		Incarnation: e.Incarnation, Table: e.Table, Limits: e.teamLimits,
+		Incarnation: e.Incarnation, Table: e.allotmentTable(), Limits: e.teamLimits,
 		Ended: e.owners.Ended, SettleAfter: e.settleAfter,
+		Entries: func() int { return len(e.fleet.List().Entries) },
 		Stepped: func() { e.requests.Wake() },
 	})
 }
 
+func (e *Entry) allotmentTable() platform.Table {
+	if e.Omit.AllotmentTable != nil {
+		return e.Omit.AllotmentTable
+	}
+	return e.Table
+}
+
 func (e *Entry) teamLimits() []allotment.TeamLimit {
 	teams := e.config.Current().Teams
 	limits := make([]allotment.TeamLimit, 0, len(teams))
--- a/process/entry/config.go
+++ b/process/entry/config.go
@@ -80,6 +80,9 @@
 
 // Omissions are the mechanisms that an entry can be run without.
 type Omissions struct {
+	// AllotmentTable, if set, holds the allotments in place of the shared table, so
+	// that each entry has the whole limit to itself.
+	AllotmentTable platform.Table
 	// Right: what was once granted is acted on without asking whether it holds.
 	Right bool
 	// Replication: guards remember no request ids.
--- a/scenarios/without_test.go
+++ b/scenarios/without_test.go
@@ -17,6 +17,7 @@
 
 	"github.com/kingcuplatch/kingcuplatch/conn/worker"
 	"github.com/kingcuplatch/kingcuplatch/conn/worker/httpworker"
+	"github.com/kingcuplatch/kingcuplatch/internal/standin/platformstandin"
 	"github.com/kingcuplatch/kingcuplatch/process/entry"
 	"github.com/kingcuplatch/kingcuplatch/process/platform"
 )
@@ -48,6 +49,7 @@
 		"lost-answers":    "unknown",
 		"whole-answers":   "whole",
 		"rolling-restart": "drain",
+		"4-team-limit":    "fleet-limit",
 	})
 }
 
@@ -79,6 +81,8 @@
 		c.Omit.Replication = true
 	case "dedupe":
 		c.Omit.Dedupe = true
+	case "fleet-limit":
+		c.Omit.AllotmentTable = platformstandin.New()
 	case "drain":
 		c.Omit.Drain = true
 	case "epoch":
