--- a/process/dispatch/dispatch.go
+++ b/process/dispatch/dispatch.go
@@ -118,7 +118,8 @@
 }
 
 // Do brings the request to a worker and returns its outcome. handOver is called
-// before each hand-over; if it returns an error the request isn't handed over. ctx
+// before each hand-over; if it returns an error the request isn't handed over, and
+// an *api.Error is the outcome. ctx
 // ends when nobody waits for the answer any more; it counts until the hand-over.
 func (d *Dispatcher) Do(ctx context.Context, r *attempt.Request, kind *version.Kind, handOver func(context.Context) error) attempt.Outcome {
 	started := time.Now()
@@ -192,8 +193,8 @@
 	return outcome, place.Worker(), placed
 }
 
-// handOverFailure turns an error of handOver into the outcome of a request that was
-// not run.
+// handOverFailure turns an error of handOver into the outcome: the typed one if it
+// is one, else that the request was not run.
 func handOverFailure(err error) attempt.Outcome {
 	var typed *api.Error
 	if errors.As(err, &typed) {
--- a/process/requests/service.go
+++ b/process/requests/service.go
@@ -221,7 +221,7 @@
 			}
 		}
 		if _, owned := s.o.Guards.MayHandOver(shard); !owned {
-			return errMoved
+			return unreached(api.CodeMoved, errMoved).Err
 		}
 		if !flight.HandOver() {
 			return errors.New("the caller left before the start")
