Log when a worker is adopted and when it stops answering

Change: control calls log adoption and the first failure; lost tasks and failed jobs leave the catalogue (status tells them); a test holds that every event is logged.

--- a/process/entry/entry.go
+++ b/process/entry/entry.go
@@ -74,7 +74,7 @@
 	e.health = newHealthWatch(e.book, c.Log)
 	e.clients = newClients(c.Dial, func(name string, sent time.Time, inFlight []string) {
 		e.places.WorkerReported(name, sent, inFlight)
-	})
+	}, c.Log)
 	e.config = e.newStore()
 	e.owners = e.newOwners()
 	e.allotments = e.newAllotments()
--- a/process/events/catalogue.go
+++ b/process/events/catalogue.go
@@ -28,13 +28,11 @@
 	WorkerUnreachable = &Event{4002, logrus.WarnLevel, "worker can't be reached", []string{"worker", "error"}, "What it holds counts as used until its leases have surely ended."}
 	WorkerAside       = &Event{4003, logrus.WarnLevel, "worker set aside: it fails far more than its peers", []string{"worker"}, "Replace the worker; it is probed and returns by itself if it recovers."}
 	WorkerReturned    = &Event{4004, logrus.InfoLevel, "worker works again", []string{"worker"}, nothing}
-	TaskLost          = &Event{4005, logrus.WarnLevel, "task lost with its worker", []string{"task", "worker"}, nothing}
 
 	TeamShrunk = &Event{4006, logrus.InfoLevel, "tasks checkpointed: the team's limit was lowered below what runs", []string{"team", "tasks"}, nothing}
 
 	RequestUnknown = &Event{5001, logrus.WarnLevel, "request handed over, answer lost", []string{"request", "team", "worker", "error"}, "The caller was told that the outcome is unknown."}
 
-	JobFailed   = &Event{6001, logrus.WarnLevel, "job failed", []string{"job", "team", "reason"}, "See `kingcuplatch get job`."}
 	KeeperError = &Event{6002, logrus.WarnLevel, "job keeper step failed", []string{"step", "error"}, "Retried; look at the platform if it lasts."}
 )
 
@@ -43,7 +41,7 @@
 	EntryStarted, EntryDrains, EntryStopped, EntryFailed,
 	BlockGained, BlockLost, OwnershipFailed, EntryTakenOver, PeerFailed, ListFailed,
 	VersionInForce, StoreFailed, AdmissionStopped, AdmissionResumed,
-	WorkerAdopted, WorkerUnreachable, WorkerAside, WorkerReturned, TaskLost, TeamShrunk,
+	WorkerAdopted, WorkerUnreachable, WorkerAside, WorkerReturned, TeamShrunk,
 	RequestUnknown,
-	JobFailed, KeeperError,
+	KeeperError,
 }
--- a/process/events/events_test.go
+++ b/process/events/events_test.go
@@ -2,7 +2,10 @@
 
 import (
 	"bytes"
+	"io/fs"
 	"os"
+	"path/filepath"
+	"regexp"
 	"strings"
 	"testing"
 
@@ -24,6 +27,26 @@
 	assert.Equal(t, string(page), Markdown())
 }
 
+// Every event of the catalogue is logged somewhere in the product.
+func TestEveryEventIsLogged(t *testing.T) {
+	catalogue, err := os.ReadFile("catalogue.go")
+	assert.NilError(t, err)
+	var product strings.Builder
+	assert.NilError(t, filepath.WalkDir("..", func(path string, entry fs.DirEntry, err error) error {
+		if err != nil || entry.IsDir() || !strings.HasSuffix(path, ".go") || strings.HasSuffix(path, "_test.go") {
+			return err
+		}
+		text, err := os.ReadFile(path)
+		product.Write(text)
+		return err
+	}))
+	names := regexp.MustCompile(`(?m)^\t(\w+)\s+= &Event`).FindAllStringSubmatch(string(catalogue), -1)
+	assert.Equal(t, len(names), len(Catalogue))
+	for _, name := range names {
+		assert.Assert(t, strings.Contains(product.String(), "events."+name[1]), "%s is never logged", name[1])
+	}
+}
+
 func TestLogCarriesAllFields(t *testing.T) {
 	var out bytes.Buffer
 	New(&out, "e1").Log(BlockGained, "w/w1")
