Count attempts where they are made

Cause: the loop of Do counted down to leave out what was no attempt. Change: a count that grows by each attempt; nothing else.

--- a/process/dispatch/dispatch.go
+++ b/process/dispatch/dispatch.go
@@ -127,21 +127,22 @@
 	d.budget.First(r.Team)
 	avoid := ""
 	mayHaveRun := false
-	for n := 1; ; n++ {
+	attempts := 0
+	for {
 		outcome, sentTo, placed := d.once(ctx, r, kind, avoid, handOver)
 		seen.Waited = placed.Sub(started)
 		if noRoom(outcome) && time.Now().Before(r.Deadline) {
-			n--
 			continue
 		}
+		attempts++
 		mayHaveRun = mayHaveRun || !outcome.WasNotRun()
-		if d.repeats(outcome, kind, r, n, sentTo) {
+		if d.repeats(outcome, kind, r, attempts, sentTo) {
 			avoid = sentTo
 			continue
 		}
 		seen.Outcome = final(outcome, mayHaveRun)
 		seen.Outcome.Waited = seen.Waited
-		seen.Took, seen.Retries = time.Since(started), n-1
+		seen.Took, seen.Retries = time.Since(started), attempts-1
 		d.observe(seen)
 		return seen.Outcome
 	}
@@ -161,14 +162,14 @@
 }
 
 // repeats decides whether an attempt is followed by another one.
-func (d *Dispatcher) repeats(o attempt.Outcome, kind *version.Kind, r *attempt.Request, n int, sentTo string) bool {
+func (d *Dispatcher) repeats(o attempt.Outcome, kind *version.Kind, r *attempt.Request, attempts int, sentTo string) bool {
 	if o.Err == nil || sentTo == "" || !time.Now().Before(r.Deadline) {
 		return false
 	}
 	if o.WasNotRun() {
-		return n <= maxRefusals
+		return attempts <= maxRefusals
 	}
-	return attempt.MayRepeat(kind, o) && n < maxAttempts && d.budget.MayRetry(r.Team)
+	return attempt.MayRepeat(kind, o) && attempts < maxAttempts && d.budget.MayRetry(r.Team)
 }
 
 // once waits for a place and makes one attempt. sentTo is empty if the request
