--- a/cmd/kingcuplatchd/main.go
+++ b/cmd/kingcuplatchd/main.go
@@ -7,10 +7,18 @@
 	"os/signal"
 	"syscall"
 
+	"github.com/kingcuplatch/kingcuplatch/platform"
 	"github.com/kingcuplatch/kingcuplatch/process/daemon"
 )
 
+// platformCommand runs the entry on the users' platform; without it the entry
+// speaks the project's own protocols.
+const platformCommand = "platform"
+
 func main() {
+	if len(os.Args) > 1 && os.Args[1] == platformCommand {
+		os.Exit(platform.Main(os.Args[2:], os.Stdout, os.Stderr))
+	}
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
 	os.Exit(daemon.Main(ctx, os.Args[1:], os.Stderr))
--- /dev/null
+++ b/process/cell/admit.go
@@ -0,0 +1,312 @@
+package cell
+
+import (
+	"fmt"
+	"math"
+	"time"
+)
+
+// Bounds of admission.
+const (
+	// maxLiveJobs bounds the jobs that may wait and run.
+	maxLiveJobs = 20000
+	// lateFactor times its objective is how long a job is of use.
+	lateFactor = 3
+	// maxTasksPerJob bounds the tasks of one time of a job.
+	maxTasksPerJob = 5000
+	// minRetryAfter and maxRetryAfter bound the time a client is told to wait.
+	minRetryAfter = time.Second
+	maxRetryAfter = 30 * time.Second
+	// bucketDepth is how many seconds of its weight a team may send at once.
+	bucketDepth = 2.0
+)
+
+// Verdict is the answer to a job handed in.
+type Verdict int
+
+// The verdicts.
+const (
+	// Known jobs were accepted before.
+	Known Verdict = iota
+	// Recording jobs are accepted once they are recorded; the waiter will be told.
+	Recording
+	// Refused jobs were not accepted and never run.
+	Refused
+	// Invalid jobs can't be read; the reason names the field.
+	Invalid
+)
+
+// Admission is a verdict with its reason.
+type Admission struct {
+	Verdict    Verdict
+	Reason     string
+	RetryAfter time.Duration
+}
+
+// bucket counts what a team hands in against its weight: a token bucket.
+type bucket struct {
+	tokens float64
+	at     time.Time
+}
+
+// take uses up one token and reports whether there was one.
+func (b *bucket) take(now time.Time, rate float64) bool {
+	depth := max(1, rate*bucketDepth)
+	b.tokens = min(depth, b.tokens+rate*now.Sub(b.at).Seconds())
+	b.at = now
+	if b.tokens < 1 {
+		return false
+	}
+	b.tokens--
+	return true
+}
+
+// Check returns what is wrong with a job, naming the field.
+func (s *JobSpec) Check() error {
+	if len(s.Steps) == 0 {
+		return fmt.Errorf("steps: a job needs at least one")
+	}
+	tasks := 0
+	for i, st := range s.Steps {
+		if st.Count < 1 {
+			return fmt.Errorf("steps[%d].count: %d is below 1", i, st.Count)
+		}
+		if st.Need.MilliCPU < 0 || st.Need.MemoryMB < 0 || st.Need.Accelerators < 0 {
+			return fmt.Errorf("steps[%d]: a need is negative", i)
+		}
+		for _, before := range st.After {
+			if before < 0 || before >= i {
+				return fmt.Errorf("steps[%d].after: %d is no earlier step", i, before)
+			}
+		}
+		tasks += st.Count
+	}
+	if tasks > maxTasksPerJob {
+		return fmt.Errorf("steps: %d tasks are more than %d", tasks, maxTasksPerJob)
+	}
+	return nil
+}
+
+// Submit decides on a job. The waiter is told only if the verdict is Recording.
+func (c *Cell) Submit(now time.Time, spec JobSpec, wait Waiter) Admission {
+	if job := c.jobs[spec.ID]; job != nil {
+		if job.accepted {
+			return Admission{Verdict: Known}
+		}
+		job.addWaiter(c, wait)
+		return Admission{Verdict: Recording}
+	}
+	if err := spec.Check(); err != nil {
+		return Admission{Verdict: Invalid, Reason: err.Error()}
+	}
+	spec.FirstSeen = now
+	spec.Surplus = c.isSurplus(now, spec.Team)
+	job := newJob(spec)
+	if reason, after := c.refusal(now, job); reason != "" {
+		c.note(Note{Kind: NoteJobRefused, Job: spec.ID, Team: spec.Team, Reason: reason, Wait: after})
+		return Admission{Verdict: Refused, Reason: reason, RetryAfter: after}
+	}
+	c.jobs[spec.ID] = job
+	c.live = append(c.live, job)
+	c.touch(job)
+	job.addWaiter(c, wait)
+	return Admission{Verdict: Recording}
+}
+
+// addWaiter lets wait hear of the next record of the job; one on its way holds
+// the acceptance, so a waiter for that joins it.
+func (j *Job) addWaiter(c *Cell, wait Waiter) {
+	if j.inFlight && !j.dirty && c.batch != nil {
+		for _, e := range c.batch.jobs {
+			if e.job == j {
+				e.waiters = append(e.waiters, wait)
+				return
+			}
+		}
+	}
+	j.waiters = append(j.waiters, wait)
+}
+
+func (c *Cell) isSurplus(now time.Time, team string) bool {
+	t := c.catalog.Team(team)
+	if t == nil || t.Weight <= 0 {
+		return false
+	}
+	b := c.teams[team]
+	if b == nil {
+		b = &bucket{tokens: t.Weight * bucketDepth, at: now}
+		c.teams[team] = b
+	}
+	return !b.take(now, t.Weight)
+}
+
+// refusal says why a job can't be served, and when to come back; empty if it can.
+func (c *Cell) refusal(now time.Time, job *Job) (string, time.Duration) {
+	if c.troubled {
+		return "table unavailable", minRetryAfter
+	}
+	if len(c.live) >= maxLiveJobs {
+		return "too many jobs", maxRetryAfter
+	}
+	if step, ok := c.misfit(job); !ok {
+		return fmt.Sprintf("step %d fits no worker", step), maxRetryAfter
+	}
+	if job.Repeat > 0 {
+		return "", 0
+	}
+	wait := c.expectedWait(now, job)
+	useful := lateFactor * job.objective()
+	if over := wait + job.fullChain() - useful; over > 0 {
+		return "can't be done in time", retryAfter(over)
+	}
+	return "", 0
+}
+
+// retryAfter rounds a wait up to whole seconds within bounds.
+func retryAfter(wait time.Duration) time.Duration {
+	whole := time.Duration(math.Ceil(wait.Seconds())) * time.Second
+	return min(max(whole, minRetryAfter), maxRetryAfter)
+}
+
+// misfit returns the first step of which no known worker could hold a task.
+func (c *Cell) misfit(job *Job) (int, bool) {
+	if len(c.workers) == 0 {
+		return 0, true
+	}
+	upstream := c.upstreamOf(job)
+	limit, bounded := c.capOf(job.Team)
+	for i := range job.Steps {
+		s := &job.Steps[i]
+		if bounded && !(withinBound(s.Need.MilliCPU, limit.MilliCPU) && withinBound(s.Need.MemoryMB, limit.MemoryMB) &&
+			withinBound(s.Need.Accelerators, limit.Accelerators)) {
+			return i, false
+		}
+		fits := false
+		for _, w := range c.workerOrder {
+			if w.Upstream == upstream && s.labelFits(w) && s.Need.Fits(w.Capacity) {
+				fits = true
+				break
+			}
+		}
+		if !fits {
+			return i, false
+		}
+	}
+	return 0, true
+}
+
+// expectedWait estimates when the job's turn comes: the work of live jobs whose
+// objective ends no later, over the processors of all workers.
+func (c *Cell) expectedWait(now time.Time, job *Job) time.Duration {
+	capacity := c.capacity(now, c.upstreamOf(job))
+	if capacity <= 0 {
+		return 0
+	}
+	due := job.FirstSeen.Add(job.objective())
+	var ahead float64
+	for _, other := range c.live {
+		if other.outcome.Ended() || (other.Surplus && !job.Surplus) {
+			continue
+		}
+		if other.Repeat == 0 && other.FirstSeen.Add(other.objective()).After(due) && other.Surplus == job.Surplus {
+			continue
+		}
+		ahead += other.workLeft()
+	}
+	return time.Duration(ahead / capacity * float64(time.Second))
+}
+
+// capacity is the processors, in thousandths, of the workers that take work.
+func (c *Cell) capacity(now time.Time, upstream string) float64 {
+	var sum int64
+	for _, w := range c.workerOrder {
+		if w.Upstream == upstream && w.usable(now) && !c.health.Aside(w.ID) {
+			sum += w.Capacity.MilliCPU
+		}
+	}
+	return float64(sum)
+}
+
+// workLeft is the estimated work that isn't done, in thousandths of a core times
+// seconds.
+func (j *Job) workLeft() float64 {
+	var sum float64
+	for _, o := range j.occs {
+		for _, s := range o.steps {
+			if s.spec.LongRunning {
+				continue
+			}
+			sum += float64(len(s.tasks)-s.done) * float64(s.spec.Need.MilliCPU) * s.spec.Estimate.Seconds()
+		}
+	}
+	return sum
+}
+
+// Cancellation is the answer to a call to cancel.
+type Cancellation int
+
+// The answers to a call to cancel.
+const (
+	// CancelRecording: the waiter will be told.
+	CancelRecording Cancellation = iota
+	// CancelDone: the job was cancelled before, or had ended.
+	CancelDone
+	// CancelUnknown: there is no such job.
+	CancelUnknown
+)
+
+// Cancel ends a job. The waiter is told only if the answer is CancelRecording.
+func (c *Cell) Cancel(now time.Time, id string, wait Waiter) Cancellation {
+	job := c.jobs[id]
+	if job == nil {
+		return CancelUnknown
+	}
+	if job.shown.Ended() {
+		return CancelDone
+	}
+	if !job.outcome.Ended() {
+		c.note(Note{Kind: NoteJobCancelled, Job: id, Team: job.Team, Age: now.Sub(job.FirstSeen)})
+		c.finish(now, job, Cancelled)
+	}
+	job.addWaiter(c, wait)
+	return CancelRecording
+}
+
+// Forget takes back jobs whose acceptance isn't being written and that were
+// handed in before the given time; their callers hear that they surely don't run.
+func (c *Cell) Forget(before time.Time) {
+	kept := c.dirty[:0:0]
+	for _, job := range c.dirty {
+		if job.accepted || job.inFlight || job.FirstSeen.After(before) {
+			kept = append(kept, job)
+			continue
+		}
+		c.forget(job)
+	}
+	c.dirty = kept
+}
+
+func (c *Cell) forget(job *Job) {
+	for _, tell := range job.waiters {
+		tell(RecordedNo)
+	}
+	job.waiters = nil
+	for _, o := range job.occs {
+		for _, s := range o.steps {
+			for _, t := range s.tasks {
+				if t.current != nil {
+					c.dropRun(t.current)
+					t.current = nil
+				}
+			}
+		}
+	}
+	delete(c.jobs, job.ID)
+	for i, j := range c.live {
+		if j == job {
+			c.live = append(c.live[:i:i], c.live[i+1:]...)
+			break
+		}
+	}
+	c.note(Note{Kind: NoteJobRefused, Job: job.ID, Team: job.Team, Reason: "table unavailable", Wait: minRetryAfter})
+}
--- /dev/null
+++ b/process/cell/ends.go
@@ -0,0 +1,189 @@
+package cell
+
+import (
+	"time"
+)
+
+// endRun takes a run off its worker and draws the conclusions for its task.
+func (c *Cell) endRun(now time.Time, r *Run, kind EndKind, saved string) {
+	c.dropRun(r)
+	t := r.task
+	job := t.step.occ.job
+	c.observe(now, r, kind)
+	if saved == "" {
+		saved = r.saved
+	}
+	c.note(Note{Kind: NoteRunEnded, Job: job.ID, Team: job.Team, Task: r.Task, Run: r.Number, Worker: r.worker.ID, End: kind, Age: now.Sub(r.plannedAt)})
+	if t.current == r {
+		t.current = nil
+	}
+	c.keepCheckpoint(t, saved)
+	switch kind {
+	case EndDone:
+		c.taskDone(now, t)
+	case EndFailed:
+		t.avoid = r.worker.ID
+		c.taskFailed(now, t, r.Number)
+	case EndStopped, EndLapsed, EndBroken, EndAlone, EndVanished:
+	}
+	if t.step.spec.Gang && kind != EndDone {
+		c.stopGang(now, t.step)
+	}
+	c.touch(job)
+	c.settle(now, job)
+}
+
+// dropRun gives back the room of a run.
+func (c *Cell) dropRun(r *Run) {
+	w := r.worker
+	delete(w.runs, r.RunKey)
+	w.used = w.used.Sub(r.need)
+	c.usage[r.team] = c.usage[r.team].Sub(r.need)
+	r.task.step.occ.job.live--
+}
+
+// keepCheckpoint keeps a checkpoint for the next run. That of one member serves
+// the whole gang.
+func (c *Cell) keepCheckpoint(t *task, saved string) {
+	if saved == "" {
+		return
+	}
+	if t.step.spec.Gang {
+		t.step.checkpoint = saved
+		return
+	}
+	t.checkpoint = saved
+}
+
+// takeLateEnd takes in the end of a run that counts as gone already, or that an
+// earlier scheduler recorded. A success stands; a failure counts once.
+func (c *Cell) takeLateEnd(now time.Time, end End) {
+	ref, err := parseTask(end.Task)
+	if err != nil {
+		c.note(Note{Kind: NoteStray, Task: end.Task, Run: end.Number, Error: err})
+		return
+	}
+	job := c.jobs[ref.job]
+	if job == nil || job.outcome.Ended() {
+		return
+	}
+	t := job.find(ref)
+	if t == nil || t.done {
+		return
+	}
+	switch end.Kind {
+	case EndDone:
+		c.taskDone(now, t)
+	case EndFailed:
+		c.taskFailed(now, t, end.RunKey.Number)
+	default:
+		return
+	}
+	c.touch(job)
+	c.settle(now, job)
+}
+
+// taskDone notes a success. One member of a gang stands for all.
+func (c *Cell) taskDone(now time.Time, t *task) {
+	s := t.step
+	if s.spec.LongRunning {
+		return
+	}
+	if s.spec.Gang {
+		for _, member := range s.tasks {
+			member.markDone()
+		}
+		return
+	}
+	t.markDone()
+	if t.current != nil {
+		c.stopRun(now, t.current)
+	}
+}
+
+// taskFailed counts a failure once a run, and fails the job when there were too many.
+func (c *Cell) taskFailed(now time.Time, t *task, run int) {
+	s := t.step
+	if t.failedRuns == nil {
+		t.failedRuns = make(map[int]bool)
+	}
+	t.failedRuns[run] = true
+	failures := len(t.failedRuns)
+	if s.spec.Gang {
+		if s.failedRuns == nil {
+			s.failedRuns = make(map[int]bool)
+		}
+		s.failedRuns[run] = true
+		failures = len(s.failedRuns)
+	}
+	most := s.occ.job.Policy.MaxAttempts
+	if s.spec.LongRunning || most <= 0 || failures < most || t.done {
+		return
+	}
+	c.finish(now, s.occ.job, Failed)
+}
+
+// stopGang stops what is left of a gang of which a member ended.
+func (c *Cell) stopGang(now time.Time, s *step) {
+	for _, member := range s.tasks {
+		if member.current != nil {
+			c.stopRun(now, member.current)
+		}
+	}
+}
+
+// stopRun asks for the end of a run. A planned one that was never ordered is
+// dropped at once.
+func (c *Cell) stopRun(now time.Time, r *Run) {
+	if r.stop.wanted {
+		return
+	}
+	r.stop.wanted = true
+	if r.state == runPlanned {
+		return
+	}
+	c.sendStop(now, r)
+}
+
+func (c *Cell) sendStop(now time.Time, r *Run) {
+	r.stop.sentAt = now
+	c.actions.Stops = append(c.actions.Stops, StopOrder{Worker: r.worker.ID, RunKey: r.RunKey})
+}
+
+// StopAnswered takes in that a worker took an order to stop.
+func (c *Cell) StopAnswered(now time.Time, id string, key RunKey) {
+	w := c.workers[id]
+	if w == nil {
+		return
+	}
+	if r := w.runs[key]; r != nil {
+		r.stop.answeredAt = now
+	}
+}
+
+// finish gives a job its final state and stops what still runs.
+func (c *Cell) finish(now time.Time, job *Job, outcome State) {
+	if job.outcome.Ended() {
+		return
+	}
+	job.outcome = outcome
+	job.endedAt = now
+	for _, o := range job.occs {
+		for _, s := range o.steps {
+			for _, t := range s.tasks {
+				if t.current != nil {
+					c.stopRun(now, t.current)
+				}
+			}
+		}
+	}
+	c.touch(job)
+	c.note(Note{Kind: NoteJobEnded, Job: job.ID, Team: job.Team, State: outcome, Age: now.Sub(job.FirstSeen)})
+}
+
+// settle completes a job whose tasks are all done.
+func (c *Cell) settle(now time.Time, job *Job) {
+	if !job.outcome.Ended() && job.complete() {
+		c.finish(now, job, Completed)
+	}
+}
--- /dev/null
+++ b/process/cell/gang.go
@@ -0,0 +1,204 @@
+package cell
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/kingcuplatch/kingcuplatch/process/resource"
+)
+
+// holds are the workers kept free for all-at-once steps that found no room.
+type holds struct {
+	by map[*Worker]*step
+}
+
+func newHolds() *holds { return &holds{by: make(map[*Worker]*step)} }
+
+// maxHeldShare bounds the workers held at a time, as one in so many.
+const maxHeldShare = 2
+
+// blocks reports whether w is held for a step other than s. A held worker may
+// still take what ends before the last of its runs: the holder waits for that
+// one anyway.
+func (h *holds) blocks(now time.Time, w *Worker, s *step) bool {
+	holder := h.by[w]
+	if holder == nil || holder == s {
+		return false
+	}
+	return !s.endsWithin(w.lastEndEstimate(now).Sub(now))
+}
+
+// endsWithin reports whether a task of s is expected to end within d.
+func (s *step) endsWithin(d time.Duration) bool { return s.spec.Estimate <= d }
+
+// lastEndEstimate is when the last run on w is expected to end.
+func (w *Worker) lastEndEstimate(now time.Time) time.Time {
+	last := now
+	for _, r := range w.runs {
+		if end := r.endEstimate(now); end.After(last) {
+			last = end
+		}
+	}
+	return last
+}
+
+// minRateSample is how many percent of a run must be done to judge its rate.
+const minRateSample = 10
+
+// endEstimate is when the run is expected to end: by its own rate once that is
+// known, else by its step's estimate.
+func (r *Run) endEstimate(now time.Time) time.Time {
+	if r.percent < minRateSample || r.listedAt.IsZero() {
+		return r.plannedAt.Add(r.task.step.spec.Estimate)
+	}
+	passed := r.movedAt.Sub(r.listedAt)
+	return r.movedAt.Add(passed * time.Duration(100-r.percent) / time.Duration(r.percent))
+}
+
+// planGang places all tasks of a step or none. Without room it holds workers and
+// asks for advice ahead.
+func (c *Cell) planGang(now time.Time, u unit, held *holds) {
+	s := u.step
+	job := s.occ.job
+	total := s.spec.Need.Times(int64(len(s.tasks)))
+	if s.deferred(now) || !c.withinCap(job.Team, total) {
+		return
+	}
+	slots := c.gangSlots(now, s, held)
+	chosen := chooseSlots(slots, len(s.tasks), s.spec.SameRack)
+	if chosen == nil {
+		c.holdFor(now, s, held)
+		c.askForGang(now, s)
+		return
+	}
+	c.placeGang(now, s, chosen)
+}
+
+func (s *step) deferred(now time.Time) bool {
+	return slices.ContainsFunc(s.tasks, func(t *task) bool { return t.deferred.After(now) })
+}
+
+// workerSlots is how many tasks of a gang a worker can take now.
+type workerSlots struct {
+	worker *Worker
+	tasks  int
+}
+
+// gangSlots lists the workers that can take tasks of s now, most first.
+func (c *Cell) gangSlots(now time.Time, s *step, held *holds) []workerSlots {
+	var slots []workerSlots
+	for _, w := range c.workerOrder {
+		if !c.allowed(now, s, w) || !c.hasTicket(now, s, w) {
+			continue
+		}
+		if holder := held.by[w]; holder != nil && holder != s {
+			continue
+		}
+		if n := s.slotsIn(w.free()); n > 0 {
+			slots = append(slots, workerSlots{w, n})
+		}
+	}
+	slices.SortStableFunc(slots, func(a, b workerSlots) int {
+		return cmp.Or(cmp.Compare(c.gangPenalty(a.worker, s), c.gangPenalty(b.worker, s)), cmp.Compare(b.tasks, a.tasks))
+	})
+	return slots
+}
+
+// gangPenalty is 1 for workers on which the gang failed or that are slow: the
+// slowest member makes the gang's time.
+func (c *Cell) gangPenalty(w *Worker, s *step) int {
+	if c.slowness(w) > slowWorker || slices.ContainsFunc(s.tasks, func(t *task) bool { return t.avoid == w.ID }) {
+		return 1
+	}
+	return 0
+}
+
+// slotsIn returns how many tasks of s fit into room.
+func (s *step) slotsIn(room resource.Amount) int {
+	n := s.perWorkerBound()
+	have, need := room.Vector(), s.spec.Need.Vector()
+	for d := range have {
+		if need[d] > 0 {
+			n = min(n, int(max(0, have[d]/need[d])))
+		}
+	}
+	return min(n, len(s.tasks))
+}
+
+// chooseSlots takes as few workers as hold count tasks, of one rack if there is
+// one that does and sameRack asks for it. It returns nil if there is no room.
+func chooseSlots(slots []workerSlots, count int, sameRack bool) []workerSlots {
+	if sameRack {
+		for _, rack := range racksOf(slots) {
+			inRack := slices.DeleteFunc(slices.Clone(slots), func(s workerSlots) bool { return s.worker.Rack != rack })
+			if chosen := chooseSlots(inRack, count, false); chosen != nil {
+				return chosen
+			}
+		}
+	}
+	left := count
+	var chosen []workerSlots
+	for _, s := range slots {
+		n := min(s.tasks, left)
+		chosen = append(chosen, workerSlots{s.worker, n})
+		left -= n
+		if left == 0 {
+			return chosen
+		}
+	}
+	return nil
+}
+
+func racksOf(slots []workerSlots) []string {
+	var racks []string
+	for _, s := range slots {
+		if !slices.Contains(racks, s.worker.Rack) {
+			racks = append(racks, s.worker.Rack)
+		}
+	}
+	return racks
+}
+
+// placeGang plans all tasks of s with one run number.
+func (c *Cell) placeGang(now time.Time, s *step, chosen []workerSlots) {
+	last := 0
+	for _, t := range s.tasks {
+		last = max(last, t.lastRun)
+	}
+	next := 0
+	for _, slot := range chosen {
+		for range slot.tasks {
+			s.tasks[next].lastRun = last
+			c.place(now, s.tasks[next], slot.worker)
+			next++
+		}
+	}
+}
+
+// holdFor keeps workers free for s: those known to be allowed that will have
+// room soonest, just enough of them.
+func (c *Cell) holdFor(now time.Time, s *step, held *holds) {
+	var candidates []workerSlots
+	for _, w := range c.workerOrder {
+		if held.by[w] != nil || !c.allowed(now, s, w) || !s.advice.mayRun(s, w) {
+			continue
+		}
+		if n := s.slotsIn(w.Capacity); n > 0 {
+			candidates = append(candidates, workerSlots{w, n})
+		}
+	}
+	ends := make(map[*Worker]time.Time, len(candidates))
+	for _, slot := range candidates {
+		ends[slot.worker] = slot.worker.lastEndEstimate(now)
+	}
+	slices.SortStableFunc(candidates, func(a, b workerSlots) int { return ends[a.worker].Compare(ends[b.worker]) })
+	left := len(s.tasks)
+	for _, slot := range candidates {
+		if left <= 0 || (len(held.by)+1)*maxHeldShare > len(c.workerOrder) {
+			return
+		}
+		held.by[slot.worker] = s
+		left -= slot.tasks
+	}
+}
--- /dev/null
+++ b/process/cell/order.go
@@ -0,0 +1,101 @@
+package cell
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// tier groups what waits; lower ones come first.
+type tier int
+
+const (
+	// owed work can still meet its objective or be of use late.
+	owed tier = iota
+	// surplus work is beyond its team's weight.
+	surplus
+	// useless work comes too late to be of use.
+	useless
+)
+
+// priorityHead is how much earlier work of one priority counts than that of the
+// next.
+const priorityHead = 250 * time.Millisecond
+
+// unit is a step that waits, with its place in the order.
+type unit struct {
+	step *step
+	tier tier
+	// latest is the last moment at which starting meets the objective.
+	latest time.Time
+}
+
+// waiting returns the steps with tasks to place, in the order in which they are
+// to be placed.
+func (c *Cell) waiting(now time.Time) []unit {
+	var units []unit
+	for _, job := range c.live {
+		if job.outcome.Ended() {
+			continue
+		}
+		for _, o := range job.occs {
+			units = o.appendWaiting(now, units)
+		}
+	}
+	slices.SortStableFunc(units, compareUnits)
+	return units
+}
+
+func (o *occurrence) appendWaiting(now time.Time, units []unit) []unit {
+	var u unit
+	for _, s := range o.steps {
+		if !s.waits(now) || !s.ready() {
+			continue
+		}
+		if u.latest.IsZero() {
+			u = o.turn(now)
+		}
+		u.step = s
+		units = append(units, u)
+	}
+	return units
+}
+
+// waits reports whether a task of the step can be placed. All tasks of a gang
+// must wait.
+func (s *step) waits(now time.Time) bool {
+	if s.done == len(s.tasks) {
+		return false
+	}
+	for _, t := range s.tasks {
+		if s.spec.Gang && t.current != nil {
+			return false
+		}
+		if !s.spec.Gang && t.placeable(now) {
+			return true
+		}
+	}
+	return s.spec.Gang
+}
+
+// turn works out the place of an occurrence's steps.
+func (o *occurrence) turn(now time.Time) unit {
+	job := o.job
+	objective := job.objective()
+	chain := o.chain()
+	u := unit{latest: o.due.Add(objective - chain + time.Duration(job.Policy.Priority)*priorityHead)}
+	switch {
+	case now.Add(chain).After(o.due.Add(lateFactor * objective)):
+		u.tier = useless
+	case job.Surplus:
+		u.tier = surplus
+	}
+	return u
+}
+
+func compareUnits(a, b unit) int {
+	if n := cmp.Compare(a.tier, b.tier); n != 0 {
+		return n
+	}
+	return a.latest.Compare(b.latest)
+}
--- /dev/null
+++ b/process/cell/place.go
@@ -0,0 +1,228 @@
+package cell
+
+import (
+	"slices"
+	"time"
+
+	"github.com/kingcuplatch/kingcuplatch/process/resource"
+)
+
+// Weights of the score of a worker, in parts of the worker's capacity. Lower
+// scores come first.
+const (
+	// farPenalty is for a worker off the preferred rack.
+	farPenalty = 0.6
+	// failedPenalty is for the worker on which the task failed last.
+	failedPenalty = 5.0
+	// slowPenalty times its slowness beyond the fleet's is for a slow worker.
+	slowPenalty = 0.5
+)
+
+// retryPause is kept between a failure of a task and its next run.
+const retryPause = 50 * time.Millisecond
+
+// Plan places what waits. It is called after any change that may have made room.
+func (c *Cell) Plan(now time.Time) {
+	c.returnProbed(now)
+	held := newHolds()
+	for _, u := range c.waiting(now) {
+		if u.step.spec.Gang {
+			c.planGang(now, u, held)
+			continue
+		}
+		c.planTasks(now, u, held)
+	}
+}
+
+// planTasks places the waiting tasks of a step one by one.
+func (c *Cell) planTasks(now time.Time, u unit, held *holds) {
+	s := u.step
+	job := s.occ.job
+	short := 0
+	for _, t := range s.tasks {
+		if !t.placeable(now) {
+			continue
+		}
+		if !c.withinCap(job.Team, s.spec.Need) {
+			break
+		}
+		w := c.bestWorker(now, t, held)
+		if w == nil {
+			short++
+			continue
+		}
+		c.place(now, t, w)
+	}
+	if short > 0 {
+		c.askForTasks(now, s, short)
+	}
+}
+
+// placeable reports whether the task waits for a run.
+func (t *task) placeable(now time.Time) bool {
+	return !t.done && t.current == nil && !t.deferred.After(now)
+}
+
+// place plans a run of t on w.
+func (c *Cell) place(now time.Time, t *task, w *Worker) *Run {
+	t.lastRun++
+	r := c.addRun(t, w, runPlanned)
+	r.plannedAt = now
+	if v, ok := t.step.advice.judged[w.ID]; ok {
+		r.ticket, r.ticketUntil = v.ticket, v.until
+	}
+	if c.health.Aside(w.ID) {
+		w.probe = false
+	}
+	job := t.step.occ.job
+	c.note(Note{Kind: NotePlaced, Job: job.ID, Team: job.Team, Task: r.Task, Run: r.Number, Worker: w.ID, Age: now.Sub(job.FirstSeen)})
+	c.touch(job)
+	return r
+}
+
+// bestWorker returns the fitting worker with the lowest score, or nil.
+func (c *Cell) bestWorker(now time.Time, t *task, held *holds) *Worker {
+	s := t.step
+	var best *Worker
+	bestScore := 0.0
+	for _, w := range c.workerOrder {
+		if !s.spec.Need.Fits(w.free()) || !c.allowed(now, s, w) || !c.hasTicket(now, s, w) {
+			continue
+		}
+		if held.blocks(now, w, s) || s.onWorker(w) >= s.perWorkerBound() {
+			continue
+		}
+		score := c.score(t, w)
+		if best == nil || score < bestScore {
+			best, bestScore = w, score
+		}
+	}
+	return best
+}
+
+// allowed reports whether the step's tasks may run on w at all now.
+func (c *Cell) allowed(now time.Time, s *step, w *Worker) bool {
+	return w.usable(now) && w.Upstream == c.upstreamOf(s.occ.job) && s.spec.labelFits(w) && c.sound(now, w)
+}
+
+func (s *StepSpec) labelFits(w *Worker) bool {
+	return s.RequiredLabel == "" || slices.Contains(w.Labels, s.RequiredLabel)
+}
+
+// unbounded is a bound that is never reached.
+const unbounded = 1 << 30
+
+func (s *step) perWorkerBound() int {
+	if s.spec.MaxPerWorker > 0 {
+		return s.spec.MaxPerWorker
+	}
+	return unbounded
+}
+
+// onWorker counts the step's runs on w.
+func (s *step) onWorker(w *Worker) int {
+	n := 0
+	if s.spec.MaxPerWorker == 0 {
+		return 0
+	}
+	for _, r := range w.runs {
+		if r.task.step == s {
+			n++
+		}
+	}
+	return n
+}
+
+// score is the room left over after placing the task (best fit), with penalties.
+func (c *Cell) score(t *task, w *Worker) float64 {
+	left := leftover(w, t.step.spec.Need)
+	if rack := t.step.spec.PreferredRack; rack != "" && rack != w.Rack {
+		left += farPenalty
+	}
+	if t.avoid == w.ID {
+		left += failedPenalty
+	}
+	return left + slowPenalty*max(0, c.slowness(w)-1)
+}
+
+// leftover is the part of w's processors and memory that stays free beside need.
+func leftover(w *Worker, need resource.Amount) float64 {
+	free := w.free().Sub(need)
+	return float64(free.MilliCPU)/float64(max(w.Capacity.MilliCPU, 1)) +
+		memoryWeight*float64(free.MemoryMB)/float64(max(w.Capacity.MemoryMB, 1))
+}
+
+// memoryWeight is what free memory counts beside free processors, which are
+// scarcer.
+const memoryWeight = 0.25
+
+// StartAnswered takes in a worker's answer to an order to start.
+func (c *Cell) StartAnswered(now time.Time, id string, key RunKey, answer StartAnswer) {
+	w := c.workers[id]
+	if w == nil {
+		return
+	}
+	r := w.runs[key]
+	if r == nil || r.state == runListed {
+		return
+	}
+	job := r.task.step.occ.job
+	if answer == StartOK {
+		r.state, r.answeredAt = runStarted, now
+		job.started = true
+		return
+	}
+	c.note(Note{Kind: NoteStartAnswered, Job: job.ID, Task: key.Task, Run: key.Number, Worker: id, Reason: answer.String(), Age: now.Sub(r.plannedAt)})
+	switch answer {
+	case StartOK:
+	case StartLost:
+		r.state = runUnsure
+		c.stopRun(now, r)
+	case StartTicket:
+		delete(r.task.step.advice.judged, id)
+		c.withdraw(now, r, answer.String())
+	case StartUnhealthy:
+		w.pause = now.Add(refusedPause)
+		c.withdraw(now, r, answer.String())
+	case StartRefused, StartNotSent:
+		r.task.deferred = now.Add(retryPause)
+		c.withdraw(now, r, answer.String())
+	}
+}
+
+// StartAnswer is how an order to start ended.
+type StartAnswer int
+
+// The answers to an order to start. All but StartOK and StartLost mean that the
+// run surely isn't there.
+const (
+	StartOK StartAnswer = iota
+	// StartLost orders may be carried out, now or later.
+	StartLost
+	// StartNotSent orders never reached the worker.
+	StartNotSent
+	// StartTicket orders had a ticket that isn't valid.
+	StartTicket
+	// StartUnhealthy workers did nothing and say so.
+	StartUnhealthy
+	// StartRefused orders came too late, or for a run that is over.
+	StartRefused
+)
+
+// String returns the answer as logs show it.
+func (a StartAnswer) String() string {
+	switch a {
+	case StartOK:
+		return "started"
+	case StartLost:
+		return "answer lost"
+	case StartNotSent:
+		return "not sent"
+	case StartTicket:
+		return "ticket refused"
+	case StartUnhealthy:
+		return "worker unhealthy"
+	default:
+		return "refused"
+	}
+}
--- /dev/null
+++ b/process/cluster/forward.go
@@ -0,0 +1,180 @@
+package cluster
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"time"
+
+	"github.com/kingcuplatch/kingcuplatch/conn/peer"
+	"github.com/kingcuplatch/kingcuplatch/process/cell"
+)
+
+const (
+	// forwardTimeout bounds a call that is passed on to the scheduler.
+	forwardTimeout = 2 * time.Second
+	// retrySoon is the time to come back after which there is a scheduler again.
+	retrySoon = time.Second
+)
+
+// errNotScheduler refuses a call that only the scheduler can answer.
+var errNotScheduler = &peer.RemoteError{Code: codeNotScheduler, Message: "this entry is not the scheduler"}
+
+// unavailable is the answer when nobody can decide now.
+func unavailable(reason string) Reply {
+	return Reply{Result: ResultUnavailable, Reason: reason, RetryAfter: retrySoon}
+}
+
+// Do answers a call: here, if this entry is the scheduler, else there.
+func (n *Node) Do(ctx context.Context, call Call) Reply {
+	n.mu.Lock()
+	r, view := n.reign, n.view
+	n.mu.Unlock()
+	if r != nil && !r.over() {
+		return r.do(ctx, call)
+	}
+	if view.Holder == "" || view.Holder == n.config.Name {
+		return unavailable("no scheduler is known")
+	}
+	if view.refused || time.Since(view.heardAt) > silentAfter {
+		return unavailable("the scheduler is silent")
+	}
+	ctx, cancel := context.WithTimeout(ctx, forwardTimeout)
+	defer cancel()
+	var reply Reply
+	err := n.config.Peers.Call(ctx, view.Address, methodCall, call, &reply)
+	if err == nil {
+		return reply
+	}
+	return forwardFailed(call, err)
+}
+
+// forwardFailed is the answer to a call that the scheduler didn't answer.
+func forwardFailed(call Call, err error) Reply {
+	var remote *peer.RemoteError
+	notRun := errors.Is(err, peer.ErrNotSent) || errors.As(err, &remote)
+	if notRun || call.Op == OpState || call.Op == OpPending {
+		return unavailable(err.Error())
+	}
+	return Reply{Result: ResultUnknown, Reason: err.Error(), RetryAfter: retrySoon}
+}
+
+// serveCall answers another entry's call.
+func (n *Node) serveCall(ctx context.Context, params json.RawMessage) (any, error) {
+	var call Call
+	if err := json.Unmarshal(params, &call); err != nil {
+		return nil, err
+	}
+	n.mu.Lock()
+	r := n.reign
+	n.mu.Unlock()
+	if r == nil || r.over() {
+		return nil, errNotScheduler
+	}
+	return r.do(ctx, call), nil
+}
+
+// do answers a call as the scheduler.
+func (r *reign) do(ctx context.Context, call Call) Reply {
+	switch call.Op {
+	case OpSubmit:
+		return r.submit(ctx, call)
+	case OpCancel:
+		return r.cancelJob(ctx, call)
+	case OpPending:
+		return r.pending(call)
+	default:
+		return r.state(call)
+	}
+}
+
+func (r *reign) submit(ctx context.Context, call Call) Reply {
+	if call.Spec == nil {
+		return Reply{Result: ResultInvalid, Reason: "the job is missing"}
+	}
+	recorded := make(chan cell.Recorded, 1)
+	var admission cell.Admission
+	r.change(func(now time.Time, c *cell.Cell) {
+		admission = c.Submit(now, *call.Spec, func(how cell.Recorded) { recorded <- how })
+	})
+	switch admission.Verdict {
+	case cell.Known:
+		return Reply{Result: ResultOK}
+	case cell.Invalid:
+		return Reply{Result: ResultInvalid, Reason: admission.Reason}
+	case cell.Refused:
+		return Reply{Result: ResultRefused, Reason: admission.Reason, RetryAfter: admission.RetryAfter}
+	}
+	return r.awaitRecord(ctx, recorded)
+}
+
+// awaitRecord waits until a change is recorded, within bounds.
+func (r *reign) awaitRecord(ctx context.Context, recorded <-chan cell.Recorded) Reply {
+	limit := time.NewTimer(recordTimeout)
+	defer limit.Stop()
+	select {
+	case how := <-recorded:
+		switch how {
+		case cell.RecordedYes:
+			return Reply{Result: ResultOK}
+		case cell.RecordedNo:
+			return unavailable("the table takes no writes")
+		}
+	case <-ctx.Done():
+	case <-r.ctx.Done():
+	case <-limit.C:
+	}
+	return Reply{Result: ResultUnknown, Reason: "the record's outcome is unknown", RetryAfter: retrySoon}
+}
+
+func (r *reign) cancelJob(ctx context.Context, call Call) Reply {
+	if !r.owns(call) {
+		return r.noJob()
+	}
+	recorded := make(chan cell.Recorded, 1)
+	var answer cell.Cancellation
+	r.change(func(now time.Time, c *cell.Cell) {
+		answer = c.Cancel(now, call.ID, func(how cell.Recorded) { recorded <- how })
+	})
+	switch answer {
+	case cell.CancelDone:
+		return Reply{Result: ResultOK}
+	case cell.CancelUnknown:
+		return r.noJob()
+	default:
+		return r.awaitRecord(ctx, recorded)
+	}
+}
+
+// owns reports whether the job is one of the call's queue and team, or unknown.
+func (r *reign) owns(call Call) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	job, ok := r.cell.Job(call.ID)
+	return !ok || (job.Queue == call.Queue && (call.Team == "" || job.Team == call.Team))
+}
+
+func (r *reign) state(call Call) Reply {
+	r.mu.Lock()
+	state, queue, team, ok := r.cell.StateOf(call.ID)
+	r.mu.Unlock()
+	if !ok || queue != call.Queue || (call.Team != "" && team != call.Team) {
+		return r.noJob()
+	}
+	return Reply{Result: ResultOK, State: state}
+}
+
+// noJob denies that a job exists, which only a scheduler may do that surely still
+// is one.
+func (r *reign) noJob() Reply {
+	if r.storeAge() > freshFor {
+		return unavailable("the table hasn't answered lately")
+	}
+	return Reply{Result: ResultNoJob}
+}
+
+func (r *reign) pending(call Call) Reply {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return Reply{Result: ResultOK, Pending: r.cell.Pending(call.Queue)}
+}
--- /dev/null
+++ b/process/cluster/log.go
@@ -0,0 +1,69 @@
+package cluster
+
+import (
+	"github.com/kingcuplatch/kingcuplatch/process/cell"
+	"github.com/kingcuplatch/kingcuplatch/process/events"
+)
+
+// logNote writes a decision of the cell as the event that stands for it.
+func logNote(log *events.Logger, n cell.Note) {
+	switch n.Kind {
+	case cell.NoteJobAccepted:
+		log.Log(events.JobAccepted, n.Job, n.Team, n.Age.String())
+	case cell.NoteJobRefused:
+		log.Log(events.JobRefused, n.Job, n.Team, n.Reason, n.Wait.String())
+	case cell.NoteJobEnded:
+		log.Log(events.JobEnded, n.Job, n.Team, n.State, n.Age.String())
+	case cell.NoteJobCancelled:
+		log.Log(events.JobCancelled, n.Job, n.Team, n.Age.String())
+	case cell.NotePlaced, cell.NotePlacementDropped, cell.NoteStartAnswered, cell.NoteRunEnded, cell.NoteRunStuck, cell.NoteStray:
+		logRun(log, n)
+	default:
+		logWorker(log, n)
+	}
+}
+
+func logRun(log *events.Logger, n cell.Note) {
+	switch n.Kind {
+	case cell.NotePlaced:
+		log.Log(events.RunPlaced, n.Task, n.Run, n.Worker, n.Age.String())
+	case cell.NotePlacementDropped:
+		log.Log(events.RunWithdrawn, n.Task, n.Run, n.Worker, n.Reason)
+	case cell.NoteStartAnswered:
+		log.Log(events.StartFailed, n.Task, n.Run, n.Worker, n.Reason, n.Age.String())
+	case cell.NoteRunEnded:
+		log.Log(events.RunEnded, n.Task, n.Run, n.Worker, n.End, n.Age.String())
+	case cell.NoteRunStuck:
+		log.Log(events.RunStuck, n.Task, n.Run, n.Worker, n.Age.String())
+	case cell.NoteStray:
+		log.Log(events.RunStray, n.Task, n.Run, n.Worker, n.Error)
+	}
+}
+
+func logWorker(log *events.Logger, n cell.Note) {
+	switch n.Kind {
+	case cell.NoteWorkerAdopted:
+		log.Log(events.WorkerTaken, n.Worker, n.Runs)
+	case cell.NoteWorkerSilent:
+		log.Log(events.WorkerSilent, n.Worker, n.Runs)
+	case cell.NoteWorkerBack:
+		log.Log(events.WorkerAnswers, n.Worker)
+	case cell.NoteWorkerLapsed:
+		log.Log(events.WorkerLapsed, n.Worker, n.Runs)
+	case cell.NoteWorkerReborn:
+		log.Log(events.WorkerReborn, n.Worker, n.Runs)
+	case cell.NoteWorkerDrains:
+		log.Log(events.WorkerDrains, n.Worker)
+	case cell.NoteWorkerMissing:
+		log.Log(events.WorkerMissing, n.Worker)
+	case cell.NoteWorkerAside:
+		log.Log(events.WorkerUnsound, n.Worker, n.Reason)
+	case cell.NoteWorkerReturned:
+		log.Log(events.WorkerRestored, n.Worker)
+	}
+}
+
+// logAdviceFailure writes that a call for advice failed.
+func (n *Node) logAdviceFailure(m Member, ask cell.Ask, err error) {
+	n.log.Log(events.AdviceFailed, ask.Step, m.Name, len(ask.Workers), err)
+}
--- /dev/null
+++ b/process/cluster/node.go
@@ -0,0 +1,236 @@
+package cluster
+
+import (
+	"context"
+	"encoding/json"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/kingcuplatch/kingcuplatch/conn/peer"
+	"github.com/kingcuplatch/kingcuplatch/process/cell"
+	"github.com/kingcuplatch/kingcuplatch/process/events"
+	"github.com/kingcuplatch/kingcuplatch/process/platform"
+	"github.com/kingcuplatch/kingcuplatch/version/catalog"
+)
+
+// Timings of a node.
+type Timings struct {
+	// HoldMax is the longest lease that workers accept, Lease what they are given.
+	HoldMax time.Duration
+	Lease   time.Duration
+	// KeepEnded is how long ended jobs can be asked for.
+	KeepEnded time.Duration
+	// ConfigBound is how old the last contact about the configuration may be.
+	ConfigBound time.Duration
+}
+
+// Config is what a node is made of.
+type Config struct {
+	// Name and Address are those of this entry; Incarnation tells its lives apart.
+	Name        string
+	Address     string
+	Incarnation string
+	// FarFactor is how much longer tasks take away from their preferred rack.
+	FarFactor float64
+	Timings   Timings
+
+	Table     platform.Table
+	Directory Directory
+	Catalogs  CatalogSource
+	Workers   WorkerCaller
+	Advisor   Advisor
+	Peers     peer.Caller
+	Log       *events.Logger
+}
+
+// Node is this entry's part in a cell: a standby, or its scheduler.
+type Node struct {
+	config  Config
+	metrics *nodeMetrics
+	log     *events.Logger
+
+	mu        sync.Mutex
+	published Publication
+	// contactAt is when the operators' table was last heard of, directly or through
+	// the scheduler.
+	contactAt time.Time
+	view      leaderView
+	reign     *reign
+	// heard are the standbys that sent a heartbeat, by name.
+	heard   map[string]heardMember
+	leaving bool
+}
+
+// heardMember is a standby and when it was heard last.
+type heardMember struct {
+	Member
+	at time.Time
+}
+
+// memberFor is how long a standby counts as live after its last heartbeat.
+const memberFor = time.Second
+
+// NewNode returns a node that isn't running.
+func NewNode(c Config) *Node {
+	return &Node{config: c, log: c.Log, metrics: newNodeMetrics(), heard: make(map[string]heardMember)}
+}
+
+// Handlers returns the methods that other entries call.
+func (n *Node) Handlers() map[string]peer.Handler {
+	return map[string]peer.Handler{
+		methodBeat:     n.serveBeat,
+		methodSeen:     n.serveSeen,
+		methodReleased: n.serveReleased,
+		methodCall:     n.serveCall,
+		methodAdvise:   n.serveAdvise,
+		methodCatalog:  n.serveCatalog,
+	}
+}
+
+// Run takes part in the cell until ctx ends, then gives up what it holds.
+func (n *Node) Run(ctx context.Context) {
+	var loops sync.WaitGroup
+	inner, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	for _, loop := range []func(context.Context){n.followCatalog, n.elect} {
+		loops.Add(1)
+		go func() {
+			defer loops.Done()
+			loop(inner)
+		}()
+	}
+	<-ctx.Done()
+	cancel()
+	loops.Wait()
+}
+
+// followCatalog takes in the operators' configuration.
+func (n *Node) followCatalog(ctx context.Context) {
+	n.config.Catalogs.Follow(ctx, n.publish, func() {
+		n.mu.Lock()
+		n.contactAt = time.Now()
+		n.mu.Unlock()
+	})
+}
+
+// publish puts a version in force if it is newer.
+func (n *Node) publish(p Publication) {
+	n.mu.Lock()
+	old := n.published.Catalog
+	if old != nil && old.Version >= p.Catalog.Version {
+		n.mu.Unlock()
+		return
+	}
+	n.published = p
+	n.contactAt = time.Now()
+	r := n.reign
+	n.mu.Unlock()
+	n.log.Log(events.VersionInForce, p.Catalog.Version)
+	if r != nil {
+		r.setCatalog(p.Catalog)
+	}
+}
+
+// timings returns the settings in force.
+func (n *Node) timings() Timings {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.config.Timings
+}
+
+// catalog returns the version in force, or nil.
+func (n *Node) catalog() *catalog.Catalog {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.published.Catalog
+}
+
+// Catalog returns the version in force, or nil if there is none yet or if nothing
+// has been heard of the operators' table for too long.
+func (n *Node) Catalog() *catalog.Catalog {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if time.Since(n.contactAt) > n.config.Timings.ConfigBound {
+		return nil
+	}
+	return n.published.Catalog
+}
+
+// Ready reports whether clients should be sent to this entry.
+func (n *Node) Ready() bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return !n.leaving && n.published.Catalog != nil
+}
+
+// Leave makes the node not ready and gives its reign to another entry.
+func (n *Node) Leave(ctx context.Context) {
+	n.mu.Lock()
+	n.leaving = true
+	r := n.reign
+	n.mu.Unlock()
+	if r != nil && !r.over() {
+		n.release(ctx, r)
+	}
+}
+
+// liveMembers returns this entry and the standbys heard lately, in a fixed order.
+func (n *Node) liveMembers() []Member {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.membersLocked()
+}
+
+func (n *Node) membersLocked() []Member {
+	members := []Member{{Name: n.config.Name, Address: n.config.Address}}
+	for name, m := range n.heard {
+		if time.Since(m.at) < memberFor && name != n.config.Name {
+			members = append(members, m.Member)
+		}
+	}
+	slices.SortFunc(members, func(a, b Member) int { return strings.Compare(a.Name, b.Name) })
+	return members
+}
+
+// serveCatalog gives the configuration in force to another entry.
+func (n *Node) serveCatalog(context.Context, json.RawMessage) (any, error) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return rawCatalog{Raw: n.published.Raw}, nil
+}
+
+// fetchCatalog gets a newer version from another entry.
+func (n *Node) fetchCatalog(ctx context.Context, address string) {
+	var raw rawCatalog
+	ctx, cancel := context.WithTimeout(ctx, beatTimeout)
+	defer cancel()
+	if err := n.config.Peers.Call(ctx, address, methodCatalog, struct{}{}, &raw); err != nil {
+		n.log.Log(events.PeerFailed, address, err)
+		return
+	}
+	p, err := n.config.Catalogs.Decode(raw.Raw)
+	if err != nil {
+		n.log.Log(events.PeerFailed, address, err)
+		return
+	}
+	n.publish(p)
+}
+
+// logNote writes a decision of the cell.
+func (n *Node) logNote(note cell.Note) {
+	n.metrics.count(note)
+	logNote(n.log, note)
+}
+
+// SetTimings puts changed settings in force.
+func (n *Node) SetTimings(t Timings) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.config.Timings = t
+}
+
+// LogCall writes that a call was answered without success.
+func (n *Node) LogCall(call Call, status int, reason string, version int64) {
+	n.log.Log(events.CallRefused, call.ID, call.Queue, call.Team, string(call.Op), status, reason, version)
+}
--- /dev/null
+++ b/process/cluster/record.go
@@ -0,0 +1,237 @@
+package cluster
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"time"
+
+	"github.com/kingcuplatch/kingcuplatch/process/cell"
+	"github.com/kingcuplatch/kingcuplatch/process/events"
+	"github.com/kingcuplatch/kingcuplatch/process/platform"
+)
+
+// leaseKey is the key of a cell's lease row; no job's row sorts before it.
+const leaseKey = "lease"
+
+// Timings of the table.
+const (
+	// tableTimeout bounds one call to the table.
+	tableTimeout = 1200 * time.Millisecond
+	// tableRetry is the pause after a call that failed.
+	tableRetry = 60 * time.Millisecond
+	// probeEvery is the pause between looks at the lease row while nothing is
+	// written.
+	probeEvery = 250 * time.Millisecond
+)
+
+// recordLoop writes what has changed, one write at a time.
+func (r *reign) recordLoop() {
+	for {
+		select {
+		case <-r.ctx.Done():
+			return
+		case <-r.record:
+		}
+		for r.recordOnce() {
+		}
+	}
+}
+
+// recordOnce writes one batch and reports whether there was one.
+func (r *reign) recordOnce() bool {
+	r.mu.Lock()
+	batch := r.cell.TakeBatch()
+	r.mu.Unlock()
+	if batch == nil || r.over() {
+		return false
+	}
+	began := time.Now()
+	version, ok := r.write(batch)
+	if !ok {
+		return false
+	}
+	r.node.metrics.recordTime.UpdateDuration(began)
+	r.change(func(now time.Time, c *cell.Cell) {
+		c.BatchRecorded(now, version)
+		for _, w := range r.workers {
+			signal(w.acks)
+		}
+	})
+	return true
+}
+
+// write repeats the same transaction until its outcome is known. It reports false
+// when the reign is over.
+func (r *reign) write(batch *cell.Batch) (version uint64, ok bool) {
+	txn := platform.Txn{
+		Conditions: append([]platform.Condition{{Key: leaseKey, Version: r.fence}}, batch.Conditions...),
+		Writes:     batch.Writes,
+	}
+	r.setWriting(true)
+	defer r.setWriting(false)
+	for !r.over() {
+		sent := time.Now()
+		ctx, cancel := context.WithTimeout(r.ctx, tableTimeout)
+		version, err := r.node.config.Table.Commit(ctx, txn)
+		cancel()
+		if err == nil {
+			r.storeAnswered(sent)
+			return version, true
+		}
+		var conflict *platform.ConflictError
+		if errors.As(err, &conflict) {
+			r.storeAnswered(sent)
+			return r.resolve(batch)
+		}
+		r.storeFailed(err)
+		sleep(r.ctx, tableRetry)
+	}
+	return 0, false
+}
+
+// resolve finds out whether an earlier try of the batch, whose answer was lost,
+// took effect. If it didn't, somebody else writes the cell's rows.
+func (r *reign) resolve(batch *cell.Batch) (version uint64, ok bool) {
+	for !r.over() {
+		version, mine, err := r.readBack(batch)
+		if err != nil {
+			r.storeFailed(err)
+			sleep(r.ctx, tableRetry)
+			continue
+		}
+		if mine {
+			return version, true
+		}
+		r.depose("a record is not as this entry left it")
+	}
+	return 0, false
+}
+
+// readBack reports whether the lease row is still this entry's and the batch's
+// first row is as the batch wrote it.
+func (r *reign) readBack(batch *cell.Batch) (version uint64, mine bool, err error) {
+	lease, ok, err := r.get(leaseKey)
+	if err != nil {
+		return 0, false, err
+	}
+	if !ok || lease.Version != r.fence {
+		return 0, false, nil
+	}
+	for _, w := range batch.Writes {
+		row, ok, err := r.get(w.Key)
+		if err != nil {
+			return 0, false, err
+		}
+		if ok == w.Delete {
+			return 0, false, nil
+		}
+		if w.Delete {
+			continue
+		}
+		if !bytes.Equal(row.Value, w.Value) {
+			return 0, false, nil
+		}
+		version = row.Version
+	}
+	return version, true, nil
+}
+
+func (r *reign) get(key string) (platform.Row, bool, error) {
+	ctx, cancel := context.WithTimeout(r.ctx, tableTimeout)
+	defer cancel()
+	sent := time.Now()
+	row, ok, err := r.node.config.Table.Get(ctx, key)
+	if err == nil {
+		r.storeAnswered(sent)
+	}
+	return row, ok, err
+}
+
+// probeLoop looks at the lease row while nothing is written, so that a scheduler
+// that was replaced learns it soon.
+func (r *reign) probeLoop() {
+	for !r.over() {
+		sleep(r.ctx, probeEvery)
+		if r.over() || !r.probeDue() {
+			continue
+		}
+		row, ok, err := r.get(leaseKey)
+		switch {
+		case err != nil:
+			r.storeFailed(err)
+		case !ok || row.Version != r.fence:
+			r.depose("the lease row was taken over")
+		}
+	}
+}
+
+func (r *reign) probeDue() bool {
+	r.storeMu.Lock()
+	defer r.storeMu.Unlock()
+	return time.Since(r.storeAt) >= probeEvery
+}
+
+// depose ends a reign that another entry has taken over.
+func (r *reign) depose(reason string) {
+	if r.over() {
+		return
+	}
+	r.node.log.Log(events.SchedulerDeposed, r.fence, reason)
+	r.end()
+}
+
+func (r *reign) setWriting(writing bool) {
+	r.storeMu.Lock()
+	r.writing = writing
+	r.storeMu.Unlock()
+}
+
+func (r *reign) storeAnswered(sent time.Time) {
+	r.storeMu.Lock()
+	if sent.After(r.storeAt) {
+		r.storeAt = sent
+	}
+	failing := r.failingSince
+	r.failingSince = time.Time{}
+	r.storeMu.Unlock()
+	if !failing.IsZero() {
+		r.node.log.Log(events.TableBack, time.Since(failing).String())
+	}
+}
+
+func (r *reign) storeFailed(err error) {
+	if r.over() {
+		return
+	}
+	r.node.metrics.tableFailures.Inc()
+	r.storeMu.Lock()
+	first := r.failingSince.IsZero()
+	if first {
+		r.failingSince = time.Now()
+	}
+	age := time.Since(r.storeAt)
+	r.storeMu.Unlock()
+	if first {
+		r.node.log.Log(events.TableLost, age.String(), err)
+	}
+}
+
+// storeTrouble reports whether the table takes no writes now, and for how long
+// calls have failed.
+func (r *reign) storeTrouble() (troubled bool, failing time.Duration) {
+	r.storeMu.Lock()
+	defer r.storeMu.Unlock()
+	if r.failingSince.IsZero() {
+		return false, 0
+	}
+	failing = time.Since(r.failingSince)
+	return failing > troubledAfter, failing
+}
+
+// storeAge is how long ago the last call that the table answered was sent.
+func (r *reign) storeAge() time.Duration {
+	r.storeMu.Lock()
+	defer r.storeMu.Unlock()
+	return time.Since(r.storeAt)
+}
--- a/process/events/catalogue.go
+++ b/process/events/catalogue.go
@@ -5,7 +5,8 @@
 const nothing = "Nothing."
 
 // The events. Numbers: 1xxx process, 2xxx ownership and membership, 3xxx
-// configuration, 4xxx workers and tasks, 5xxx requests, 6xxx jobs.
+// configuration, 4xxx workers and tasks, 5xxx requests, 6xxx jobs,
+// 7xxx cells on a platform whose workers hold leases.
 var (
 	EntryStarted = &Event{1001, logrus.InfoLevel, "entry started", []string{"callers", "operators", "peers", "metrics"}, nothing}
 	EntryDrains  = &Event{1002, logrus.InfoLevel, "entry stops: not ready, finishing work", []string{"requests"}, nothing}
@@ -34,6 +35,41 @@
 	RequestUnknown = &Event{5001, logrus.WarnLevel, "request handed over, answer lost", []string{"request", "team", "worker", "error"}, "The caller was told that the outcome is unknown."}
 
 	KeeperError = &Event{6002, logrus.WarnLevel, "job keeper step failed", []string{"step", "error"}, "Retried; look at the platform if it lasts."}
+
+	SchedulerKnown   = &Event{7001, logrus.InfoLevel, "scheduler known", []string{"holder", "fence"}, nothing}
+	SchedulerTook    = &Event{7002, logrus.InfoLevel, "lease of the cell taken", []string{"fence", "reason", "took"}, "If it was taken from a live entry, look at that entry's network."}
+	SchedulerBegan   = &Event{7003, logrus.InfoLevel, "cell read, scheduling", []string{"fence", "jobs", "live", "took"}, nothing}
+	SchedulerDeposed = &Event{7004, logrus.WarnLevel, "another entry schedules the cell", []string{"fence", "reason"}, "Look at this entry's network and processor at that time."}
+	SchedulerEnded   = &Event{7005, logrus.InfoLevel, "no longer scheduling", []string{"fence"}, nothing}
+	TableLost        = &Event{7006, logrus.WarnLevel, "the table can't be reached", []string{"age", "error"}, "Look at the platform; nothing new is accepted or started meanwhile."}
+	TableBack        = &Event{7007, logrus.InfoLevel, "the table answers again", []string{"after"}, nothing}
+	SettingsReloaded = &Event{7008, logrus.InfoLevel, "settings read again", []string{"reason", "outcome"}, nothing}
+	FeedLost         = &Event{7009, logrus.WarnLevel, "a feed of the platform can't be read", []string{"table", "error"}, "Look at the platform; the last state stays in use."}
+	FeedBack         = &Event{7010, logrus.InfoLevel, "a feed of the platform is read again", []string{"table", "after"}, nothing}
+	RowIgnored       = &Event{7011, logrus.WarnLevel, "a row of the platform can't be used", []string{"table", "key", "error"}, "Look at who writes that row."}
+
+	JobAccepted  = &Event{7101, logrus.InfoLevel, "job accepted", []string{"job", "team", "age"}, nothing}
+	JobRefused   = &Event{7102, logrus.InfoLevel, "job refused, it never runs", []string{"job", "team", "reason", "retry_after"}, nothing}
+	JobEnded     = &Event{7103, logrus.InfoLevel, "job ended", []string{"job", "team", "state", "age"}, nothing}
+	JobCancelled = &Event{7104, logrus.InfoLevel, "job cancelled", []string{"job", "team", "age"}, nothing}
+	CallRefused  = &Event{7105, logrus.InfoLevel, "call answered without success", []string{"job", "queue", "team", "operation", "status", "reason", "catalog"}, nothing}
+
+	RunPlaced      = &Event{7201, logrus.InfoLevel, "run placed", []string{"task", "run", "worker", "age"}, nothing}
+	RunWithdrawn   = &Event{7202, logrus.InfoLevel, "run withdrawn, it surely isn't on its worker", []string{"task", "run", "worker", "reason"}, nothing}
+	StartFailed    = &Event{7203, logrus.WarnLevel, "order to start wasn't answered with success", []string{"task", "run", "worker", "answer", "age"}, nothing}
+	RunEnded       = &Event{7204, logrus.InfoLevel, "run ended", []string{"task", "run", "worker", "end", "age"}, nothing}
+	RunStuck       = &Event{7205, logrus.WarnLevel, "run stands still, stopped", []string{"task", "run", "worker", "still_for"}, "Look at the worker if it repeats."}
+	RunStray       = &Event{7206, logrus.WarnLevel, "a worker lists a run that isn't known, stopped", []string{"task", "run", "worker", "error"}, nothing}
+	AdviceFailed   = &Event{7207, logrus.WarnLevel, "call for advice failed", []string{"step", "entry", "workers", "error"}, "Asked again by itself; look at the advisory service if it lasts."}
+	WorkerTaken    = &Event{7301, logrus.InfoLevel, "worker adopted by this scheduler", []string{"worker", "runs"}, nothing}
+	WorkerSilent   = &Event{7302, logrus.WarnLevel, "worker doesn't answer", []string{"worker", "runs"}, "Its runs go on under its lease; they start elsewhere once that has surely run out."}
+	WorkerAnswers  = &Event{7303, logrus.InfoLevel, "worker answers again", []string{"worker"}, nothing}
+	WorkerLapsed   = &Event{7304, logrus.WarnLevel, "worker's lease has surely run out, its runs count as gone", []string{"worker", "runs"}, "Look at the worker."}
+	WorkerReborn   = &Event{7305, logrus.WarnLevel, "worker started anew", []string{"worker", "runs"}, nothing}
+	WorkerDrains   = &Event{7306, logrus.InfoLevel, "worker drains, no new work", []string{"worker"}, nothing}
+	WorkerMissing  = &Event{7307, logrus.InfoLevel, "worker left the directory", []string{"worker"}, nothing}
+	WorkerUnsound  = &Event{7308, logrus.WarnLevel, "worker set aside", []string{"worker", "reason"}, "It is probed and returns by itself; replace it if it doesn't."}
+	WorkerRestored = &Event{7309, logrus.InfoLevel, "worker set aside works again", []string{"worker"}, nothing}
 )
 
 // Catalogue lists all events by number.
@@ -44,4 +80,10 @@
 	WorkerAdopted, WorkerUnreachable, WorkerAside, WorkerReturned, TeamShrunk,
 	RequestUnknown,
 	KeeperError,
+	SchedulerKnown, SchedulerTook, SchedulerBegan, SchedulerDeposed, SchedulerEnded, TableLost, TableBack,
+	SettingsReloaded, FeedLost, FeedBack, RowIgnored,
+	JobAccepted, JobRefused, JobEnded, JobCancelled, CallRefused,
+	RunPlaced, RunWithdrawn, StartFailed, RunEnded, RunStuck, RunStray, AdviceFailed,
+	WorkerTaken, WorkerSilent, WorkerAnswers, WorkerLapsed, WorkerReborn, WorkerDrains, WorkerMissing,
+	WorkerUnsound, WorkerRestored,
 }
