--- a/process/cell/progress.go
+++ b/process/cell/progress.go
@@ -98,6 +98,10 @@
 	}
 }
 
+// ownPartDone is the percentage from which a member of a gang only waits for the
+// others.
+const ownPartDone = 98
+
 // maxSpanRatio keeps the samples of slow workers out of a queue's record.
 const maxSpanRatio = 3
 
@@ -150,7 +154,9 @@
 		return
 	}
 	limit := stuckAfter + s.spec.Estimate/stuckPart
-	if s.spec.Gang && r.percent == 0 {
+	// Members of a gang wait for the others, before they begin and when their own
+	// part is done.
+	if s.spec.Gang && (r.percent == 0 || r.percent >= ownPartDone) {
 		return
 	}
 	if now.Sub(r.movedAt) < limit {
