Bound calls for advice, hold for the first gangs only, judge speed by siblings

A plan looked at all workers for every task: 96 s of processor for 75 s. Ruled out: the team's cap, silent workers (46 of 48 answered). Change: calls under way are bounded by the entries that make them, in the order of planning; tickets of a gang are renewed once its room is expected; three gangs hold workers; a worker's speed is compared with the step's other tasks; useless work is not counted as ahead; candidates are found once a plan.

--- a/process/cell/admit.go
+++ b/process/cell/admit.go
@@ -205,7 +205,7 @@
 	due := job.FirstSeen.Add(job.objective())
 	var ahead float64
 	for _, other := range c.live {
-		if other.outcome.Ended() || (other.Surplus && !job.Surplus) {
+		if other.outcome.Ended() || (other.Surplus && !job.Surplus) || other.tooLate(now) {
 			continue
 		}
 		if other.Repeat == 0 && other.FirstSeen.Add(other.objective()).After(due) && other.Surplus == job.Surplus {
@@ -236,12 +236,28 @@
 			if s.spec.LongRunning {
 				continue
 			}
-			sum += float64(len(s.tasks)-s.done) * float64(s.spec.Need.MilliCPU) * s.spec.Estimate.Seconds()
+			sum += s.tasksLeft() * float64(s.spec.Need.MilliCPU) * s.spec.Estimate.Seconds()
 		}
 	}
 	return sum
 }
 
+// tasksLeft counts the tasks that aren't done; what runs counts half.
+func (s *step) tasksLeft() float64 {
+	left := float64(len(s.tasks) - s.done)
+	for _, t := range s.tasks {
+		if !t.done && t.current != nil {
+			left -= 0.5
+		}
+	}
+	return left
+}
+
+// tooLate reports whether the job can't be of use any more.
+func (j *Job) tooLate(now time.Time) bool {
+	return j.Repeat == 0 && len(j.occs) > 0 && j.occs[0].tooLate(now)
+}
+
 // Cancellation is the answer to a call to cancel.
 type Cancellation int
 
--- a/process/cell/advice.go
+++ b/process/cell/advice.go
@@ -4,6 +4,8 @@
 	"cmp"
 	"slices"
 	"time"
+
+	"github.com/kingcuplatch/kingcuplatch/process/resource"
 )
 
 const (
@@ -19,6 +21,11 @@
 	shareWeight = 0.2
 	// askPause is kept after a call that failed.
 	askPause = 150 * time.Millisecond
+	// gangChoice is how much room, of whole workers, is to be known as allowed for
+	// each task of a gang before no more workers are asked about.
+	gangChoice = 2.5
+	// SlowAdvice is the time of a call from which advice counts as slow.
+	SlowAdvice = 150 * time.Millisecond
 )
 
 // adviceState is what is known of the workers that may run a step.
@@ -68,72 +75,100 @@
 }
 
 // askForTasks asks about workers with room for the step's waiting tasks.
-func (c *Cell) askForTasks(now time.Time, s *step, short int) {
-	if s.occ.job.Policy.Advice == nil || s.advice.asking || s.advice.again.After(now) {
+func (c *Cell) askForTasks(r *round, s *step, list []*Worker, short int) {
+	if !c.mayAsk(r.now, s) {
 		return
 	}
-	var candidates []workerSlots
-	for _, w := range c.workerOrder {
-		if !c.allowed(now, s, w) || s.advice.knownBad(w) || c.hasTicket(now, s, w) {
+	var slots []workerSlots
+	for _, w := range list {
+		if s.advice.knownBad(w) || c.hasTicket(r.now, s, w) || r.holds.blocks(r.now, w, s) {
 			continue
 		}
 		if n := min(s.slotsIn(w.free()), s.perWorkerBound()-s.onWorker(w)); n > 0 {
-			candidates = append(candidates, workerSlots{w, n})
+			slots = append(slots, workerSlots{w, n})
 		}
 	}
 	need := s.spec.Need
-	slices.SortStableFunc(candidates, func(a, b workerSlots) int {
+	slices.SortStableFunc(slots, func(a, b workerSlots) int {
 		return cmp.Or(s.knownFirst(a.worker, b.worker), cmp.Compare(leftover(a.worker, need), leftover(b.worker, need)))
 	})
-	c.ask(s, candidates, short)
+	c.ask(s, slots, short)
 }
 
-// askForGang asks about workers ahead of their having room: the answer on a worker
-// doesn't change, only its ticket ages.
-func (c *Cell) askForGang(now time.Time, s *step) {
+// mayAsk reports whether the step needs advice and a call can be made now. The
+// advisory service answers an entry's calls one after the other, so no more are
+// made than it answers soon; steps ask in the order in which they are planned.
+func (c *Cell) mayAsk(now time.Time, s *step) bool {
 	advice := s.occ.job.Policy.Advice
 	if advice == nil || s.advice.asking || s.advice.again.After(now) {
+		return false
+	}
+	if advice.Decide >= SlowAdvice {
+		return c.slowAsks < c.lanes.Slow
+	}
+	return c.quickAsks < c.lanes.Quick
+}
+
+// Lanes bounds the calls for advice that are under way.
+type Lanes struct {
+	Slow  int
+	Quick int
+}
+
+// SetLanes sets how many calls for advice may be under way.
+func (c *Cell) SetLanes(l Lanes) { c.lanes = l }
+
+// askForGang asks about workers ahead of their having room: the answer on a worker
+// doesn't change, only its ticket ages. Tickets are renewed once there is room for
+// the whole step by the time of the answer.
+func (c *Cell) askForGang(r *round, s *step, list []*Worker) {
+	if !c.mayAsk(r.now, s) {
 		return
 	}
-	renewal := now.Add(advice.CallTime(maxAsk/4) + 2*ticketMargin)
 	var known, unknown []workerSlots
-	fresh, good := 0, 0
-	for _, w := range c.workerOrder {
-		if !c.allowed(now, s, w) || s.advice.knownBad(w) {
+	good, soon := 0, 0
+	answer := r.now.Add(s.occ.job.Policy.Advice.CallTime(typicalAsk))
+	for _, w := range list {
+		whole := s.slotsIn(w.Capacity)
+		if whole == 0 || s.advice.knownBad(w) || r.holds.keeps(w, s) {
 			continue
 		}
-		slot := workerSlots{w, s.slotsIn(w.Capacity)}
-		if slot.tasks == 0 {
+		slot := workerSlots{w, s.slotsIn(w.freeBy(r.now, answer))}
+		if s.advice.mayRun(s, w) {
+			good += whole
+			soon += slot.tasks
+			if slot.tasks > 0 {
+				known = append(known, slot)
+			}
 			continue
 		}
-		v, ok := s.advice.judged[w.ID]
-		switch {
-		case !ok || v.born != w.life:
-			unknown = append(unknown, slot)
-		case v.until.After(renewal):
-			fresh += slot.tasks
-			good += slot.tasks
-		default:
-			known = append(known, slot)
-			good += slot.tasks
-		}
+		unknown = append(unknown, workerSlots{w, max(slot.tasks, 1)})
 	}
 	byRoom := func(a, b workerSlots) int {
-		return cmp.Or(cmp.Compare(s.slotsIn(b.worker.free()), s.slotsIn(a.worker.free())), cmp.Compare(b.worker.free().MilliCPU, a.worker.free().MilliCPU))
+		return cmp.Or(cmp.Compare(b.tasks, a.tasks), cmp.Compare(b.worker.free().MilliCPU, a.worker.free().MilliCPU))
 	}
 	slices.SortStableFunc(known, byRoom)
 	slices.SortStableFunc(unknown, byRoom)
-	// Enough must be good for the whole step to choose from.
-	wanted := int(askSurplus * float64(len(s.tasks)))
-	if good < wanted {
-		c.ask(s, append(known, unknown...), wanted-fresh)
-		return
-	}
-	if fresh < good {
+	wanted := len(s.tasks)
+	switch {
+	case soon >= wanted:
 		c.ask(s, known, wanted)
+	case good < int(gangChoice*float64(wanted)) && len(unknown) > 0:
+		c.ask(s, append(known, unknown...), wanted)
 	}
 }
 
+// freeBy is the room that w is expected to have at the time by.
+func (w *Worker) freeBy(now, by time.Time) resource.Amount {
+	free := w.free()
+	for _, r := range w.runs {
+		if !r.endEstimate(now).After(by) {
+			free = free.Add(r.need)
+		}
+	}
+	return free
+}
+
 // knownFirst sorts workers whose answer is known to be good before others.
 func (s *step) knownFirst(a, b *Worker) int {
 	ka, kb := s.advice.mayRun(s, a), s.advice.mayRun(s, b)
@@ -168,11 +203,21 @@
 		}
 	}
 	s.advice.asking = true
+	c.countAsk(job.Policy.Advice.Decide, 1)
 	c.actions.Asks = append(c.actions.Asks, Ask{
-		Step: s.name(), Queue: job.Queue, Workers: ids, Takes: job.Policy.Advice.CallTime(len(ids)),
+		Step: s.name(), Queue: job.Queue, Workers: ids, Takes: job.Policy.Advice.CallTime(len(ids)), Decide: job.Policy.Advice.Decide,
 	})
 }
 
+// countAsk counts calls for advice that are under way.
+func (c *Cell) countAsk(decide time.Duration, by int) {
+	if decide >= SlowAdvice {
+		c.slowAsks += by
+		return
+	}
+	c.quickAsks += by
+}
+
 // goodShare is the learned part of workers that may run a queue's steps.
 func (c *Cell) goodShare(queue string) float64 {
 	if share, ok := c.shares[queue]; ok {
@@ -184,6 +229,7 @@
 // Advised takes in the answer to an Ask; failed says that there was none. answered
 // is when the service answered at the earliest.
 func (c *Cell) Advised(now, answered time.Time, ask Ask, good []Ticket, failed bool) {
+	c.countAsk(ask.Decide, -1)
 	ref, err := parseTask(ask.Step + ".0")
 	if err != nil {
 		c.note(Note{Kind: NoteStray, Task: ask.Step, Error: err})
--- a/process/cell/cell.go
+++ b/process/cell/cell.go
@@ -45,14 +45,18 @@
 	usage  map[string]resource.Amount
 	teams  map[string]*bucket
 	shares map[string]float64
-	spans  map[string]*spanRecord
 	health *health.Monitor
+	// slowAsks and quickAsks are the calls for advice under way, within lanes.
+	slowAsks, quickAsks int
+	lanes               Lanes
 
 	seq      uint64
 	dirty    []*Job
 	batch    *Batch
 	actions  Actions
 	troubled bool
+	// explainedAt is when the last note on what waits was made.
+	explainedAt time.Time
 }
 
 // New returns an empty cell.
@@ -61,8 +65,8 @@
 		settings: settings, catalog: published,
 		jobs: make(map[string]*Job), workers: make(map[string]*Worker),
 		usage: make(map[string]resource.Amount), teams: make(map[string]*bucket),
-		shares: make(map[string]float64), spans: make(map[string]*spanRecord),
-		health: health.New(),
+		shares: make(map[string]float64),
+		health: health.New(), lanes: Lanes{Slow: 1, Quick: 2},
 	}
 }
 
@@ -97,8 +101,10 @@
 	Step    string
 	Queue   string
 	Workers []string
-	// Takes is how long the service needs for the answer.
-	Takes time.Duration
+	// Takes is how long the service needs for the answer, Decide the part of it that
+	// doesn't depend on the number of workers.
+	Takes  time.Duration
+	Decide time.Duration
 }
 
 // Take returns the actions since the last call.
@@ -196,6 +202,7 @@
 		c.tickWorker(now, w)
 	}
 	c.retire(now)
+	c.explain(now)
 }
 
 func (c *Cell) openDue(now time.Time, job *Job) {
--- a/process/cell/gang.go
+++ b/process/cell/gang.go
@@ -10,20 +10,29 @@
 
 // holds are the workers kept free for all-at-once steps that found no room.
 type holds struct {
-	by map[*Worker]*step
+	by      map[*Worker]*step
+	holders int
 }
 
-func newHolds() *holds { return &holds{by: make(map[*Worker]*step)} }
+// Bounds of holds.
+const (
+	// maxHeldShare bounds the workers held at a time, as one in so many.
+	maxHeldShare = 2
+	// maxHolders bounds the steps that workers are held for.
+	maxHolders = 3
+)
 
-// maxHeldShare bounds the workers held at a time, as one in so many.
-const maxHeldShare = 2
+// keeps reports whether w is held for a step other than s.
+func (h *holds) keeps(w *Worker, s *step) bool {
+	holder := h.by[w]
+	return holder != nil && holder != s
+}
 
 // blocks reports whether w is held for a step other than s. A held worker may
 // still take what ends before the last of its runs: the holder waits for that
 // one anyway.
 func (h *holds) blocks(now time.Time, w *Worker, s *step) bool {
-	holder := h.by[w]
-	if holder == nil || holder == s {
+	if !h.keeps(w, s) {
 		return false
 	}
 	return !s.endsWithin(w.lastEndEstimate(now).Sub(now))
@@ -58,21 +67,25 @@
 
 // planGang places all tasks of a step or none. Without room it holds workers and
 // asks for advice ahead.
-func (c *Cell) planGang(now time.Time, u unit, held *holds) {
+func (c *Cell) planGang(r *round, u unit) {
 	s := u.step
 	job := s.occ.job
 	total := s.spec.Need.Times(int64(len(s.tasks)))
-	if s.deferred(now) || !c.withinCap(job.Team, total) {
+	if s.deferred(r.now) || !c.withinCap(job.Team, total) {
 		return
 	}
-	slots := c.gangSlots(now, s, held)
-	chosen := chooseSlots(slots, len(s.tasks), s.spec.SameRack)
-	if chosen == nil {
-		c.holdFor(now, s, held)
-		c.askForGang(now, s)
-		return
+	list := c.candidates(r, s)
+	if s.spec.Need.Fits(r.most) {
+		chosen := chooseSlots(c.gangSlots(r, s, list), len(s.tasks), s.spec.SameRack)
+		if chosen != nil {
+			c.placeGang(r.now, s, chosen)
+			return
+		}
+	}
+	if u.tier == owed {
+		r.holds.add(r.now, s, list)
 	}
-	c.placeGang(now, s, chosen)
+	c.askForGang(r, s, list)
 }
 
 func (s *step) deferred(now time.Time) bool {
@@ -86,13 +99,10 @@
 }
 
 // gangSlots lists the workers that can take tasks of s now, most first.
-func (c *Cell) gangSlots(now time.Time, s *step, held *holds) []workerSlots {
+func (c *Cell) gangSlots(r *round, s *step, list []*Worker) []workerSlots {
 	var slots []workerSlots
-	for _, w := range c.workerOrder {
-		if !c.allowed(now, s, w) || !c.hasTicket(now, s, w) {
-			continue
-		}
-		if holder := held.by[w]; holder != nil && holder != s {
+	for _, w := range list {
+		if !c.hasTicket(r.now, s, w) || r.holds.keeps(w, s) {
 			continue
 		}
 		if n := s.slotsIn(w.free()); n > 0 {
@@ -176,29 +186,33 @@
 	}
 }
 
-// holdFor keeps workers free for s: those known to be allowed that will have
-// room soonest, just enough of them.
-func (c *Cell) holdFor(now time.Time, s *step, held *holds) {
+// add keeps workers free for s: those known to be allowed that will have room
+// soonest, just enough of them.
+func (h *holds) add(now time.Time, s *step, list []*Worker) {
+	if h.holders >= maxHolders {
+		return
+	}
 	var candidates []workerSlots
-	for _, w := range c.workerOrder {
-		if held.by[w] != nil || !c.allowed(now, s, w) || !s.advice.mayRun(s, w) {
+	ends := make(map[*Worker]time.Time)
+	for _, w := range list {
+		if h.by[w] != nil || !s.advice.mayRun(s, w) {
 			continue
 		}
 		if n := s.slotsIn(w.Capacity); n > 0 {
 			candidates = append(candidates, workerSlots{w, n})
+			ends[w] = w.lastEndEstimate(now)
 		}
 	}
-	ends := make(map[*Worker]time.Time, len(candidates))
-	for _, slot := range candidates {
-		ends[slot.worker] = slot.worker.lastEndEstimate(now)
-	}
 	slices.SortStableFunc(candidates, func(a, b workerSlots) int { return ends[a.worker].Compare(ends[b.worker]) })
 	left := len(s.tasks)
 	for _, slot := range candidates {
-		if left <= 0 || (len(held.by)+1)*maxHeldShare > len(c.workerOrder) {
-			return
+		if left <= 0 || (len(h.by)+1)*maxHeldShare > len(list) {
+			break
 		}
-		held.by[slot.worker] = s
+		h.by[slot.worker] = s
 		left -= slot.tasks
 	}
+	if left < len(s.tasks) {
+		h.holders++
+	}
 }
--- a/process/cell/job.go
+++ b/process/cell/job.go
@@ -93,6 +93,8 @@
 	// retired jobs are forgotten once their row is deleted.
 	retired bool
 	waiters []Waiter
+	// wholeChain caches fullChain.
+	wholeChain time.Duration
 }
 
 // occurrence is one time that the steps of a job run.
@@ -101,6 +103,10 @@
 	index int
 	due   time.Time
 	steps []*step
+	// chainLeft caches chain for a number of done tasks, chainKnown says for which.
+	chainLeft  time.Duration
+	chainKnown int
+	done       int
 }
 
 // step is a step of one occurrence.
@@ -115,6 +121,8 @@
 	// checkpoint is that of a gang.
 	checkpoint string
 	advice     adviceState
+	// spans are the times of tasks that are done.
+	spans []taskSpan
 }
 
 // task is one task of a step.
@@ -257,12 +265,20 @@
 	if !t.done {
 		t.done = true
 		t.step.done++
+		t.step.occ.done++
 	}
 }
 
 // chain returns the estimated time of the longest chain of steps of o that
 // aren't done.
 func (o *occurrence) chain() time.Duration {
+	if o.chainKnown != o.done+1 {
+		o.chainLeft, o.chainKnown = o.longestChain(), o.done+1
+	}
+	return o.chainLeft
+}
+
+func (o *occurrence) longestChain() time.Duration {
 	var longest time.Duration
 	ends := make([]time.Duration, len(o.steps))
 	for i, s := range o.steps {
@@ -284,11 +300,18 @@
 
 // fullChain is the estimated time of the whole chain, done or not.
 func (j *Job) fullChain() time.Duration {
+	if j.wholeChain == 0 {
+		j.wholeChain = j.findFullChain()
+	}
+	return j.wholeChain
+}
+
+func (j *Job) findFullChain() time.Duration {
 	o := occurrence{job: j}
 	for i := range j.Steps {
 		o.steps = append(o.steps, &step{occ: &o, index: i, spec: &j.Steps[i], tasks: make([]*task, 1)})
 	}
-	return o.chain()
+	return o.longestChain()
 }
 
 // objective is how long the job may take from its first arrival.
--- a/process/cell/notes.go
+++ b/process/cell/notes.go
@@ -26,7 +26,7 @@
 	NoteWorkerAside
 	NoteWorkerReturned
 	NoteRunStuck
-	NoteAdvised
+	NoteWaits
 )
 
 // Note is one decision with the inputs that decided it. Fields that don't apply
--- a/process/cell/order.go
+++ b/process/cell/order.go
@@ -81,11 +81,10 @@
 // turn works out the place of an occurrence's steps.
 func (o *occurrence) turn(now time.Time) unit {
 	job := o.job
-	objective := job.objective()
-	chain := o.chain()
-	u := unit{latest: o.due.Add(objective - chain + time.Duration(job.Policy.Priority)*priorityHead)}
+	head := time.Duration(job.Policy.Priority) * priorityHead
+	u := unit{latest: o.due.Add(job.objective() - o.chain() + head)}
 	switch {
-	case now.Add(chain).After(o.due.Add(lateFactor * objective)):
+	case o.tooLate(now):
 		u.tier = useless
 	case job.Surplus:
 		u.tier = surplus
@@ -93,6 +92,11 @@
 	return u
 }
 
+// tooLate reports whether the occurrence can't be of use any more.
+func (o *occurrence) tooLate(now time.Time) bool {
+	return now.Add(o.chain()).After(o.due.Add(lateFactor * o.job.objective()))
+}
+
 func compareUnits(a, b unit) int {
 	if n := cmp.Compare(a.tier, b.tier); n != 0 {
 		return n
--- a/process/cell/place.go
+++ b/process/cell/place.go
@@ -24,37 +24,45 @@
 // Plan places what waits. It is called after any change that may have made room.
 func (c *Cell) Plan(now time.Time) {
 	c.returnProbed(now)
-	held := newHolds()
+	r := c.newRound(now)
 	for _, u := range c.waiting(now) {
 		if u.step.spec.Gang {
-			c.planGang(now, u, held)
+			c.planGang(r, u)
 			continue
 		}
-		c.planTasks(now, u, held)
+		c.planTasks(r, u)
 	}
 }
 
 // planTasks places the waiting tasks of a step one by one.
-func (c *Cell) planTasks(now time.Time, u unit, held *holds) {
+func (c *Cell) planTasks(r *round, u unit) {
 	s := u.step
 	job := s.occ.job
+	if !s.spec.Need.Fits(r.most) || !c.withinCap(job.Team, s.spec.Need) {
+		return
+	}
+	list := c.candidates(r, s)
 	short := 0
 	for _, t := range s.tasks {
-		if !t.placeable(now) {
+		if !t.placeable(r.now) {
+			continue
+		}
+		if short > 0 {
+			short++
 			continue
 		}
 		if !c.withinCap(job.Team, s.spec.Need) {
 			break
 		}
-		w := c.bestWorker(now, t, held)
+		w := c.bestWorker(r, t, list)
 		if w == nil {
 			short++
 			continue
 		}
-		c.place(now, t, w)
+		c.place(r.now, t, w)
 	}
 	if short > 0 {
-		c.askForTasks(now, s, short)
+		c.askForTasks(r, s, list, short)
 	}
 }
 
@@ -80,16 +88,17 @@
 	return r
 }
 
-// bestWorker returns the fitting worker with the lowest score, or nil.
-func (c *Cell) bestWorker(now time.Time, t *task, held *holds) *Worker {
+// bestWorker returns the worker of the list with the lowest score that has room, or
+// nil.
+func (c *Cell) bestWorker(r *round, t *task, list []*Worker) *Worker {
 	s := t.step
 	var best *Worker
 	bestScore := 0.0
-	for _, w := range c.workerOrder {
-		if !s.spec.Need.Fits(w.free()) || !c.allowed(now, s, w) || !c.hasTicket(now, s, w) {
+	for _, w := range list {
+		if !s.spec.Need.Fits(w.free()) || !c.hasTicket(r.now, s, w) || (c.health.Aside(w.ID) && len(w.runs) > 0) {
 			continue
 		}
-		if held.blocks(now, w, s) || s.onWorker(w) >= s.perWorkerBound() {
+		if r.holds.blocks(r.now, w, s) || s.onWorker(w) >= s.perWorkerBound() {
 			continue
 		}
 		score := c.score(t, w)
@@ -100,11 +109,6 @@
 	return best
 }
 
-// allowed reports whether the step's tasks may run on w at all now.
-func (c *Cell) allowed(now time.Time, s *step, w *Worker) bool {
-	return w.usable(now) && w.Upstream == c.upstreamOf(s.occ.job) && s.spec.labelFits(w) && c.sound(now, w)
-}
-
 func (s *StepSpec) labelFits(w *Worker) bool {
 	return s.RequiredLabel == "" || slices.Contains(w.Labels, s.RequiredLabel)
 }
--- a/process/cell/progress.go
+++ b/process/cell/progress.go
@@ -1,6 +1,7 @@
 package cell
 
 import (
+	"math"
 	"time"
 
 	"github.com/kingcuplatch/kingcuplatch/process/health"
@@ -23,9 +24,10 @@
 	speedFades = 2500 * time.Millisecond
 )
 
-// speedRecord tells how long tasks take on a worker against their estimates.
+// speedRecord tells how long tasks take on a worker against other tasks of their
+// steps elsewhere, as the logarithm of the ratio.
 type speedRecord struct {
-	ratio   float64
+	log     float64
 	samples int
 	at      time.Time
 }
@@ -33,29 +35,7 @@
 func (r *speedRecord) add(now time.Time, ratio float64) {
 	r.samples++
 	r.at = now
-	if r.samples == 1 {
-		r.ratio = ratio
-		return
-	}
-	r.ratio += speedWeight * (ratio - r.ratio)
-}
-
-// spanRecord is how long the tasks of a queue take against their estimates.
-type spanRecord struct {
-	ratio   float64
-	samples int
-}
-
-// spanWeight is the weight of a new sample of a queue's ratio.
-const spanWeight = 0.05
-
-func (r *spanRecord) add(ratio float64) {
-	r.samples++
-	if r.samples == 1 {
-		r.ratio = ratio
-		return
-	}
-	r.ratio += max(spanWeight, 1/float64(r.samples)) * (ratio - r.ratio)
+	r.log += max(speedWeight, 1/float64(r.samples)) * (math.Log(ratio) - r.log)
 }
 
 // observe learns from the end of a run: whether its worker fails more than its
@@ -76,41 +56,69 @@
 	if c.health.Record(now, health.Outcome{Worker: w.ID, Kind: job.Queue, Failed: failed}) {
 		c.note(Note{Kind: NoteWorkerAside, Worker: w.ID, Reason: "fails more than its peers"})
 	}
-	if !failed && !r.listedAt.IsZero() && r.task.step.spec.Estimate > 0 && !r.task.step.spec.Gang {
-		c.sampleSpeed(now, r, now.Sub(r.listedAt))
+	if !failed && !r.task.step.spec.Gang {
+		r.span = now.Sub(r.listedAt)
+		r.task.step.spans = append(r.task.step.spans, taskSpan{r.worker, r.span})
+		c.sampleSpeed(now, r, r.span)
 	}
 }
 
-// sampleSpeed learns from a run that took, or will take, the time span.
+// taskSpan is how long a task took, or will take, on a worker.
+type taskSpan struct {
+	worker *Worker
+	span   time.Duration
+}
+
+// sampleSpeed compares the time of a run with those of the step's other tasks on
+// other workers.
 func (c *Cell) sampleSpeed(now time.Time, r *Run, span time.Duration) {
-	queue := r.task.step.occ.job.Queue
-	record := c.spans[queue]
-	if record == nil {
-		record = &spanRecord{}
-		c.spans[queue] = record
+	if r.sampled || r.listedAt.IsZero() || span <= 0 {
+		return
 	}
-	ratio := span.Seconds() / r.task.step.spec.Estimate.Seconds()
-	if record.samples >= minSpeedSamples {
-		r.worker.speed.add(now, ratio/max(record.ratio, 0.01))
+	s := r.task.step
+	var sum float64
+	n := 0
+	for _, other := range s.spans {
+		if other.worker != r.worker {
+			sum += math.Log(other.span.Seconds())
+			n++
+		}
 	}
-	if ratio < maxSpanRatio*max(record.ratio, 0.01) || record.samples < minSpeedSamples {
-		record.add(ratio)
+	for _, t := range s.tasks {
+		if o := t.current; o != nil && o != r && o.worker != r.worker {
+			if predicted, ok := o.predicted(now); ok {
+				sum += math.Log(predicted.Seconds())
+				n++
+			}
+		}
+	}
+	if n == 0 {
+		return
 	}
+	r.sampled = true
+	r.worker.speed.add(now, span.Seconds()/math.Exp(sum/float64(n)))
 }
 
-// ownPartDone is the percentage from which a member of a gang only waits for the
-// others.
-const ownPartDone = 98
+const (
+	// sampleAfter is how long a run must have been listed to predict its time.
+	sampleAfter = 450 * time.Millisecond
+)
 
-// maxSpanRatio keeps the samples of slow workers out of a queue's record.
-const maxSpanRatio = 3
+// predicted is how long the run will take at its rate so far.
+func (r *Run) predicted(now time.Time) (time.Duration, bool) {
+	passed := r.seenAt.Sub(r.listedAt)
+	if r.state != runListed || passed < sampleAfter {
+		return 0, false
+	}
+	return passed * 100 / time.Duration(max(r.percent, 1)), true
+}
 
-// slowness is how much longer tasks take on w than on the whole; 1 if unknown.
+// slowness is how much longer tasks take on w than elsewhere; 1 if unknown.
 func (c *Cell) slowness(w *Worker) float64 {
 	if w.speed.samples < minSpeedSamples {
 		return 1
 	}
-	return w.speed.ratio
+	return math.Exp(w.speed.log)
 }
 
 // sound reports whether w isn't set aside for failing or being slow. A worker that
@@ -145,6 +153,10 @@
 	c.health.SetWorkers(now, names)
 }
 
+// ownPartDone is the percentage from which a member of a gang only waits for the
+// others.
+const ownPartDone = 98
+
 // watchProgress stops a run that stands still although its worker answers, so
 // that its task can go on elsewhere.
 func (c *Cell) watchProgress(now time.Time, r *Run) {
@@ -153,6 +165,9 @@
 	if r.state != runListed || r.stop.wanted || !w.silentSince.IsZero() || s.spec.LongRunning || r.task.done {
 		return
 	}
+	if span, ok := r.predicted(now); ok && !s.spec.Gang {
+		c.sampleSpeed(now, r, span)
+	}
 	limit := stuckAfter + s.spec.Estimate/stuckPart
 	// Members of a gang wait for the others, before they begin and when their own
 	// part is done.
--- a/process/cell/worker.go
+++ b/process/cell/worker.go
@@ -64,6 +64,11 @@
 	// movedAt is when percent last changed; listedAt when the run was first listed.
 	movedAt  time.Time
 	listedAt time.Time
+	// seenAt is when a list last showed the run; span is how long it took.
+	seenAt time.Time
+	span   time.Duration
+	// sampled is set once the run was used to judge its worker's speed.
+	sampled bool
 
 	stop stopState
 }
@@ -331,6 +336,7 @@
 		r.listedAt, r.movedAt = now, now
 		r.task.step.occ.job.started = true
 	}
+	r.seenAt = now
 	if listed.Percent != r.percent {
 		r.percent, r.movedAt = listed.Percent, now
 	}
--- a/process/cluster/advisers.go
+++ b/process/cluster/advisers.go
@@ -10,11 +10,8 @@
 )
 
 const (
-	// slowAsk is the time from which a call for advice counts as slow. The service
-	// answers an entry's calls one after the other, so slow ones get entries of
-	// their own and quick ones never wait behind them.
-	slowAsk = 150 * time.Millisecond
-	// slowPart and allParts are the part of the entries that slow calls go to.
+	// slowPart of allParts are the entries that slow calls go to. The service answers
+	// an entry's calls one after the other, so quick ones never wait behind slow ones.
 	slowPart = 5
 	allParts = 9
 	// adviceTimeout is added to the expected time of a call.
@@ -39,7 +36,7 @@
 	members := a.reign.node.liveMembers()
 	a.mu.Lock()
 	now := time.Now()
-	chosen := chooseAdviser(now, members, a.busyUntil, ask.Takes)
+	chosen := chooseAdviser(now, members, a.busyUntil, ask.Decide >= cell.SlowAdvice)
 	ready := maxTime(now, a.busyUntil[chosen.Name]).Add(ask.Takes)
 	a.busyUntil[chosen.Name] = ready
 	a.mu.Unlock()
@@ -48,11 +45,11 @@
 
 // chooseAdviser returns the member that can answer first among those for calls as
 // slow as this one. members are in a fixed order and not empty.
-func chooseAdviser(now time.Time, members []Member, busyUntil map[string]time.Time, takes time.Duration) Member {
-	slow := max(1, len(members)*slowPart/allParts)
-	group := members[:slow]
-	if takes < slowAsk && slow < len(members) {
-		group = members[slow:]
+func chooseAdviser(now time.Time, members []Member, busyUntil map[string]time.Time, slow bool) Member {
+	count := slowCount(len(members))
+	group := members[:count]
+	if !slow && count < len(members) {
+		group = members[count:]
 	}
 	best := group[0]
 	for _, m := range group[1:] {
@@ -63,6 +60,22 @@
 	return best
 }
 
+// slowCount is how many of n entries slow calls go to.
+func slowCount(n int) int { return max(1, n*slowPart/allParts) }
+
+const (
+	// callsPerSlow and callsPerQuick are the calls under way for each entry that
+	// takes slow and quick ones: one at work, and some that wait for their turn.
+	callsPerSlow  = 1
+	callsPerQuick = 3
+)
+
+// lanesOf is how many calls may be under way with n entries.
+func lanesOf(n int) cell.Lanes {
+	slow := slowCount(n)
+	return cell.Lanes{Slow: slow * callsPerSlow, Quick: max(1, n-slow) * callsPerQuick}
+}
+
 func maxTime(a, b time.Time) time.Time {
 	if a.After(b) {
 		return a
--- a/process/cluster/reign.go
+++ b/process/cluster/reign.go
@@ -13,7 +13,7 @@
 // Timings of a reign.
 const (
 	// planPause gathers events that come close together into one plan.
-	planPause = 2 * time.Millisecond
+	planPause = 4 * time.Millisecond
 	// tickEvery is the period of what is due by time alone.
 	tickEvery = 200 * time.Millisecond
 	// orderTimeout bounds an order to a worker.
@@ -190,8 +190,10 @@
 		case <-ticker.C:
 		}
 		troubled, failing := r.storeTrouble()
+		lanes := lanesOf(len(r.node.liveMembers()))
 		r.change(func(now time.Time, c *cell.Cell) {
 			c.Troubled(troubled)
+			c.SetLanes(lanes)
 			if failing > forgetUnwritten {
 				c.Forget(now.Add(-forgetUnwritten))
 			}
--- a/process/events/catalogue.go
+++ b/process/events/catalogue.go
@@ -61,6 +61,7 @@
 	RunStuck       = &Event{7205, logrus.WarnLevel, "run stands still, stopped", []string{"task", "run", "worker", "still_for"}, "Look at the worker if it repeats."}
 	RunStray       = &Event{7206, logrus.WarnLevel, "a worker lists a run that isn't known, stopped", []string{"task", "run", "worker", "error"}, nothing}
 	AdviceFailed   = &Event{7207, logrus.WarnLevel, "call for advice failed", []string{"step", "entry", "workers", "error"}, "Asked again by itself; look at the advisory service if it lasts."}
+	StepWaits      = &Event{7208, logrus.InfoLevel, "the step that waits longest", []string{"step", "team", "age", "reason", "steps"}, "The reason counts the workers that each condition leaves."}
 	WorkerTaken    = &Event{7301, logrus.InfoLevel, "worker adopted by this scheduler", []string{"worker", "runs"}, nothing}
 	WorkerSilent   = &Event{7302, logrus.WarnLevel, "worker doesn't answer", []string{"worker", "runs"}, "Its runs go on under its lease; they start elsewhere once that has surely run out."}
 	WorkerAnswers  = &Event{7303, logrus.InfoLevel, "worker answers again", []string{"worker"}, nothing}
@@ -83,7 +84,7 @@
 	SchedulerKnown, SchedulerTook, SchedulerBegan, SchedulerDeposed, SchedulerEnded, TableLost, TableBack,
 	SettingsReloaded, FeedLost, FeedBack, RowIgnored,
 	JobAccepted, JobRefused, JobEnded, JobCancelled, CallRefused,
-	RunPlaced, RunWithdrawn, StartFailed, RunEnded, RunStuck, RunStray, AdviceFailed,
+	RunPlaced, RunWithdrawn, StartFailed, RunEnded, RunStuck, RunStray, AdviceFailed, StepWaits,
 	WorkerTaken, WorkerSilent, WorkerAnswers, WorkerLapsed, WorkerReborn, WorkerDrains, WorkerMissing,
 	WorkerUnsound, WorkerRestored,
 }
