Follow a newer scheduler that another entry knows; late work yields; runs on workers that left lapse

Ruled out: slow loads (90 to 150 ms a takeover). Change: the reply about the scheduler names it; unlisted workers lapse after the bound of the earlier leases, which shrinks since leases without the table are extended only while every standby is heard; a tier for late work.

--- a/process/cell/order.go
+++ b/process/cell/order.go
@@ -10,8 +10,11 @@
 type tier int
 
 const (
-	// owed work can still meet its objective or be of use late.
+	// owed work can still meet its objective.
 	owed tier = iota
+	// late work has missed its objective and is of some use still. It yields to what
+	// can be in time: else, once load is above the room, all work would be late.
+	late
 	// surplus work is beyond its team's weight.
 	surplus
 	// useless work comes too late to be of use.
@@ -88,6 +91,8 @@
 		u.tier = useless
 	case job.Surplus:
 		u.tier = surplus
+	case u.latest.Before(now):
+		u.tier = late
 	}
 	return u
 }
--- a/process/cell/worker.go
+++ b/process/cell/worker.go
@@ -218,6 +218,17 @@
 	return gone
 }
 
+// Unlisted returns the workers that hold runs and aren't in the directory.
+func (c *Cell) Unlisted() []string {
+	var ids []string
+	for _, w := range c.workerOrder {
+		if !w.listed && len(w.runs) > 0 {
+			ids = append(ids, w.ID)
+		}
+	}
+	return ids
+}
+
 // WorkerSilent notes that a worker doesn't answer.
 func (c *Cell) WorkerSilent(now time.Time, id string) {
 	w := c.workers[id]
--- a/process/cluster/calls.go
+++ b/process/cluster/calls.go
@@ -40,8 +40,9 @@
 	Leaving        bool     `json:"leaving,omitempty"`
 }
 
-// seenReply tells how recently an entry heard the scheduler.
+// seenReply tells which scheduler an entry knows and how recently it heard it.
 type seenReply struct {
+	leaseRow
 	Fence      uint64 `json:"fence"`
 	HeardAgoMS int64  `json:"heard_ago_ms"`
 	StoreAgeMS int64  `json:"store_age_ms"`
--- a/process/cluster/elect.go
+++ b/process/cluster/elect.go
@@ -254,41 +254,46 @@
 }
 
 // heardByOthers asks the other entries whether they hear the scheduler and it
-// reaches the table.
+// reaches the table. One that knows a newer scheduler is believed.
 func (n *Node) heardByOthers(ctx context.Context, view leaderView) bool {
 	ctx, cancel := context.WithTimeout(ctx, askPeers)
 	defer cancel()
-	var asked sync.WaitGroup
-	answers := make(chan bool, len(view.members))
+	answers := make(chan seenReply, len(view.members))
+	asked := 0
 	for _, m := range view.members {
 		if m.Name == n.config.Name || m.Name == view.Holder {
 			continue
 		}
-		asked.Add(1)
-		go func() {
-			defer asked.Done()
-			var reply seenReply
-			if n.config.Peers.Call(ctx, m.Address, methodSeen, struct{}{}, &reply) != nil {
-				return
-			}
-			fresh := time.Duration(reply.HeardAgoMS)*time.Millisecond < silentAfter &&
-				time.Duration(reply.StoreAgeMS)*time.Millisecond < staleTable
-			if reply.Fence >= view.fence && fresh {
-				answers <- true
-			}
-		}()
+		asked++
+		go func() { answers <- n.askSeen(ctx, m) }()
 	}
-	done := make(chan struct{})
-	go func() {
-		asked.Wait()
-		close(done)
-	}()
-	select {
-	case <-answers:
+	for range asked {
+		reply := <-answers
+		if !reply.fresh() || reply.Fence < view.fence {
+			continue
+		}
+		if reply.Fence > view.fence {
+			n.follow(leaseState{leaseRow: reply.leaseRow, version: reply.Fence})
+		}
 		return true
-	case <-done:
-		return len(answers) > 0
 	}
+	return false
+}
+
+// askSeen asks one entry; the zero reply stands for no answer.
+func (n *Node) askSeen(ctx context.Context, m Member) seenReply {
+	var reply seenReply
+	if err := n.config.Peers.Call(ctx, m.Address, methodSeen, struct{}{}, &reply); err != nil {
+		n.metrics.beatFailures.Inc()
+		return seenReply{}
+	}
+	return reply
+}
+
+// fresh reports whether the entry hears a scheduler that reaches the table.
+func (r seenReply) fresh() bool {
+	return r.Fence != 0 && time.Duration(r.HeardAgoMS)*time.Millisecond < silentAfter &&
+		time.Duration(r.StoreAgeMS)*time.Millisecond < staleTable
 }
 
 // take writes this entry's name into the lease row, on condition of its version,
@@ -486,10 +491,10 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	if n.reign != nil && !n.reign.over() {
-		return seenReply{Fence: n.reign.fence, StoreAgeMS: n.reign.storeAge().Milliseconds()}, nil
+		return seenReply{leaseRow: n.view.leaseRow, Fence: n.reign.fence, StoreAgeMS: n.reign.storeAge().Milliseconds()}, nil
 	}
 	return seenReply{
-		Fence: n.view.fence, HeardAgoMS: time.Since(n.view.heardAt).Milliseconds(), StoreAgeMS: time.Since(n.view.storeAt).Milliseconds(),
+		leaseRow: n.view.leaseRow, Fence: n.view.fence, HeardAgoMS: time.Since(n.view.heardAt).Milliseconds(), StoreAgeMS: time.Since(n.view.storeAt).Milliseconds(),
 	}, nil
 }
 
--- a/process/cluster/node.go
+++ b/process/cluster/node.go
@@ -193,6 +193,19 @@
 	return members
 }
 
+// allHeard reports whether every standby that was ever heard in this reign was
+// heard lately.
+func (n *Node) allHeard() bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for _, m := range n.heard {
+		if time.Since(m.at) >= memberFor {
+			return false
+		}
+	}
+	return true
+}
+
 // serveCatalog gives the configuration in force to another entry.
 func (n *Node) serveCatalog(context.Context, json.RawMessage) (any, error) {
 	n.mu.Lock()
--- a/process/cluster/reign.go
+++ b/process/cluster/reign.go
@@ -28,10 +28,11 @@
 	recordTimeout = 1500 * time.Millisecond
 	// freshFor is how recent the table's answer must be to deny that a job exists.
 	freshFor = 600 * time.Millisecond
-	// extendWithoutTable is how long leases are extended without the table.
-	extendWithoutTable = 8 * time.Second
+	// extendWithoutTable is how long leases are extended without the table and
+	// without every other entry's heartbeat: one that took over sends none.
+	extendWithoutTable = 3 * time.Second
 	// predecessorMargin is added to the bound of leases of an earlier scheduler.
-	predecessorMargin = time.Second
+	predecessorMargin = 500 * time.Millisecond
 )
 
 // reign is the time in which this entry schedules a cell.
@@ -198,6 +199,7 @@
 				c.Forget(now.Add(-forgetUnwritten))
 			}
 			c.Tick(now)
+			r.lapseUnlisted(now, c)
 			for _, id := range c.ForgetWorkers(now) {
 				r.endWorker(id)
 			}
@@ -205,6 +207,19 @@
 	}
 }
 
+// lapseUnlisted gives up runs recorded on workers that the directory didn't list
+// since this reign began, once no earlier scheduler's lease can hold there.
+func (r *reign) lapseUnlisted(now time.Time, c *cell.Cell) {
+	if now.Before(r.predecessorsBound()) {
+		return
+	}
+	for _, id := range c.Unlisted() {
+		if r.workers[id] == nil {
+			c.WorkerLapsed(now, id)
+		}
+	}
+}
+
 // followDirectory keeps a loop for every worker that the directory lists.
 func (r *reign) followDirectory() {
 	r.node.config.Directory.Follow(r.ctx, func(list []cell.WorkerInfo) {
--- a/process/cluster/worker.go
+++ b/process/cluster/worker.go
@@ -47,11 +47,16 @@
 }
 
 // predecessorsBound is when every lease that an earlier scheduler granted has
-// surely run out: it extends leases for a while after it lost the table, and a
-// worker shortens each to the longest allowed.
+// surely run out: it extends leases for a while after it lost the table.
 func (r *reign) predecessorsBound() time.Time {
-	longest := time.Duration(float64(r.timings.HoldMax) / (1 - clockSlack))
-	return r.began.Add(extendWithoutTable + longest + predecessorMargin)
+	longest := time.Duration(float64(r.timings.Lease) / (1 - clockSlack))
+	return r.began.Add(extendWithoutTable + memberFor + longest + predecessorMargin)
+}
+
+// mayExtend reports whether leases may be extended: the table answers, or nobody
+// can have taken over since it did.
+func (r *reign) mayExtend() bool {
+	return r.storeAge() < extendWithoutTable || r.node.allHeard()
 }
 
 // endWorker stops the loop of a worker that left. The reign's lock is held.
@@ -90,7 +95,7 @@
 // nextLook prepares a look. A worker that didn't answer last time is asked at once
 // and without extending its lease, so that the lease can run out.
 func (r *reign) nextLook(w *workerLoop, silent bool) (LookCall, Target) {
-	age := r.storeAge()
+	extend := r.mayExtend()
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	acked, _ := r.cell.Acked(w.target.ID)
@@ -100,7 +105,7 @@
 	}
 	if w.lease.known() {
 		call.Wait = lookWait
-		if age < extendWithoutTable {
+		if extend {
 			call.NotAfter = w.lease.grant(time.Now(), r.timings.Lease)
 		}
 	}
