--- a/process/cell/admit.go
+++ b/process/cell/admit.go
@@ -32,10 +32,15 @@
 	Recording
 	// Refused jobs were not accepted and never run.
 	Refused
+	// Unavailable jobs were not accepted since nothing can be recorded now.
+	Unavailable
 	// Invalid jobs can't be read; the reason names the field.
 	Invalid
 )
 
+// tableUnavailable is the reason of refusals while nothing can be recorded.
+const tableUnavailable = "table unavailable"
+
 // Admission is a verdict with its reason.
 type Admission struct {
 	Verdict    Verdict
@@ -99,6 +104,10 @@
 	if err := spec.Check(); err != nil {
 		return Admission{Verdict: Invalid, Reason: err.Error()}
 	}
+	if c.troubled {
+		c.note(Note{Kind: NoteJobRefused, Job: spec.ID, Team: spec.Team, Reason: tableUnavailable, Wait: minRetryAfter})
+		return Admission{Verdict: Unavailable, Reason: tableUnavailable, RetryAfter: minRetryAfter}
+	}
 	spec.FirstSeen = now
 	spec.Surplus = c.isSurplus(now, spec.Team)
 	job := newJob(spec)
@@ -142,9 +151,6 @@
 
 // refusal says why a job can't be served, and when to come back; empty if it can.
 func (c *Cell) refusal(now time.Time, job *Job) (string, time.Duration) {
-	if c.troubled {
-		return "table unavailable", minRetryAfter
-	}
 	if len(c.live) >= maxLiveJobs {
 		return "too many jobs", maxRetryAfter
 	}
@@ -335,5 +341,5 @@
 			break
 		}
 	}
-	c.note(Note{Kind: NoteJobRefused, Job: job.ID, Team: job.Team, Reason: "table unavailable", Wait: minRetryAfter})
+	c.note(Note{Kind: NoteJobRefused, Job: job.ID, Team: job.Team, Reason: tableUnavailable, Wait: minRetryAfter})
 }
--- a/process/cluster/forward.go
+++ b/process/cluster/forward.go
@@ -103,6 +103,8 @@
 		return Reply{Result: ResultOK}
 	case cell.Invalid:
 		return Reply{Result: ResultInvalid, Reason: admission.Reason}
+	case cell.Unavailable:
+		return Reply{Result: ResultUnavailable, Reason: admission.Reason, RetryAfter: admission.RetryAfter}
 	case cell.Refused:
 		return Reply{Result: ResultRefused, Reason: admission.Reason, RetryAfter: admission.RetryAfter}
 	}
--- a/process/cluster/node.go
+++ b/process/cluster/node.go
@@ -22,7 +22,8 @@
 	Lease   time.Duration
 	// KeepEnded is how long ended jobs can be asked for.
 	KeepEnded time.Duration
-	// ConfigBound is how old the last contact about the configuration may be.
+	// ConfigBound is how old the last contact about the configuration may be; 0 is no
+	// bound.
 	ConfigBound time.Duration
 }
 
@@ -151,7 +152,8 @@
 func (n *Node) Catalog() *catalog.Catalog {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	if time.Since(n.contactAt) > n.config.Timings.ConfigBound {
+	bound := n.config.Timings.ConfigBound
+	if bound > 0 && time.Since(n.contactAt) > bound {
 		return nil
 	}
 	return n.published.Catalog
@@ -164,6 +166,13 @@
 	return !n.leaving && n.published.Catalog != nil
 }
 
+// Schedules reports whether this entry is the cell's scheduler.
+func (n *Node) Schedules() bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.reign != nil && !n.reign.over()
+}
+
 // Leave makes the node not ready and gives its reign to another entry.
 func (n *Node) Leave(ctx context.Context) {
 	n.mu.Lock()
