--- a/process/cell/advice.go
+++ b/process/cell/advice.go
@@ -33,7 +33,9 @@
 	asking bool
 	// judged holds the answer on each worker asked about.
 	judged map[string]judgement
-	again  time.Time
+	// freshUntil is when the last ticket ends.
+	freshUntil time.Time
+	again      time.Time
 }
 
 // judgement is the advisory service's answer on one life of a worker.
@@ -77,14 +79,14 @@
 // askForTasks asks about workers for the step's waiting tasks: first those with
 // room, then those that will have some while the tickets are good. A call costs far
 // more than a worker in it, so it is about many.
-func (c *Cell) askForTasks(r *round, s *step, list []*Worker, short int) {
+func (c *Cell) askForTasks(r *round, s *step, short int) {
 	if !c.mayAsk(r.now, s) {
 		return
 	}
 	soon := r.now.Add(s.occ.job.Policy.Advice.Valid / 2)
 	var slots []workerSlots
 	ready := false
-	for _, w := range list {
+	for _, w := range c.candidates(r, s) {
 		if s.advice.knownBad(w) || c.hasTicket(r.now, s, w) || r.holds.blocks(r.now, w, s) {
 			continue
 		}
@@ -144,14 +146,14 @@
 // askForGang asks about workers ahead of their having room: the answer on a worker
 // doesn't change, only its ticket ages. Tickets are renewed once there is room for
 // the whole step by the time of the answer.
-func (c *Cell) askForGang(r *round, s *step, list []*Worker) {
+func (c *Cell) askForGang(r *round, s *step) {
 	if !c.mayAsk(r.now, s) {
 		return
 	}
 	var known, unknown []workerSlots
 	good, soon := 0, 0
 	answer := r.now.Add(s.occ.job.Policy.Advice.CallTime(typicalAsk))
-	for _, w := range list {
+	for _, w := range c.candidates(r, s) {
 		whole := s.slotsIn(w.Capacity)
 		if whole == 0 || s.advice.knownBad(w) || r.holds.keeps(w, s) {
 			continue
@@ -282,6 +284,9 @@
 		}
 	}
 	until := answered.Add(job.Policy.Advice.Valid)
+	if len(good) > 0 {
+		s.advice.freshUntil = until
+	}
 	for _, ticket := range good {
 		if w := c.workers[ticket.Worker]; w != nil {
 			s.advice.judged[ticket.Worker] = judgement{good: true, born: w.life, ticket: ticket.Text, until: until}
--- a/process/cell/ends.go
+++ b/process/cell/ends.go
@@ -13,7 +13,9 @@
 	if saved == "" {
 		saved = r.saved
 	}
-	c.note(Note{Kind: NoteRunEnded, Job: job.ID, Team: job.Team, Task: r.Task, Run: r.Number, Worker: r.worker.ID, End: kind, Age: now.Sub(r.plannedAt)})
+	if kind != EndDone {
+		c.note(Note{Kind: NoteRunEnded, Job: job.ID, Team: job.Team, Task: r.Task, Run: r.Number, Worker: r.worker.ID, End: kind, Age: now.Sub(r.plannedAt)})
+	}
 	if t.current == r {
 		t.current = nil
 	}
--- a/process/cell/gang.go
+++ b/process/cell/gang.go
@@ -74,20 +74,18 @@
 	if s.deferred(r.now) || !c.withinCap(job.Team, total) {
 		return
 	}
-	list := c.candidates(r, s)
-	if fits(&s.spec.Need, &r.most) {
-		chosen := chooseSlots(c.gangSlots(r, s, list), len(s.tasks), s.spec.SameRack)
-		if chosen != nil {
-			c.placeGang(r.now, s, chosen)
-			r.measure()
-			return
-		}
+	if c.hopelessNow(r, s) && (u.tier != owed || r.holds.holders >= maxHolders) {
+		return
+	}
+	if chosen := chooseSlots(c.gangSlots(r, s), len(s.tasks), s.spec.SameRack); chosen != nil {
+		c.placeGang(r.now, s, chosen)
+		return
 	}
 	r.misses++
 	if u.tier == owed {
-		r.holds.add(r.now, s, list)
+		r.holds.add(c, r, s)
 	}
-	c.askForGang(r, s, list)
+	c.askForGang(r, s)
 }
 
 func (s *step) deferred(now time.Time) bool {
@@ -101,10 +99,10 @@
 }
 
 // gangSlots lists the workers that can take tasks of s now, most first.
-func (c *Cell) gangSlots(r *round, s *step, list []*Worker) []workerSlots {
+func (c *Cell) gangSlots(r *round, s *step) []workerSlots {
 	var slots []workerSlots
-	for _, w := range list {
-		if !c.hasTicket(r.now, s, w) || r.holds.keeps(w, s) {
+	for _, w := range c.startable(r, s) {
+		if r.holds.keeps(w, s) {
 			continue
 		}
 		if n := s.slotsIn(w.free()); n > 0 {
@@ -178,22 +176,24 @@
 	for _, t := range s.tasks {
 		last = max(last, t.lastRun)
 	}
-	next := 0
+	var placed []*Run
 	for _, slot := range chosen {
 		for range slot.tasks {
-			s.tasks[next].lastRun = last
-			c.place(now, s.tasks[next], slot.worker)
-			next++
+			t := s.tasks[len(placed)]
+			t.lastRun = last
+			placed = append(placed, c.place(now, t, slot.worker))
 		}
 	}
+	c.notePlaced(now, s, placed)
 }
 
 // add keeps workers free for s: those known to be allowed that will have room
 // soonest, just enough of them.
-func (h *holds) add(now time.Time, s *step, list []*Worker) {
+func (h *holds) add(c *Cell, r *round, s *step) {
 	if h.holders >= maxHolders {
 		return
 	}
+	list := c.candidates(r, s)
 	var candidates []workerSlots
 	ends := make(map[*Worker]time.Time)
 	for _, w := range list {
@@ -202,7 +202,7 @@
 		}
 		if n := s.slotsIn(w.Capacity); n > 0 {
 			candidates = append(candidates, workerSlots{w, n})
-			ends[w] = w.lastEndEstimate(now)
+			ends[w] = w.lastEndEstimate(r.now)
 		}
 	}
 	slices.SortStableFunc(candidates, func(a, b workerSlots) int { return ends[a.worker].Compare(ends[b.worker]) })
--- /dev/null
+++ b/process/cell/grown_test.go
@@ -0,0 +1,43 @@
+package cell
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/kingcuplatch/kingcuplatch/version/catalog"
+)
+
+// grownKinds are unlike work for 350 workers at about 80% of their room: wide gangs,
+// wide batch and a hundred urgent jobs a second.
+func grownKinds() (queues []*catalog.Queue, kinds []fakeKind) {
+	queues, kinds = fakeQueues()
+	kinds[0].perS, kinds[0].count, kinds[0].length = 5.4, 20, 4*time.Second
+	kinds[1].perS, kinds[1].count, kinds[1].cpu, kinds[1].length = 17, 25, 3500, 2200*time.Millisecond
+	kinds[2].perS, kinds[2].count, kinds[2].cpu, kinds[2].length = 100, 3.2, 5000, 800*time.Millisecond
+	for _, q := range queues {
+		advice := *q.Policy.Advice
+		advice.Decide, advice.Each = advice.Decide*2/3, advice.Each*2/3
+		q.Policy.Advice = &advice
+	}
+	for i := range kinds {
+		kinds[i].queue = queues[i]
+	}
+	return queues, kinds
+}
+
+// A fleet seven times as large with wide gangs, at the usual load.
+func TestGrownFleet(t *testing.T) {
+	queues, kinds := grownKinds()
+	w := newWorld(t, 21, 350, 42, queues, nil)
+	w.play(kinds, 10*time.Second, steady)
+	w.run(40 * time.Second)
+	w.report()
+	assert.Equal(t, len(w.violations), 0, "%v", w.violations)
+	for _, kind := range []string{"roster", "provision", "quote"} {
+		inTime, _ := w.share(kind)
+		assert.Assert(t, inTime >= 0.85, "%s: %.3f in time", kind, inTime)
+		assert.Equal(t, w.finished(kind), 1.0, kind)
+	}
+}
--- a/process/cell/notes.go
+++ b/process/cell/notes.go
@@ -38,8 +38,10 @@
 	Task   string
 	Run    int
 	Worker string
-	End    EndKind
-	State  State
+	// Workers are those of a placement, one a task.
+	Workers []string
+	End     EndKind
+	State   State
 	// Age is the age of the job or run, Wait the expected wait.
 	Age    time.Duration
 	Wait   time.Duration
--- a/process/cell/place.go
+++ b/process/cell/place.go
@@ -41,11 +41,12 @@
 func (c *Cell) planTasks(r *round, u unit) {
 	s := u.step
 	job := s.occ.job
-	if !fits(&s.spec.Need, &r.most) || !c.withinCap(job.Team, s.spec.Need) {
+	if len(r.roomy(s.spec.Need)) == 0 || c.hopelessNow(r, s) || !c.withinCap(job.Team, s.spec.Need) {
 		return
 	}
-	list := c.candidates(r, s)
+	list := c.startable(r, s)
 	short := 0
+	var placed []*Run
 	for _, t := range s.tasks {
 		if !t.placeable(r.now) {
 			continue
@@ -57,17 +58,17 @@
 		if !c.withinCap(job.Team, s.spec.Need) {
 			break
 		}
-		w := c.bestWorker(r, t, list)
+		w := c.bestWorker(t, list)
 		if w == nil {
 			short++
 			continue
 		}
-		c.place(r.now, t, w)
-		r.measure()
+		placed = append(placed, c.place(r.now, t, w))
 	}
+	c.notePlaced(r.now, s, placed)
 	if short > 0 {
 		r.misses++
-		c.askForTasks(r, s, list, short)
+		c.askForTasks(r, s, short)
 	}
 }
 
@@ -87,23 +88,31 @@
 	if c.health.Aside(w.ID) {
 		w.probe = false
 	}
-	job := t.step.occ.job
-	c.note(Note{Kind: NotePlaced, Job: job.ID, Team: job.Team, Task: r.Task, Run: r.Number, Worker: w.ID, Age: now.Sub(job.FirstSeen)})
-	c.touch(job)
+	c.touch(t.step.occ.job)
 	return r
 }
 
+// notePlaced notes the runs that a plan placed of a step.
+func (c *Cell) notePlaced(now time.Time, s *step, placed []*Run) {
+	if len(placed) == 0 {
+		return
+	}
+	job := s.occ.job
+	n := Note{Kind: NotePlaced, Job: job.ID, Team: job.Team, Task: placed[0].Task, Run: placed[0].Number, Runs: len(placed), Age: now.Sub(job.FirstSeen)}
+	for _, r := range placed {
+		n.Workers = append(n.Workers, r.worker.ID)
+	}
+	c.note(n)
+}
+
 // bestWorker returns the worker of the list with the lowest score that has room, or
 // nil.
-func (c *Cell) bestWorker(r *round, t *task, list []*Worker) *Worker {
+func (c *Cell) bestWorker(t *task, list []*Worker) *Worker {
 	s := t.step
 	var best *Worker
 	bestScore := 0.0
 	for _, w := range list {
-		if !fits(&s.spec.Need, &w.room) || !c.hasTicket(r.now, s, w) || (c.health.Aside(w.ID) && len(w.runs) > 0) {
-			continue
-		}
-		if r.holds.blocks(r.now, w, s) || s.onWorker(w) >= s.perWorkerBound() {
+		if !fits(&s.spec.Need, &w.room) || (len(w.runs) > 0 && c.health.Aside(w.ID)) || s.onWorker(w) >= s.perWorkerBound() {
 			continue
 		}
 		score := c.score(t, w)
--- a/process/cell/round.go
+++ b/process/cell/round.go
@@ -1,6 +1,8 @@
 package cell
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"github.com/kingcuplatch/kingcuplatch/process/resource"
@@ -9,16 +11,22 @@
 // round is what one plan works on: the workers that take new work, and what it
 // has decided so far.
 type round struct {
-	now   time.Time
-	ready []*Worker
+	now time.Time
+	// ready are the workers that take new work, those with most free processors at
+	// the start of the round first. Placing only makes room smaller, so the order
+	// bounds from above.
+	ready []readyWorker
 	holds holds
-	// most is the most room in each dimension that any ready worker has; it only
-	// bounds from above, since placing makes it smaller.
-	most resource.Amount
-	// misses counts the steps that found no room or no ticket.
+	// misses counts the steps that were looked at and found no room or no ticket.
 	misses int
 }
 
+// readyWorker is a worker with its free processors at the start of a round.
+type readyWorker struct {
+	*Worker
+	freeCPU int64
+}
+
 // maxMisses bounds the steps of a round that find nothing; those after them have
 // less of a claim, and the next round is a few milliseconds away.
 const maxMisses = 120
@@ -28,33 +36,60 @@
 	return need.MilliCPU <= room.MilliCPU && need.MemoryMB <= room.MemoryMB && need.Accelerators <= room.Accelerators
 }
 
-// measure works out most anew.
-func (r *round) measure() {
-	r.most = resource.Amount{}
-	for _, w := range r.ready {
-		r.most = r.most.Max(w.free())
-	}
-}
-
 func (c *Cell) newRound(now time.Time) *round {
 	r := &round{now: now, holds: holds{by: make(map[*Worker]*step)}}
 	for _, w := range c.workerOrder {
 		if w.usable(now) && c.sound(now, w) {
-			r.ready = append(r.ready, w)
+			r.ready = append(r.ready, readyWorker{w, w.room.MilliCPU})
 		}
 	}
-	r.measure()
+	slices.SortStableFunc(r.ready, func(a, b readyWorker) int { return cmp.Compare(b.freeCPU, a.freeCPU) })
 	return r
 }
 
-// candidates returns the ready workers on which tasks of s may run.
-func (c *Cell) candidates(r *round, s *step) []*Worker {
+// roomy returns the workers that may have room for need.
+func (r *round) roomy(need resource.Amount) []readyWorker {
+	n, _ := slices.BinarySearchFunc(r.ready, need.MilliCPU, func(w readyWorker, cpu int64) int {
+		if w.freeCPU >= cpu {
+			return -1
+		}
+		return 1
+	})
+	return r.ready[:n]
+}
+
+// carries reports whether tasks of s, whose job's upstream is given, may run on w.
+func (s *step) carries(upstream string, w *Worker) bool {
+	return w.Upstream == upstream && s.spec.labelFits(w)
+}
+
+// startable returns the workers on which a task of s can be started now.
+func (c *Cell) startable(r *round, s *step) []*Worker {
 	upstream := c.upstreamOf(s.occ.job)
 	var list []*Worker
-	for _, w := range r.ready {
-		if w.Upstream == upstream && s.spec.labelFits(w) {
+	for _, rw := range r.roomy(s.spec.Need) {
+		w := rw.Worker
+		if fits(&s.spec.Need, &w.room) && s.carries(upstream, w) && c.hasTicket(r.now, s, w) && !r.holds.blocks(r.now, w, s) {
 			list = append(list, w)
 		}
 	}
 	return list
 }
+
+// candidates returns the workers on which tasks of s may run, with room or without.
+func (c *Cell) candidates(r *round, s *step) []*Worker {
+	upstream := c.upstreamOf(s.occ.job)
+	var list []*Worker
+	for _, rw := range r.ready {
+		if s.carries(upstream, rw.Worker) {
+			list = append(list, rw.Worker)
+		}
+	}
+	return list
+}
+
+// hopelessNow reports whether the step can't be started in this round: it has no
+// ticket and can't ask for one.
+func (c *Cell) hopelessNow(r *round, s *step) bool {
+	return s.occ.job.Policy.Advice != nil && !s.advice.freshUntil.After(r.now.Add(2*ticketMargin)) && !c.mayAsk(r.now, s)
+}
--- a/process/cluster/calls.go
+++ b/process/cluster/calls.go
@@ -23,21 +23,26 @@
 type Member struct {
 	Name    string `json:"name"`
 	Address string `json:"address"`
+	// Cores is the processor that the entry has; larger ones schedule first.
+	Cores float64 `json:"cores,omitempty"`
 }
 
 // beat is a standby's heartbeat to the scheduler.
 type beat struct {
 	Member
 	CatalogVersion int64 `json:"catalog"`
+	// MembersHash tells which list of members the standby has.
+	MembersHash uint64 `json:"members_hash,omitempty"`
 }
 
 // beatReply is the scheduler's answer.
 type beatReply struct {
-	Fence          uint64   `json:"fence"`
-	CatalogVersion int64    `json:"catalog"`
-	StoreAgeMS     int64    `json:"store_age_ms"`
-	Members        []Member `json:"members,omitempty"`
-	Leaving        bool     `json:"leaving,omitempty"`
+	Fence          uint64 `json:"fence"`
+	CatalogVersion int64  `json:"catalog"`
+	StoreAgeMS     int64  `json:"store_age_ms"`
+	// Members are sent if the standby has another list.
+	Members []Member `json:"members,omitempty"`
+	Leaving bool     `json:"leaving,omitempty"`
 }
 
 // seenReply tells which scheduler an entry knows and how recently it heard it.
@@ -46,6 +51,8 @@
 	Fence      uint64 `json:"fence"`
 	HeardAgoMS int64  `json:"heard_ago_ms"`
 	StoreAgeMS int64  `json:"store_age_ms"`
+	// Refused is set while the scheduler's address refuses connections.
+	Refused bool `json:"refused,omitempty"`
 }
 
 // rawCatalog is a version of the configuration as it was read.
--- a/process/cluster/cluster_test.go
+++ b/process/cluster/cluster_test.go
@@ -259,10 +259,30 @@
 	assert.Equal(t, chooseAdviser(now, members[:1], busy, false).Name, "n0")
 }
 
-func TestRankMovesOn(t *testing.T) {
+func TestRankOfStandbys(t *testing.T) {
 	v := leaderView{members: []Member{{Name: "a"}, {Name: "b"}, {Name: "c"}}}
 	v.Holder = "b"
-	assert.Equal(t, rankOf("c", v), 0)
-	assert.Equal(t, rankOf("a", v), 1)
-	assert.Equal(t, rankOf("z", v), 3)
+	rank, known := rankOf("a", v)
+	assert.Assert(t, known && rank == 0)
+	rank, known = rankOf("c", v)
+	assert.Assert(t, known && rank == 1)
+	_, known = rankOf("z", v)
+	assert.Assert(t, !known)
+}
+
+// The largest entry schedules: from the start, after the scheduler is killed, and
+// when it comes later.
+func TestLargestSchedules(t *testing.T) {
+	inWorld(t, 0, func(w *world) {
+		for i, cores := range []float64{0.2, 0.8, 0.2, 0.4} {
+			w.startSized(fmt.Sprintf("n%d", i), cores)
+		}
+		assert.Equal(t, w.awaitLeader(2*time.Second, ""), "n1")
+		time.Sleep(time.Second)
+		w.kill("n1")
+		assert.Equal(t, w.awaitLeader(time.Second, "n1"), "n3")
+		w.startSized("n4", 0.8)
+		time.Sleep(5 * time.Second)
+		assert.DeepEqual(t, w.leaders(), []string{"n4"})
+	})
 }
--- a/process/cluster/elect.go
+++ b/process/cluster/elect.go
@@ -4,7 +4,8 @@
 	"context"
 	"encoding/json"
 	"errors"
-	"slices"
+	"fmt"
+	"hash/fnv"
 	"sync"
 	"time"
 
@@ -23,8 +24,10 @@
 	silentAfter = 500 * time.Millisecond
 	// refusedAfter is the same if its address refuses connections.
 	refusedAfter = 100 * time.Millisecond
-	// rankPause is added for each standby that comes earlier in turn.
-	rankPause = 120 * time.Millisecond
+	// firstRankPause is the pause of all but the first in turn, which so has looked
+	// before them; rankPause is added for each standby between.
+	firstRankPause = 2 * beatEvery
+	rankPause      = 100 * time.Millisecond
 	// staleTable is how long a scheduler may be without the table.
 	staleTable = 600 * time.Millisecond
 	// quickTable is how fast the table must answer a standby that takes over from a
@@ -34,6 +37,18 @@
 	askPeers = 200 * time.Millisecond
 	// loadTimeout bounds the reading of a cell's rows.
 	loadTimeout = 6 * time.Second
+	// settleTime is how long a new scheduler may be without the table's answers: it
+	// looks at every worker first.
+	settleTime = 2 * time.Second
+	// unknownPause, over its cores, is how long an entry that knows no other waits, so
+	// that larger ones come first.
+	unknownPause    = 150 * time.Millisecond
+	maxUnknownPause = 1200 * time.Millisecond
+	// yieldAfter is how long a scheduler reigns before it gives way to an entry that is
+	// larger by yieldFactor, and yieldAgain the pause before it does so again.
+	yieldAfter  = 3 * time.Second
+	yieldAgain  = 20 * time.Second
+	yieldFactor = 1.5
 	// releaseTimeout bounds the giving up of a reign.
 	releaseTimeout = 800 * time.Millisecond
 )
@@ -49,6 +64,8 @@
 type leaderView struct {
 	fence uint64
 	leaseRow
+	// since is when it became known.
+	since time.Time
 	// heardAt is when the scheduler was last heard, storeAt when it last reached the
 	// table, by its own word.
 	heardAt time.Time
@@ -66,7 +83,7 @@
 // newView is the view of a scheduler that was just heard of.
 func newView(fence uint64, row leaseRow, members []Member) leaderView {
 	now := time.Now()
-	v := leaderView{fence: fence, leaseRow: row, heardAt: now, storeAt: now, members: members}
+	v := leaderView{fence: fence, leaseRow: row, since: now, heardAt: now, storeAt: now, members: members}
 	v.ctx, v.cancel = context.WithCancel(context.Background())
 	return v
 }
@@ -100,6 +117,7 @@
 	n.mu.Unlock()
 	if r != nil && !r.over() {
 		n.touchContact(r)
+		n.yield(ctx, r)
 		return
 	}
 	if view.fence == 0 || view.Holder == "" {
@@ -112,6 +130,21 @@
 	}
 }
 
+// yield gives the reign to a larger entry, if one is heard.
+func (n *Node) yield(ctx context.Context, r *reign) {
+	n.mu.Lock()
+	largest := n.membersLocked()[0]
+	due := time.Since(r.began) > yieldAfter && time.Since(n.yieldedAt) > yieldAgain &&
+		largest.Cores > yieldFactor*n.config.Cores
+	if due {
+		n.yieldedAt = time.Now()
+	}
+	n.mu.Unlock()
+	if due {
+		n.release(ctx, r)
+	}
+}
+
 // touchContact counts the scheduler's own contact with the table as contact about
 // the configuration.
 func (n *Node) touchContact(r *reign) {
@@ -128,7 +161,8 @@
 		return
 	}
 	if !ok || row.leaseRow.Holder == "" {
-		if mayTake && n.catalog() != nil {
+		early := !ok && time.Since(n.startedAt) < n.unknownPause()
+		if mayTake && !early && n.catalog() != nil {
 			n.take(ctx, row.version, "nobody held the lease")
 		}
 		return
@@ -136,6 +170,11 @@
 	n.follow(row)
 }
 
+// unknownPause is how long this entry waits if it knows no other.
+func (n *Node) unknownPause() time.Duration {
+	return min(maxUnknownPause, time.Duration(float64(unknownPause)/max(n.config.Cores, 0.01)))
+}
+
 // knownMembers are the entries that were known last.
 func (n *Node) knownMembers() []Member {
 	n.mu.Lock()
@@ -185,7 +224,7 @@
 	defer cancel()
 	var reply beatReply
 	sent := time.Now()
-	err := n.config.Peers.Call(ctx, view.Address, methodBeat, beat{Member: n.member(), CatalogVersion: n.catalogVersion()}, &reply)
+	err := n.config.Peers.Call(ctx, view.Address, methodBeat, beat{Member: n.member(), CatalogVersion: n.catalogVersion(), MembersHash: hashMembers(view.members)}, &reply)
 	n.mu.Lock()
 	if n.view.fence != view.fence {
 		n.mu.Unlock()
@@ -208,7 +247,9 @@
 		n.view.refused = false
 		n.view.heardAt = sent
 		n.view.storeAt = sent.Add(-time.Duration(reply.StoreAgeMS) * time.Millisecond)
-		n.view.members = reply.Members
+		if len(reply.Members) > 0 {
+			n.view.members = reply.Members
+		}
 		n.view.leaving = reply.Leaving
 		n.contactAt = maxTime(n.contactAt, n.view.storeAt)
 	}
@@ -219,7 +260,9 @@
 	}
 }
 
-func (n *Node) member() Member { return Member{Name: n.config.Name, Address: n.config.Address} }
+func (n *Node) member() Member {
+	return Member{Name: n.config.Name, Address: n.config.Address, Cores: n.config.Cores}
+}
 
 func (n *Node) catalogVersion() int64 {
 	if c := n.catalog(); c != nil {
@@ -233,8 +276,11 @@
 	n.mu.Lock()
 	view := n.view
 	n.mu.Unlock()
-	rank := rankOf(n.config.Name, view)
-	silent, stale := view.missing(time.Now(), rank)
+	pause := n.unknownPause()
+	if rank, known := rankOf(n.config.Name, view); known {
+		pause = turnPause(rank)
+	}
+	silent, stale := view.missing(time.Now(), pause)
 	if !silent && !stale {
 		return
 	}
@@ -260,28 +306,36 @@
 }
 
 // missing reports whether the scheduler is silent, or without the table, for
-// longer than a standby of this rank waits.
-func (v leaderView) missing(now time.Time, rank int) (silent, stale bool) {
+// longer than a standby waits whose turn comes after pause.
+func (v leaderView) missing(now time.Time, pause time.Duration) (silent, stale bool) {
 	patience := silentAfter
 	if v.refused || v.leaving {
 		patience = refusedAfter
 	}
-	pause := time.Duration(rank) * rankPause
-	return now.Sub(v.heardAt) > patience+pause, now.Sub(v.storeAt) > staleTable+pause
+	settled := now.Sub(v.since) > settleTime
+	return now.Sub(v.heardAt) > patience+pause, settled && now.Sub(v.storeAt) > staleTable+pause
 }
 
-// rankOf is the place of a standby among those that may take over, counted from
-// the scheduler's place so that the turn moves on.
-func rankOf(name string, v leaderView) int {
-	names := make([]string, 0, len(v.members))
-	for _, m := range v.members {
-		names = append(names, m.Name)
+// turnPause is how long a standby of this rank waits.
+func turnPause(rank int) time.Duration {
+	if rank == 0 {
+		return 0
 	}
-	own, holder := slices.Index(names, name), slices.Index(names, v.Holder)
-	if own < 0 || holder < 0 {
-		return len(names)
+	return firstRankPause + time.Duration(rank-1)*rankPause
+}
+
+// rankOf is the place of a standby among those that may take over, and whether it
+// is known among them.
+func rankOf(name string, v leaderView) (rank int, known bool) {
+	for _, m := range v.members {
+		if m.Name == name {
+			return rank, true
+		}
+		if m.Name != v.Holder {
+			rank++
+		}
 	}
-	return (own - holder - 1 + len(names)) % len(names)
+	return rank, false
 }
 
 // heardByOthers asks the other entries whether they hear the scheduler and it
@@ -323,7 +377,7 @@
 
 // fresh reports whether the entry hears a scheduler that reaches the table.
 func (r seenReply) fresh() bool {
-	return r.Fence != 0 && time.Duration(r.HeardAgoMS)*time.Millisecond < silentAfter &&
+	return r.Fence != 0 && !r.Refused && time.Duration(r.HeardAgoMS)*time.Millisecond < silentAfter &&
 		time.Duration(r.StoreAgeMS)*time.Millisecond < staleTable
 }
 
@@ -466,7 +520,7 @@
 		return nil, err
 	}
 	n.mu.Lock()
-	rank := rankOf(n.config.Name, n.view)
+	rank, _ := rankOf(n.config.Name, n.view)
 	mine := n.view.fence == told.Fence
 	if mine {
 		n.setView(leaderView{members: n.view.members})
@@ -474,7 +528,7 @@
 	n.mu.Unlock()
 	if mine {
 		go func() {
-			sleep(context.Background(), time.Duration(rank)*rankPause)
+			sleep(context.Background(), turnPause(rank))
 			n.lookAfterRelease()
 		}()
 	}
@@ -491,6 +545,16 @@
 	}
 }
 
+// hashMembers tells lists of members apart.
+func hashMembers(members []Member) uint64 {
+	h := fnv.New64a()
+	for _, m := range members {
+		// A hash never fails to write.
+		_, _ = fmt.Fprintf(h, "%s %s %g;", m.Name, m.Address, m.Cores)
+	}
+	return h.Sum64()
+}
+
 // serveBeat answers a standby's heartbeat.
 func (n *Node) serveBeat(_ context.Context, params json.RawMessage) (any, error) {
 	var b beat
@@ -504,7 +568,10 @@
 		return nil, errNotScheduler
 	}
 	n.heard[b.Name] = heardMember{Member: b.Member, at: time.Now()}
-	reply := beatReply{Fence: r.fence, StoreAgeMS: r.storeAge().Milliseconds(), Members: n.membersLocked(), Leaving: n.leaving}
+	reply := beatReply{Fence: r.fence, StoreAgeMS: r.storeAge().Milliseconds(), Leaving: n.leaving}
+	if members := n.membersLocked(); hashMembers(members) != b.MembersHash {
+		reply.Members = members
+	}
 	if n.published.Catalog != nil {
 		reply.CatalogVersion = n.published.Catalog.Version
 	}
@@ -524,5 +591,6 @@
 	}
 	return seenReply{
 		leaseRow: n.view.leaseRow, Fence: n.view.fence, HeardAgoMS: time.Since(n.view.heardAt).Milliseconds(), StoreAgeMS: time.Since(n.view.storeAt).Milliseconds(),
+		Refused: n.view.refused,
 	}, nil
 }
--- a/process/cluster/log.go
+++ b/process/cluster/log.go
@@ -1,6 +1,8 @@
 package cluster
 
 import (
+	"strings"
+
 	"github.com/kingcuplatch/kingcuplatch/process/cell"
 	"github.com/kingcuplatch/kingcuplatch/process/events"
 )
@@ -26,7 +28,7 @@
 func logRun(log *events.Logger, n cell.Note) {
 	switch n.Kind {
 	case cell.NotePlaced:
-		log.Log(events.RunPlaced, n.Task, n.Run, n.Worker, n.Age.String())
+		log.Log(events.RunPlaced, n.Task, n.Run, n.Runs, strings.Join(n.Workers, " "), n.Age.String())
 	case cell.NotePlacementDropped:
 		log.Log(events.RunWithdrawn, n.Task, n.Run, n.Worker, n.Reason)
 	case cell.NoteStartAnswered:
--- a/process/cluster/metrics.go
+++ b/process/cluster/metrics.go
@@ -69,7 +69,7 @@
 	case cell.NoteJobEnded:
 		m.ended.Inc()
 	case cell.NotePlaced:
-		m.placed.Inc()
+		m.placed.Add(n.Runs)
 		if n.Run == 1 {
 			m.placeTime.Update(n.Age.Seconds())
 		}
--- a/process/cluster/node.go
+++ b/process/cluster/node.go
@@ -1,6 +1,7 @@
 package cluster
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"slices"
@@ -33,6 +34,8 @@
 	Name        string
 	Address     string
 	Incarnation string
+	// Cores is the processor that this entry has.
+	Cores float64
 	// FarFactor is how much longer tasks take away from their preferred rack.
 	FarFactor float64
 	Timings   Timings
@@ -62,6 +65,10 @@
 	// heard are the standbys that sent a heartbeat, by name.
 	heard   map[string]heardMember
 	leaving bool
+	// startedAt is when this life began; yieldedAt when it last gave its reign to a
+	// larger entry.
+	startedAt time.Time
+	yieldedAt time.Time
 }
 
 // heardMember is a standby and when it was heard last.
@@ -75,7 +82,7 @@
 
 // NewNode returns a node that isn't running.
 func NewNode(c Config) *Node {
-	return &Node{config: c, log: c.Log, metrics: newNodeMetrics(), heard: make(map[string]heardMember)}
+	return &Node{config: c, log: c.Log, metrics: newNodeMetrics(), heard: make(map[string]heardMember), startedAt: time.Now()}
 }
 
 // Handlers returns the methods that other entries call.
@@ -184,7 +191,7 @@
 	}
 }
 
-// liveMembers returns this entry and the standbys heard lately, in a fixed order.
+// liveMembers returns this entry and the standbys heard lately, the largest first.
 func (n *Node) liveMembers() []Member {
 	n.mu.Lock()
 	defer n.mu.Unlock()
@@ -192,13 +199,15 @@
 }
 
 func (n *Node) membersLocked() []Member {
-	members := []Member{{Name: n.config.Name, Address: n.config.Address}}
+	members := []Member{n.member()}
 	for name, m := range n.heard {
 		if time.Since(m.at) < memberFor && name != n.config.Name {
 			members = append(members, m.Member)
 		}
 	}
-	slices.SortFunc(members, func(a, b Member) int { return strings.Compare(a.Name, b.Name) })
+	slices.SortFunc(members, func(a, b Member) int {
+		return cmp.Or(cmp.Compare(b.Cores, a.Cores), strings.Compare(a.Name, b.Name))
+	})
 	return members
 }
 
--- a/process/cluster/reign.go
+++ b/process/cluster/reign.go
@@ -16,7 +16,7 @@
 	// times what the last plan took is the least pause, so that planning leaves most
 	// of the processor to the calls.
 	planPause = 4 * time.Millisecond
-	planRest  = 4
+	planRest  = 3
 	// tickEvery is the period of what is due by time alone.
 	tickEvery = 200 * time.Millisecond
 	// orderTimeout bounds an order to a worker.
--- a/process/cluster/world_test.go
+++ b/process/cluster/world_test.go
@@ -96,9 +96,12 @@
 }
 
 // start runs a new life of the node.
-func (w *world) start(name string) {
+func (w *world) start(name string) { w.startSized(name, 1) }
+
+// startSized runs a new life of a node that has so many cores.
+func (w *world) startSized(name string, cores float64) {
 	n := NewNode(Config{
-		Name: name, Address: name, Incarnation: name + time.Now().String(),
+		Name: name, Cores: cores, Address: name, Incarnation: name + time.Now().String(),
 		Timings: Timings{Lease: 4 * time.Second, KeepEnded: time.Minute},
 		Table:   &nodeTable{w, name}, Directory: w, Catalogs: worldCatalogs{w}, Workers: &nodeWorkers{w, name}, Advisor: w,
 		Peers: &nodePeers{w, name}, Log: events.New(io.Discard, name),
--- a/process/events/catalogue.go
+++ b/process/events/catalogue.go
@@ -54,10 +54,10 @@
 	JobCancelled = &Event{7104, logrus.InfoLevel, "job cancelled", []string{"job", "team", "age"}, nothing}
 	CallRefused  = &Event{7105, logrus.InfoLevel, "call answered without success", []string{"job", "queue", "team", "operation", "status", "reason", "catalog"}, nothing}
 
-	RunPlaced      = &Event{7201, logrus.InfoLevel, "run placed", []string{"task", "run", "worker", "age"}, nothing}
+	RunPlaced      = &Event{7201, logrus.InfoLevel, "runs of a step placed; the task is the first, a worker each", []string{"task", "run", "runs", "workers", "age"}, nothing}
 	RunWithdrawn   = &Event{7202, logrus.InfoLevel, "run withdrawn, it surely isn't on its worker", []string{"task", "run", "worker", "reason"}, nothing}
 	StartFailed    = &Event{7203, logrus.WarnLevel, "order to start wasn't answered with success", []string{"task", "run", "worker", "answer", "age"}, nothing}
-	RunEnded       = &Event{7204, logrus.InfoLevel, "run ended", []string{"task", "run", "worker", "end", "age"}, nothing}
+	RunEnded       = &Event{7204, logrus.InfoLevel, "run ended without success", []string{"task", "run", "worker", "end", "age"}, nothing}
 	RunStuck       = &Event{7205, logrus.WarnLevel, "run stands still, stopped", []string{"task", "run", "worker", "still_for"}, "Look at the worker if it repeats."}
 	RunStray       = &Event{7206, logrus.WarnLevel, "a worker lists a run that isn't known, stopped", []string{"task", "run", "worker", "error"}, nothing}
 	AdviceFailed   = &Event{7207, logrus.WarnLevel, "call for advice failed", []string{"step", "entry", "workers", "error"}, "Asked again by itself; look at the advisory service if it lasts."}
