Keep a slow table's writes and takeovers from piling up

Ruled out: the quick-read condition of standbys (it held). Change: batches are bounded by entries; a second write goes beside one that takes long, no more; while the table is slow a new job waits 60 ms for its placement, so that both are one record; beats are answered while the cell is read; looks at the lease row take turns; calls without success log how long they took; slow writes are logged. A failed try on the way: a mutex for the turns stopped virtual time (the test hung for 10 minutes); a channel now. TestTakeoverWithSlowTable fails without answered beats.

--- a/process/cell/admit.go
+++ b/process/cell/admit.go
@@ -125,11 +125,13 @@
 // addWaiter lets wait hear of the next record of the job; one on its way holds
 // the acceptance, so a waiter for that joins it.
 func (j *Job) addWaiter(c *Cell, wait Waiter) {
-	if j.inFlight && !j.dirty && c.batch != nil {
-		for _, e := range c.batch.jobs {
-			if e.job == j {
-				e.waiters = append(e.waiters, wait)
-				return
+	if j.inFlight && !j.dirty {
+		for _, b := range c.batches {
+			for _, e := range b.jobs {
+				if e.job == j {
+					e.waiters = append(e.waiters, wait)
+					return
+				}
 			}
 		}
 	}
--- a/process/cell/cell.go
+++ b/process/cell/cell.go
@@ -52,9 +52,11 @@
 
 	seq      uint64
 	dirty    []*Job
-	batch    *Batch
+	batches  []*Batch
 	actions  Actions
 	troubled bool
+	// slowTable is set while writes take long.
+	slowTable bool
 	// explainedAt is when the last note on what waits was made.
 	explainedAt time.Time
 }
--- a/process/cell/record.go
+++ b/process/cell/record.go
@@ -17,9 +17,16 @@
 	statePrefix = "t/"
 )
 
-// maxBatchJobs bounds the jobs in one write: each needs up to two rows, and each
-// row a condition and a write.
-const maxBatchJobs = 24
+// maxBatchEntries bounds the conditions and writes of one batch; the shell adds a
+// condition of its own.
+const maxBatchEntries = 98
+
+// maxRowsPerJob is how many rows of a job a batch may write.
+const maxRowsPerJob = 2
+
+// joinWait is how long a new job may wait for its placement, so that both are
+// recorded at once. It is done while the table is slow.
+const joinWait = 60 * time.Millisecond
 
 // maxBatchBytes bounds the bytes of one write, before encoding.
 const maxBatchBytes = 400 << 10
@@ -91,32 +98,50 @@
 
 // recordedUpTo returns the number up to which all changes are recorded.
 func (c *Cell) recordedUpTo() uint64 {
-	if c.batch != nil && len(c.batch.jobs) > 0 {
-		return c.batch.jobs[0].dirtyAt - 1
+	upTo := c.seq
+	for _, b := range c.batches {
+		upTo = min(upTo, b.jobs[0].dirtyAt-1)
 	}
 	if len(c.dirty) > 0 {
-		return c.dirty[0].dirtyAt - 1
+		upTo = min(upTo, c.dirty[0].dirtyAt-1)
 	}
-	return c.seq
+	return upTo
 }
 
-// TakeBatch returns the next write, or nil if there is nothing to record or one
-// is on its way.
-func (c *Cell) TakeBatch() *Batch {
-	if c.batch != nil || len(c.dirty) == 0 {
-		return nil
-	}
+// TakeBatch returns the next write, or nil if there is nothing to record. Several
+// may be on their way at a time, each with jobs of its own.
+func (c *Cell) TakeBatch(now time.Time) *Batch {
 	b := &Batch{}
 	bytes := 0
-	n := 0
-	for ; n < len(c.dirty) && n < maxBatchJobs && bytes < maxBatchBytes; n++ {
-		bytes += b.add(c.dirty[n])
+	var left []*Job
+	for i, job := range c.dirty {
+		full := len(b.Conditions)+len(b.Writes)+2*maxRowsPerJob > maxBatchEntries || bytes >= maxBatchBytes
+		if full {
+			left = append(left, c.dirty[i:]...)
+			break
+		}
+		if job.inFlight || (c.slowTable && job.mayJoin(now)) {
+			left = append(left, job)
+			continue
+		}
+		bytes += b.add(job)
+	}
+	c.dirty = left
+	if len(b.jobs) == 0 {
+		return nil
 	}
-	c.dirty = slices.Clone(c.dirty[n:])
-	c.batch = b
+	c.batches = append(c.batches, b)
 	return b
 }
 
+// SlowTable tells the cell whether writes take long.
+func (c *Cell) SlowTable(slow bool) { c.slowTable = slow }
+
+// mayJoin reports whether a new job's record should wait for its placement.
+func (j *Job) mayJoin(now time.Time) bool {
+	return !j.accepted && j.live == 0 && !j.outcome.Ended() && now.Sub(j.FirstSeen) < joinWait
+}
+
 // add puts the rows of a job into the batch and returns their bytes.
 func (b *Batch) add(job *Job) int {
 	e := &batchJob{
@@ -253,11 +278,10 @@
 	return numbers
 }
 
-// BatchRecorded takes in that the batch on its way was written with version. What
-// waited for it goes on.
-func (c *Cell) BatchRecorded(now time.Time, version uint64) {
-	b := c.batch
-	c.batch = nil
+// BatchRecorded takes in that a batch was written with version. What waited for it
+// goes on.
+func (c *Cell) BatchRecorded(now time.Time, b *Batch, version uint64) {
+	c.batches = slices.DeleteFunc(c.batches, func(one *Batch) bool { return one == b })
 	for _, e := range b.jobs {
 		c.jobRecorded(now, e, version)
 	}
--- a/process/cluster/cluster_test.go
+++ b/process/cluster/cluster_test.go
@@ -161,6 +161,29 @@
 	})
 }
 
+// The table is slow while the scheduler leaves: the next one, which takes a second
+// to write the lease row and to read the cell, isn't taken over from meanwhile.
+func TestTakeoverWithSlowTable(t *testing.T) {
+	inWorld(t, 4, func(w *world) {
+		leader := w.awaitLeader(2*time.Second, "")
+		time.Sleep(time.Second)
+		w.mu.Lock()
+		w.slow = 500 * time.Millisecond
+		n := w.nodes[leader]
+		w.mu.Unlock()
+		n.Leave(context.Background())
+		next := w.awaitLeader(5*time.Second, leader)
+		w.mu.Lock()
+		fence := w.nodes[next].lastFence()
+		w.mu.Unlock()
+		time.Sleep(5 * time.Second)
+		assert.DeepEqual(t, w.leaders(), []string{next})
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		assert.Equal(t, w.nodes[next].lastFence(), fence)
+	})
+}
+
 // A standby that alone can't hear the scheduler doesn't take over.
 func TestCutStandbyDoesntTakeOver(t *testing.T) {
 	inWorld(t, 4, func(w *world) {
--- a/process/cluster/elect.go
+++ b/process/cluster/elect.go
@@ -112,6 +112,8 @@
 }
 
 func (n *Node) electOnce(ctx context.Context) {
+	<-n.turn
+	defer func() { n.turn <- struct{}{} }()
 	n.mu.Lock()
 	r, view, leaving := n.reign, n.view, n.leaving
 	n.mu.Unlock()
@@ -437,6 +439,8 @@
 
 // begin reads the cell and starts to reign. A cell that can't be read is given up.
 func (n *Node) begin(ctx context.Context, fence uint64, since time.Time) {
+	n.setLoading(fence)
+	defer n.setLoading(0)
 	loadCtx, cancel := context.WithTimeout(ctx, loadTimeout)
 	defer cancel()
 	r, err := newReign(loadCtx, n, fence, since)
@@ -468,6 +472,13 @@
 	}()
 }
 
+// setLoading notes the fence of a reign whose cell is being read.
+func (n *Node) setLoading(fence uint64) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.loading = fence
+}
+
 // ended makes the node a standby that looks at the lease row next.
 func (n *Node) ended(r *reign) {
 	n.mu.Lock()
@@ -537,8 +548,10 @@
 
 // lookAfterRelease is a look at the lease row outside the turn of elect.
 func (n *Node) lookAfterRelease() {
+	<-n.turn
+	defer func() { n.turn <- struct{}{} }()
 	n.mu.Lock()
-	idle := n.view.fence == 0 && !n.leaving
+	idle := n.view.fence == 0 && !n.leaving && (n.reign == nil || n.reign.over())
 	n.mu.Unlock()
 	if idle {
 		n.lookAtLease(context.Background(), true)
@@ -563,6 +576,12 @@
 	}
 	n.mu.Lock()
 	r := n.reign
+	if n.loading != 0 {
+		// The cell is being read: the others are to wait for it.
+		defer n.mu.Unlock()
+		n.heard[b.Name] = heardMember{Member: b.Member, at: time.Now()}
+		return beatReply{Fence: n.loading}, nil
+	}
 	if r == nil || r.over() {
 		n.mu.Unlock()
 		return nil, errNotScheduler
--- a/process/cluster/node.go
+++ b/process/cluster/node.go
@@ -55,8 +55,13 @@
 	metrics *nodeMetrics
 	log     *events.Logger
 
+	// turn holds a token while nobody looks at the lease row in order to take it.
+	turn chan struct{}
+
 	mu        sync.Mutex
 	published Publication
+	// loading is the fence of a reign whose cell is being read; 0 if there is none.
+	loading uint64
 	// contactAt is when the operators' table was last heard of, directly or through
 	// the scheduler.
 	contactAt time.Time
@@ -82,7 +87,10 @@
 
 // NewNode returns a node that isn't running.
 func NewNode(c Config) *Node {
-	return &Node{config: c, log: c.Log, metrics: newNodeMetrics(), heard: make(map[string]heardMember), startedAt: time.Now()}
+	n := &Node{config: c, log: c.Log, metrics: newNodeMetrics(), heard: make(map[string]heardMember), startedAt: time.Now()}
+	n.turn = make(chan struct{}, 1)
+	n.turn <- struct{}{}
+	return n
 }
 
 // Handlers returns the methods that other entries call.
@@ -262,6 +270,6 @@
 }
 
 // LogCall writes that a call was answered without success.
-func (n *Node) LogCall(call Call, status int, reason string, version int64) {
-	n.log.Log(events.CallRefused, call.ID, call.Queue, call.Team, string(call.Op), status, reason, version)
+func (n *Node) LogCall(call Call, status int, reason string, version int64, took time.Duration) {
+	n.log.Log(events.CallRefused, call.ID, call.Queue, call.Team, string(call.Op), status, reason, version, took.String())
 }
--- a/process/cluster/record.go
+++ b/process/cluster/record.go
@@ -20,12 +20,20 @@
 	tableTimeout = 1200 * time.Millisecond
 	// tableRetry is the pause after a call that failed.
 	tableRetry = 60 * time.Millisecond
+	// usualWrite is how long a write may take before another one is sent beside it,
+	// maxWrites how many may be under way: a part of
+	// the table does its writes one after the other.
+	usualWrite = 25 * time.Millisecond
+	maxWrites  = 2
+	// slowWrite is the time from which the table counts as slow.
+	slowWrite = 100 * time.Millisecond
 	// probeEvery is the pause between looks at the lease row while nothing is
 	// written.
 	probeEvery = 250 * time.Millisecond
 )
 
-// recordLoop writes what has changed, one write at a time.
+// recordLoop writes what has changed. A write that takes its usual time is followed
+// by the next one; while writes take longer, more are sent beside them.
 func (r *reign) recordLoop() {
 	for {
 		select {
@@ -33,32 +41,66 @@
 			return
 		case <-r.record:
 		}
-		for r.recordOnce() {
+		for r.mayWrite() {
+			r.mu.Lock()
+			batch := r.cell.TakeBatch(time.Now())
+			r.mu.Unlock()
+			if batch == nil {
+				break
+			}
+			began := time.Now()
+			r.storeMu.Lock()
+			r.writes[batch] = began
+			r.storeMu.Unlock()
+			r.tasks.Add(1)
+			go func() {
+				defer r.tasks.Done()
+				r.recordBatch(batch, began)
+			}()
 		}
 	}
 }
 
-// recordOnce writes one batch and reports whether there was one.
-func (r *reign) recordOnce() bool {
-	r.mu.Lock()
-	batch := r.cell.TakeBatch()
-	r.mu.Unlock()
-	if batch == nil || r.over() {
-		return false
+// mayWrite reports whether another write may be sent now. If one is under way, the
+// loop looks again once that has taken its usual time.
+func (r *reign) mayWrite() bool {
+	r.storeMu.Lock()
+	defer r.storeMu.Unlock()
+	oldest := time.Duration(0)
+	for _, began := range r.writes {
+		oldest = max(oldest, time.Since(began))
+	}
+	if len(r.writes) == 0 || (oldest > usualWrite && len(r.writes) < maxWrites) {
+		return true
+	}
+	if len(r.writes) < maxWrites {
+		time.AfterFunc(usualWrite, func() { signal(r.record) })
 	}
-	began := time.Now()
+	return false
+}
+
+// recordBatch writes one batch and lets what waited for it go on.
+func (r *reign) recordBatch(batch *cell.Batch, began time.Time) {
 	version, ok := r.write(batch)
+	took := time.Since(began)
+	r.storeMu.Lock()
+	delete(r.writes, batch)
+	others := len(r.writes)
+	r.storeMu.Unlock()
 	if !ok {
-		return false
+		return
 	}
-	r.node.metrics.recordTime.UpdateDuration(began)
+	if took > slowWrite {
+		r.node.log.Log(events.WriteSlow, took.String(), others, len(batch.Writes))
+	}
+	r.node.metrics.recordTime.Update(took.Seconds())
 	r.change(func(now time.Time, c *cell.Cell) {
-		c.BatchRecorded(now, version)
+		c.SlowTable(took > slowWrite)
+		c.BatchRecorded(now, batch, version)
 		for _, w := range r.workers {
 			signal(w.acks)
 		}
 	})
-	return true
 }
 
 // write repeats the same transaction until its outcome is known. It reports false
@@ -68,8 +110,6 @@
 		Conditions: append([]platform.Condition{{Key: leaseKey, Version: r.fence}}, batch.Conditions...),
 		Writes:     batch.Writes,
 	}
-	r.setWriting(true)
-	defer r.setWriting(false)
 	for !r.over() {
 		sent := time.Now()
 		ctx, cancel := context.WithTimeout(r.ctx, tableTimeout)
@@ -181,12 +221,6 @@
 	r.end()
 }
 
-func (r *reign) setWriting(writing bool) {
-	r.storeMu.Lock()
-	r.writing = writing
-	r.storeMu.Unlock()
-}
-
 func (r *reign) storeAnswered(sent time.Time) {
 	r.storeMu.Lock()
 	if sent.After(r.storeAt) {
--- a/process/cluster/reign.go
+++ b/process/cluster/reign.go
@@ -67,7 +67,8 @@
 	// is zero while calls succeed.
 	storeAt      time.Time
 	failingSince time.Time
-	writing      bool
+	// writes are the batches under way and when each was sent first.
+	writes map[*cell.Batch]time.Time
 }
 
 // newReign loads the cell's rows; the lease row must be this entry's at version
@@ -85,7 +86,7 @@
 	r := &reign{
 		node: n, fence: fence, timings: n.timings(), began: since, cell: loaded,
 		kick: make(chan struct{}, 1), record: make(chan struct{}, 1),
-		workers: make(map[string]*workerLoop), storeAt: since,
+		workers: make(map[string]*workerLoop), storeAt: since, writes: make(map[*cell.Batch]time.Time),
 	}
 	r.advisers = newAdvisers(r)
 	r.ctx, r.cancel = context.WithCancel(context.Background())
--- a/process/events/catalogue.go
+++ b/process/events/catalogue.go
@@ -48,11 +48,13 @@
 	FeedBack         = &Event{7010, logrus.InfoLevel, "a feed of the platform is read again", []string{"table", "after"}, nothing}
 	RowIgnored       = &Event{7011, logrus.WarnLevel, "a row of the platform can't be used", []string{"table", "key", "error"}, "Look at who writes that row."}
 
+	WriteSlow = &Event{7012, logrus.WarnLevel, "a write to the table took long", []string{"took", "under_way", "rows"}, "Look at the platform if it lasts."}
+
 	JobAccepted  = &Event{7101, logrus.InfoLevel, "job accepted", []string{"job", "team", "age"}, nothing}
 	JobRefused   = &Event{7102, logrus.InfoLevel, "job refused, it never runs", []string{"job", "team", "reason", "retry_after"}, nothing}
 	JobEnded     = &Event{7103, logrus.InfoLevel, "job ended", []string{"job", "team", "state", "age"}, nothing}
 	JobCancelled = &Event{7104, logrus.InfoLevel, "job cancelled", []string{"job", "team", "age"}, nothing}
-	CallRefused  = &Event{7105, logrus.InfoLevel, "call answered without success", []string{"job", "queue", "team", "operation", "status", "reason", "catalog"}, nothing}
+	CallRefused  = &Event{7105, logrus.InfoLevel, "call answered without success", []string{"job", "queue", "team", "operation", "status", "reason", "catalog", "took"}, nothing}
 
 	RunPlaced      = &Event{7201, logrus.InfoLevel, "runs of a step placed; the task is the first, a worker each", []string{"task", "run", "runs", "workers", "age"}, nothing}
 	RunWithdrawn   = &Event{7202, logrus.InfoLevel, "run withdrawn, it surely isn't on its worker", []string{"task", "run", "worker", "reason"}, nothing}
@@ -82,7 +84,7 @@
 	RequestUnknown,
 	KeeperError,
 	SchedulerKnown, SchedulerTook, SchedulerBegan, SchedulerDeposed, SchedulerEnded, TableLost, TableBack,
-	SettingsReloaded, FeedLost, FeedBack, RowIgnored,
+	SettingsReloaded, FeedLost, FeedBack, RowIgnored, WriteSlow,
 	JobAccepted, JobRefused, JobEnded, JobCancelled, CallRefused,
 	RunPlaced, RunWithdrawn, StartFailed, RunEnded, RunStuck, RunStray, AdviceFailed, StepWaits,
 	WorkerTaken, WorkerSilent, WorkerAnswers, WorkerLapsed, WorkerReborn, WorkerDrains, WorkerMissing,
