Split the files of the election and of the records

Change: view, take and standby apart from the loop; batch and load apart from the rows; FarFactor and HoldMax are gone. No behaviour changed. Ruled out: nothing else.

--- a/process/cell/cell.go
+++ b/process/cell/cell.go
@@ -28,8 +28,6 @@
 type Settings struct {
 	// KeepEnded is how long the state of an ended job can be asked for.
 	KeepEnded time.Duration
-	// FarFactor is how much longer tasks take away from their preferred rack.
-	FarFactor float64
 }
 
 // Cell is the state of one cell. It is not safe for concurrent use.
@@ -184,7 +182,7 @@
 	return n
 }
 
-// Idle counts what a page of the cell shows.
+// Counts returns how many jobs, live jobs, workers and runs the cell knows.
 func (c *Cell) Counts() (jobs, live, workers, runs int) {
 	for _, w := range c.workers {
 		runs += len(w.runs)
--- /dev/null
+++ b/process/cell/load.go
@@ -0,0 +1,127 @@
+package cell
+
+import (
+	"encoding/json"
+	"fmt"
+	"strings"
+	"time"
+
+	"github.com/kingcuplatch/kingcuplatch/process/platform"
+)
+
+// Load returns a cell with the jobs that its rows hold. A row that can't be read
+// is an error that names it.
+func Load(settings Settings, rows []platform.Row) (*Cell, error) {
+	c := New(settings, nil)
+	states := make(map[string]platform.Row)
+	for _, row := range rows {
+		switch {
+		case strings.HasPrefix(row.Key, specPrefix):
+			var spec JobSpec
+			if err := json.Unmarshal(row.Value, &spec); err != nil {
+				return nil, fmt.Errorf("row %s: %w", row.Key, err)
+			}
+			job := newJob(spec)
+			job.accepted = true
+			job.specVersion = row.Version
+			c.jobs[job.ID] = job
+			c.live = append(c.live, job)
+		case strings.HasPrefix(row.Key, statePrefix):
+			states[strings.TrimPrefix(row.Key, statePrefix)] = row
+		}
+	}
+	for id, row := range states {
+		if err := c.loadState(id, row); err != nil {
+			return nil, fmt.Errorf("row %s: %w", row.Key, err)
+		}
+	}
+	return c, nil
+}
+
+func (c *Cell) loadState(id string, row platform.Row) error {
+	var state stateRow
+	if err := json.Unmarshal(row.Value, &state); err != nil {
+		return err
+	}
+	job := c.jobs[id]
+	if job == nil {
+		job = &Job{JobSpec: JobSpec{ID: id, Queue: state.Queue, Team: state.Team}, specGone: true, accepted: true}
+		c.jobs[id] = job
+	}
+	job.stateVersion = row.Version
+	job.outcome, job.shown, job.endedAt, job.started = state.Outcome, state.Outcome, state.Ended, state.Started
+	if job.shown == "" {
+		job.shown = Queued
+	}
+	if job.specGone {
+		return nil
+	}
+	if job.outcome.Ended() {
+		job.endedAt = state.Ended
+	}
+	for k, or := range state.Occs {
+		if k >= len(job.occs) {
+			job.addOccurrence(k, job.dueOf(k))
+		}
+		for i, sr := range or.Steps {
+			if i < len(job.occs[k].steps) {
+				c.loadStep(job.occs[k].steps[i], sr)
+			}
+		}
+	}
+	return nil
+}
+
+func (c *Cell) loadStep(s *step, row stepRow) {
+	s.checkpoint = row.Checkpoint
+	s.failedRuns = numberSet(row.Failed)
+	for i, t := range s.tasks {
+		if i < len(row.Done) && row.Done[i] == '1' {
+			t.markDone()
+		}
+	}
+	for _, tr := range row.Tasks {
+		if tr.Index < 0 || tr.Index >= len(s.tasks) {
+			continue
+		}
+		t := s.tasks[tr.Index]
+		t.lastRun, t.checkpoint, t.failedRuns = tr.Last, tr.Checkpoint, numberSet(tr.Failed)
+		if tr.Worker != "" {
+			c.addRun(t, c.workerNamed(tr.Worker), runAdopted)
+		}
+	}
+}
+
+func numberSet(numbers []int) map[int]bool {
+	set := make(map[int]bool, len(numbers))
+	for _, n := range numbers {
+		set[n] = true
+	}
+	return set
+}
+
+// workerNamed returns the worker, known from a record only if need be.
+func (c *Cell) workerNamed(id string) *Worker {
+	w := c.workers[id]
+	if w == nil {
+		w = &Worker{WorkerInfo: WorkerInfo{ID: id}, runs: make(map[RunKey]*Run), strays: make(map[RunKey]time.Time)}
+		c.workers[id] = w
+		c.workerOrder = append(c.workerOrder, w)
+	}
+	return w
+}
+
+// addRun puts the task's last run on w and takes its room.
+func (c *Cell) addRun(t *task, w *Worker, state runState) *Run {
+	job := t.step.occ.job
+	r := &Run{
+		RunKey: RunKey{Task: t.name(), Number: t.lastRun},
+		task:   t, worker: w, need: t.step.spec.Need, team: job.Team, state: state,
+	}
+	w.runs[r.RunKey] = r
+	w.use(r.need)
+	c.usage[r.team] = c.usage[r.team].Add(r.need)
+	t.current = r
+	job.live++
+	return r
+}
--- a/process/cell/world_test.go
+++ b/process/cell/world_test.go
@@ -86,7 +86,6 @@
 	length  time.Duration
 	need    resource.Amount
 	task    string
-	dead    bool
 }
 
 type event struct {
--- a/process/cluster/node.go
+++ b/process/cluster/node.go
@@ -18,9 +18,8 @@
 
 // Timings of a node.
 type Timings struct {
-	// HoldMax is the longest lease that workers accept, Lease what they are given.
-	HoldMax time.Duration
-	Lease   time.Duration
+	// Lease is what workers are given.
+	Lease time.Duration
 	// KeepEnded is how long ended jobs can be asked for.
 	KeepEnded time.Duration
 	// ConfigBound is how old the last contact about the configuration may be; 0 is no
@@ -35,10 +34,8 @@
 	Address     string
 	Incarnation string
 	// Cores is the processor that this entry has.
-	Cores float64
-	// FarFactor is how much longer tasks take away from their preferred rack.
-	FarFactor float64
-	Timings   Timings
+	Cores   float64
+	Timings Timings
 
 	Table     platform.Table
 	Directory Directory
--- a/process/cluster/reign.go
+++ b/process/cluster/reign.go
@@ -78,7 +78,7 @@
 	if err != nil {
 		return nil, err
 	}
-	loaded, err := cell.Load(cell.Settings{KeepEnded: n.timings().KeepEnded, FarFactor: n.config.FarFactor}, rows)
+	loaded, err := cell.Load(cell.Settings{KeepEnded: n.timings().KeepEnded}, rows)
 	if err != nil {
 		return nil, err
 	}
--- /dev/null
+++ b/process/cluster/take.go
@@ -0,0 +1,187 @@
+package cluster
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"sync"
+	"time"
+
+	"github.com/kingcuplatch/kingcuplatch/process/events"
+	"github.com/kingcuplatch/kingcuplatch/process/platform"
+)
+
+// yield gives the reign to a larger entry, if one is heard.
+func (n *Node) yield(ctx context.Context, r *reign) {
+	n.mu.Lock()
+	largest := n.membersLocked()[0]
+	due := time.Since(r.began) > yieldAfter && time.Since(n.yieldedAt) > yieldAgain &&
+		largest.Cores > yieldFactor*n.config.Cores
+	if due {
+		n.yieldedAt = time.Now()
+	}
+	n.mu.Unlock()
+	if due {
+		n.release(ctx, r)
+	}
+}
+
+func (n *Node) readLease(ctx context.Context) (leaseState, bool, error) {
+	ctx, cancel := context.WithTimeout(ctx, tableTimeout)
+	defer cancel()
+	row, ok, err := n.config.Table.Get(ctx, leaseKey)
+	if err != nil {
+		n.metrics.tableFailures.Inc()
+		return leaseState{}, false, err
+	}
+	if !ok {
+		return leaseState{}, false, nil
+	}
+	state := leaseState{version: row.Version}
+	if err := json.Unmarshal(row.Value, &state.leaseRow); err != nil {
+		n.log.Log(events.OwnershipFailed, "read lease row", err)
+		return leaseState{version: row.Version}, true, nil
+	}
+	return state, true, nil
+}
+
+// take writes this entry's name into the lease row, on condition of its version,
+// and begins to reign.
+func (n *Node) take(ctx context.Context, version uint64, reason string) {
+	began := time.Now()
+	value, err := json.Marshal(leaseRow{Holder: n.config.Name, Address: n.config.Address, Incarnation: n.config.Incarnation})
+	if err != nil {
+		n.log.Log(events.OwnershipFailed, "encode lease row", err)
+		return
+	}
+	callCtx, cancel := context.WithTimeout(ctx, tableTimeout)
+	fence, err := n.config.Table.Commit(callCtx, platform.Txn{
+		Conditions: []platform.Condition{{Key: leaseKey, Version: version}},
+		Writes:     []platform.Write{{Key: leaseKey, Value: value}},
+	})
+	cancel()
+	if err != nil {
+		fence, err = n.readBackLease(ctx, err)
+	}
+	if err != nil || fence == 0 {
+		return
+	}
+	n.log.Log(events.SchedulerTook, fence, reason, time.Since(began).String())
+	n.begin(ctx, fence, began)
+}
+
+// readBackLease finds out whether a write of the lease row whose answer was lost
+// took effect; 0 is no.
+func (n *Node) readBackLease(ctx context.Context, failed error) (uint64, error) {
+	row, ok, err := n.readLease(ctx)
+	if err != nil {
+		return 0, errors.Join(failed, err)
+	}
+	if !ok {
+		return 0, nil
+	}
+	if row.Incarnation == n.config.Incarnation && row.Holder == n.config.Name && row.version > n.lastFence() {
+		return row.version, nil
+	}
+	if row.Holder != "" {
+		n.follow(row)
+	}
+	return 0, nil
+}
+
+// lastFence is the fence of this node's last reign, 0 if there was none.
+func (n *Node) lastFence() uint64 {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.reign == nil {
+		return 0
+	}
+	return n.reign.fence
+}
+
+// begin reads the cell and starts to reign. A cell that can't be read is given up.
+func (n *Node) begin(ctx context.Context, fence uint64, since time.Time) {
+	n.setLoading(fence)
+	defer n.setLoading(0)
+	loadCtx, cancel := context.WithTimeout(ctx, loadTimeout)
+	defer cancel()
+	r, err := newReign(loadCtx, n, fence, since)
+	if err != nil {
+		n.log.Log(events.OwnershipFailed, "read the cell", err)
+		n.writeRelease(ctx, fence)
+		return
+	}
+	jobs, live, _, _ := r.cell.Counts()
+	n.mu.Lock()
+	if n.leaving {
+		n.mu.Unlock()
+		n.writeRelease(ctx, fence)
+		return
+	}
+	n.reign = r
+	for _, m := range n.view.members {
+		if _, known := n.heard[m.Name]; !known {
+			n.heard[m.Name] = heardMember{Member: m}
+		}
+	}
+	own := leaseRow{Holder: n.config.Name, Address: n.config.Address, Incarnation: n.config.Incarnation}
+	n.setView(newView(fence, own, n.view.members))
+	n.mu.Unlock()
+	n.log.Log(events.SchedulerBegan, fence, jobs, live, time.Since(since).String())
+	go func() {
+		r.run()
+		n.ended(r)
+	}()
+}
+
+// setLoading notes the fence of a reign whose cell is being read.
+func (n *Node) setLoading(fence uint64) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.loading = fence
+}
+
+// ended makes the node a standby that looks at the lease row next.
+func (n *Node) ended(r *reign) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.view.fence == r.fence {
+		n.setView(leaderView{members: n.membersLocked()})
+	}
+	n.log.Log(events.SchedulerEnded, r.fence)
+}
+
+// release ends a reign and gives the lease row up, then tells the next in turn.
+func (n *Node) release(ctx context.Context, r *reign) {
+	r.end()
+	r.tasks.Wait()
+	n.writeRelease(ctx, r.fence)
+	ctx, cancel := context.WithTimeout(ctx, releaseTimeout)
+	defer cancel()
+	var told sync.WaitGroup
+	for _, m := range n.liveMembers() {
+		if m.Name == n.config.Name {
+			continue
+		}
+		told.Add(1)
+		go func() {
+			defer told.Done()
+			if err := n.config.Peers.Call(ctx, m.Address, methodReleased, seenReply{Fence: r.fence}, nil); err != nil {
+				n.log.Log(events.PeerFailed, m.Address, err)
+			}
+		}()
+	}
+	told.Wait()
+}
+
+func (n *Node) writeRelease(ctx context.Context, fence uint64) {
+	ctx, cancel := context.WithTimeout(ctx, releaseTimeout)
+	defer cancel()
+	_, err := n.config.Table.Commit(ctx, platform.Txn{
+		Conditions: []platform.Condition{{Key: leaseKey, Version: fence}},
+		Writes:     []platform.Write{{Key: leaseKey, Value: []byte("{}")}},
+	})
+	if err != nil {
+		n.log.Log(events.OwnershipFailed, "release the lease", err)
+	}
+}
