Share workers with tasks that fill, and carry out waves of upkeep

Cause: two contracts in force (sharing, upkeep) had no code; jobs with tasks that fill were refused. Change: tasks that fill take no processors of the room, count for the team, and are paced by the tails beside them; process/upkeep decides on waves as a function of wave, machines and progress; machines are cordoned, emptied and taken down within the bound and the step's may_miss; progress is recorded under the lease row; lasting steps are never late. Ruled out: pacing by a model of the interference (it differs by image and within seconds). Figures: tests of process/cell, process/upkeep (rapid), platform (a whole wave against a stand-in): ok.

--- a/process/cell/admit.go
+++ b/process/cell/admit.go
@@ -185,8 +185,9 @@
 	limit, bounded := c.capOf(job.Team)
 	for i := range job.Steps {
 		s := &job.Steps[i]
-		if bounded && !(withinBound(s.Need.MilliCPU, limit.MilliCPU) && withinBound(s.Need.MemoryMB, limit.MemoryMB) &&
-			withinBound(s.Need.Accelerators, limit.Accelerators)) {
+		charge := s.charge()
+		if bounded && !(withinBound(charge.MilliCPU, limit.MilliCPU) && withinBound(charge.MemoryMB, limit.MemoryMB) &&
+			withinBound(charge.Accelerators, limit.Accelerators)) {
 			return i, false
 		}
 		fits := false
--- a/process/cell/cell.go
+++ b/process/cell/cell.go
@@ -55,6 +55,8 @@
 	troubled bool
 	// slowTable is set while writes take long.
 	slowTable bool
+	// cordon are the workers that get no new work since their machines go down.
+	cordon map[string]bool
 	// explainedAt is when the last note on what waits was made.
 	explainedAt time.Time
 }
@@ -77,6 +79,7 @@
 type Actions struct {
 	Starts []StartOrder
 	Stops  []StopOrder
+	Paces  []PaceOrder
 	Asks   []Ask
 	Notes  []Note
 }
@@ -96,6 +99,13 @@
 	RunKey
 }
 
+// PaceOrder tells a worker to let a run work at a share of its speed, in percent.
+type PaceOrder struct {
+	Worker string
+	RunKey
+	Percent int
+}
+
 // Ask is a question to the advisory service.
 type Ask struct {
 	Step    string
@@ -214,6 +224,7 @@
 }
 
 func (c *Cell) tickWorker(now time.Time, w *Worker) {
+	c.paceFilling(now, w)
 	for _, r := range sortedRuns(w) {
 		if r.task.done && r.task.step.spec.Gang && now.Sub(r.plannedAt) > r.task.step.spec.Estimate+gangLeftover && r.listedLong(now) {
 			c.stopRun(now, r)
--- a/process/cell/ends.go
+++ b/process/cell/ends.go
@@ -40,7 +40,7 @@
 	w := r.worker
 	delete(w.runs, r.RunKey)
 	w.use(r.need.Times(-1))
-	c.usage[r.team] = c.usage[r.team].Sub(r.need)
+	c.usage[r.team] = c.usage[r.team].Sub(r.task.step.spec.charge())
 	r.task.step.occ.job.live--
 }
 
--- a/process/cell/explain.go
+++ b/process/cell/explain.go
@@ -42,7 +42,7 @@
 	if s.spec.Gang {
 		count = len(s.tasks)
 	}
-	if !c.withinCap(job.Team, s.spec.Need.Times(int64(count))) {
+	if !c.withinCap(job.Team, s.spec.charge().Times(int64(count))) {
 		return fmt.Sprintf("the team's cap is reached: %+v run", c.usage[job.Team])
 	}
 	var usable, allowed, good, ticket, room int
@@ -50,7 +50,7 @@
 		if w.usable(now) {
 			usable++
 		}
-		if !w.usable(now) || !c.sound(now, w) || w.Upstream != c.upstreamOf(job) || !s.spec.labelFits(w) {
+		if !c.takes(now, w) || w.Upstream != c.upstreamOf(job) || !s.spec.labelFits(w) {
 			continue
 		}
 		allowed++
--- a/process/cell/gang.go
+++ b/process/cell/gang.go
@@ -70,7 +70,7 @@
 func (c *Cell) planGang(r *round, u unit) {
 	s := u.step
 	job := s.occ.job
-	total := s.spec.Need.Times(int64(len(s.tasks)))
+	total := s.spec.charge().Times(int64(len(s.tasks)))
 	if s.deferred(r.now) || !c.withinCap(job.Team, total) {
 		return
 	}
--- a/process/cell/job.go
+++ b/process/cell/job.go
@@ -12,9 +12,18 @@
 
 // StepSpec is one step of a job: Count like tasks.
 type StepSpec struct {
-	Count    int             `json:"count"`
-	Need     resource.Amount `json:"need"`
-	Estimate time.Duration   `json:"estimate,omitempty"`
+	Count int `json:"count"`
+	// Need is the room that a task takes on a worker.
+	Need resource.Amount `json:"need"`
+	// Fills is set for tasks that run on what the others leave of a worker's
+	// processors. FillCPU is what they may use of them, in thousandths; it counts for
+	// the team and not for the worker.
+	Fills   bool  `json:"fills,omitempty"`
+	FillCPU int64 `json:"fill_cpu,omitempty"`
+	// Target bounds the tail of the response times that a task gives its own users; 0
+	// is for tasks that serve none.
+	Target   time.Duration `json:"target,omitempty"`
+	Estimate time.Duration `json:"estimate,omitempty"`
 	// After lists the earlier steps whose tasks must be done first.
 	After []int `json:"after,omitempty"`
 	// Gang tasks run only together.
@@ -32,6 +41,15 @@
 	Checkpointing bool `json:"checkpointing,omitempty"`
 	// LongRunning tasks run until the job is cancelled.
 	LongRunning bool `json:"long_running,omitempty"`
+	// MayMiss is how many long-running tasks may be away at a time; 0 is no bound.
+	MayMiss int `json:"may_miss,omitempty"`
+}
+
+// charge is what a task counts for its team.
+func (s *StepSpec) charge() resource.Amount {
+	charge := s.Need
+	charge.MilliCPU += s.FillCPU
+	return charge
 }
 
 // JobSpec is what a client hands in. It doesn't change.
--- a/process/cell/load.go
+++ b/process/cell/load.go
@@ -118,9 +118,13 @@
 		RunKey: RunKey{Task: t.name(), Number: t.lastRun},
 		task:   t, worker: w, need: t.step.spec.Need, team: job.Team, state: state,
 	}
+	r.pace = fullPace
+	if state == runAdopted {
+		r.pace = unknownPace
+	}
 	w.runs[r.RunKey] = r
 	w.use(r.need)
-	c.usage[r.team] = c.usage[r.team].Add(r.need)
+	c.usage[r.team] = c.usage[r.team].Add(t.step.spec.charge())
 	t.current = r
 	job.live++
 	return r
--- a/process/cell/place.go
+++ b/process/cell/place.go
@@ -41,7 +41,7 @@
 func (c *Cell) planTasks(r *round, u unit) {
 	s := u.step
 	job := s.occ.job
-	if len(r.roomy(s.spec.Need)) == 0 || c.hopelessNow(r, s) || !c.withinCap(job.Team, s.spec.Need) {
+	if len(r.roomy(s.spec.Need)) == 0 || c.hopelessNow(r, s) || !c.withinCap(job.Team, s.spec.charge()) {
 		return
 	}
 	list := c.startable(r, s)
@@ -55,7 +55,7 @@
 			short++
 			continue
 		}
-		if !c.withinCap(job.Team, s.spec.Need) {
+		if !c.withinCap(job.Team, s.spec.charge()) {
 			break
 		}
 		w := c.bestWorker(t, list)
@@ -154,6 +154,10 @@
 // score is the room left over after placing the task (best fit), with penalties.
 func (c *Cell) score(t *task, w *Worker) float64 {
 	left := leftover(w, t.step.spec.Need)
+	if t.step.spec.Fills {
+		// Tasks that fill do most, and disturb least, where most is left.
+		left = -left + w.strain()
+	}
 	if rack := t.step.spec.PreferredRack; rack != "" && rack != w.Rack {
 		left += farPenalty
 	}
--- a/process/cell/round.go
+++ b/process/cell/round.go
@@ -39,7 +39,7 @@
 func (c *Cell) newRound(now time.Time) *round {
 	r := &round{now: now, holds: holds{by: make(map[*Worker]*step)}}
 	for _, w := range c.workerOrder {
-		if w.usable(now) && c.sound(now, w) {
+		if c.takes(now, w) {
 			r.ready = append(r.ready, readyWorker{w, w.room.MilliCPU})
 		}
 	}
--- a/process/cell/worker.go
+++ b/process/cell/worker.go
@@ -67,6 +67,11 @@
 	// seenAt is when a list last showed the run; span is how long it took.
 	seenAt time.Time
 	span   time.Duration
+	// tail is that of the last list; pace is the share of its speed at which a task
+	// that fills works, in percent, and pacedAt when an order for another was sent.
+	tail    time.Duration
+	pace    int
+	pacedAt time.Time
 	// sampled is set once the run was used to judge its worker's speed.
 	sampled bool
 
@@ -150,6 +155,8 @@
 	RunKey
 	Saved   string
 	Percent int
+	// Tail is the tail of the response times of a task with a target.
+	Tail time.Duration
 }
 
 // EndKind is how a run ended.
@@ -357,6 +364,7 @@
 		r.task.step.occ.job.started = true
 	}
 	r.seenAt = now
+	r.tail = listed.Tail
 	if listed.Percent != r.percent {
 		r.percent, r.movedAt = listed.Percent, now
 	}
--- a/process/cluster/metrics.go
+++ b/process/cluster/metrics.go
@@ -17,7 +17,7 @@
 	placed        *metrics.Counter
 	withdrawn     *metrics.Counter
 	startFailures *metrics.Counter
-	stopFailures  *metrics.Counter
+	orderFailures *metrics.Counter
 	stuck         *metrics.Counter
 	silent        *metrics.Counter
 
@@ -43,7 +43,7 @@
 		placed:         set.NewCounter("kingcuplatch_cell_runs_placed_total"),
 		withdrawn:      set.NewCounter("kingcuplatch_cell_runs_withdrawn_total"),
 		startFailures:  set.NewCounter("kingcuplatch_cell_start_failures_total"),
-		stopFailures:   set.NewCounter("kingcuplatch_cell_stop_failures_total"),
+		orderFailures:  set.NewCounter("kingcuplatch_cell_order_failures_total"),
 		stuck:          set.NewCounter("kingcuplatch_cell_runs_stuck_total"),
 		silent:         set.NewCounter("kingcuplatch_cell_workers_silent_total"),
 		tableFailures:  set.NewCounter("kingcuplatch_cell_table_failures_total"),
--- a/process/cluster/node.go
+++ b/process/cluster/node.go
@@ -25,6 +25,9 @@
 	// ConfigBound is how old the last contact about the configuration may be; 0 is no
 	// bound.
 	ConfigBound time.Duration
+	// MachineLease is how long a new scheduler waits before it gives orders for
+	// machines.
+	MachineLease time.Duration
 }
 
 // Config is what a node is made of.
@@ -42,8 +45,10 @@
 	Catalogs  CatalogSource
 	Workers   WorkerCaller
 	Advisor   Advisor
-	Peers     peer.Caller
-	Log       *events.Logger
+	// Machines is nil where machines aren't ours to maintain.
+	Machines Machines
+	Peers    peer.Caller
+	Log      *events.Logger
 }
 
 // Node is this entry's part in a cell: a standby, or its scheduler.
--- a/process/cluster/ports.go
+++ b/process/cluster/ports.go
@@ -58,6 +58,8 @@
 	Start(ctx context.Context, to Target, call StartCall) (cell.StartAnswer, error)
 	// Stop orders the end of a run. An error is ErrNotSent, ErrLost or ErrFenced.
 	Stop(ctx context.Context, to Target, fence uint64, run cell.RunKey) error
+	// Pace lets a run work at a share of its speed. Errors are those of Stop.
+	Pace(ctx context.Context, to Target, fence uint64, order cell.PaceOrder) error
 	// Look asks for the lists. An error is ErrNotSent, ErrLost, ErrFenced or
 	// ErrOtherLife.
 	Look(ctx context.Context, to Target, call LookCall) (Look, error)
--- a/process/cluster/reign.go
+++ b/process/cluster/reign.go
@@ -114,7 +114,7 @@
 
 // run schedules until the reign ends.
 func (r *reign) run() {
-	for _, loop := range []func(){r.planLoop, r.recordLoop, r.tickLoop, r.probeLoop, r.followDirectory} {
+	for _, loop := range []func(){r.planLoop, r.recordLoop, r.tickLoop, r.probeLoop, r.followDirectory, r.upkeepLoop} {
 		r.tasks.Add(1)
 		go func() {
 			defer r.tasks.Done()
@@ -164,6 +164,9 @@
 	for _, order := range a.Stops {
 		go r.sendStop(order)
 	}
+	for _, order := range a.Paces {
+		go r.sendPace(order)
+	}
 	for _, ask := range a.Asks {
 		r.advisers.ask(ask)
 	}
--- /dev/null
+++ b/process/cluster/upkeep.go
@@ -0,0 +1,178 @@
+package cluster
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"strconv"
+	"time"
+
+	"github.com/kingcuplatch/kingcuplatch/process/cell"
+	"github.com/kingcuplatch/kingcuplatch/process/events"
+	"github.com/kingcuplatch/kingcuplatch/process/platform"
+	"github.com/kingcuplatch/kingcuplatch/process/upkeep"
+)
+
+// ErrNoMachine says that there is no such machine (any more).
+var ErrNoMachine = errors.New("no such machine")
+
+// Machines is the platform's service that maintains machines.
+type Machines interface {
+	// Waves returns the operators' requests as last read.
+	Waves() []upkeep.Wave
+	// List returns all machines; Runs and Needed are not set.
+	List(ctx context.Context) ([]upkeep.Machine, error)
+	// Begin takes a machine down for a wave. Repeating it is harmless. An error is
+	// ErrNoMachine, or the machine may or may not go down.
+	Begin(ctx context.Context, machine string, wave int64, holder string, fence uint64) error
+	// Report tells the operators whether a wave is completed.
+	Report(ctx context.Context, wave int64, completed bool) error
+}
+
+const (
+	// upkeepEvery is the period of looks at waves.
+	upkeepEvery = 500 * time.Millisecond
+	// machinesTimeout bounds a call about machines.
+	machinesTimeout = 2 * time.Second
+	// upkeepPrefix begins the keys of the rows that say which machines of a wave are
+	// done.
+	upkeepPrefix = "u/"
+)
+
+// upkeepRow is the value of such a row.
+type upkeepRow struct {
+	Done     []string `json:"done"`
+	Reported bool     `json:"reported,omitempty"`
+}
+
+// waveState is a wave as the scheduler works on it.
+type waveState struct {
+	progress *upkeep.Progress
+	row      upkeepRow
+	running  bool
+}
+
+// upkeepLoop carries out the operators' waves. A new scheduler first lets the time
+// pass in which its predecessor may still give orders for machines.
+func (r *reign) upkeepLoop() {
+	if r.node.config.Machines == nil {
+		return
+	}
+	sleep(r.ctx, r.timings.MachineLease)
+	waves := make(map[int64]*waveState)
+	for !r.over() {
+		if err := r.upkeepOnce(waves); err != nil && !r.over() {
+			r.node.log.Log(events.UpkeepFailed, err)
+		}
+		sleep(r.ctx, upkeepEvery)
+	}
+}
+
+// upkeepOnce looks at all waves that aren't completed.
+func (r *reign) upkeepOnce(waves map[int64]*waveState) error {
+	open, err := r.openWaves(waves)
+	cordon := make(map[string]bool)
+	defer r.change(func(_ time.Time, c *cell.Cell) { c.SetCordon(cordon) })
+	if err != nil || len(open) == 0 {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(r.ctx, machinesTimeout)
+	list, err := r.node.config.Machines.List(ctx)
+	cancel()
+	if err != nil {
+		return err
+	}
+	machines := make(map[string]upkeep.Machine, len(list))
+	r.mu.Lock()
+	for _, m := range list {
+		load := r.cell.LoadOf(m.Worker)
+		m.Runs, m.Needed = load.Runs, load.Needed
+		machines[m.Name] = m
+	}
+	r.mu.Unlock()
+	for _, wave := range open {
+		step := upkeep.Next(time.Now(), wave, machines, waves[wave.Number].progress)
+		for _, name := range step.Cordon {
+			cordon[machines[name].Worker] = true
+		}
+		if err := r.carryOutWave(wave, waves[wave.Number], step); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// openWaves returns the waves that aren't reported as completed, and reads what an
+// earlier scheduler did of new ones.
+func (r *reign) openWaves(waves map[int64]*waveState) ([]upkeep.Wave, error) {
+	var open []upkeep.Wave
+	for _, wave := range r.node.config.Machines.Waves() {
+		state := waves[wave.Number]
+		if state == nil {
+			row, ok, err := r.get(upkeepKey(wave.Number))
+			if err != nil {
+				return nil, err
+			}
+			state = &waveState{}
+			if ok {
+				if err := json.Unmarshal(row.Value, &state.row); err != nil {
+					return nil, err
+				}
+			}
+			state.progress = upkeep.NewProgress(time.Now(), state.row.Done)
+			waves[wave.Number] = state
+		}
+		if !state.row.Reported {
+			open = append(open, wave)
+		}
+	}
+	return open, nil
+}
+
+func upkeepKey(wave int64) string { return upkeepPrefix + strconv.FormatInt(wave, 10) }
+
+// carryOutWave reports on a wave and takes machines down.
+func (r *reign) carryOutWave(wave upkeep.Wave, state *waveState, step upkeep.Step) error {
+	ctx, cancel := context.WithTimeout(r.ctx, machinesTimeout)
+	defer cancel()
+	if !state.running || step.Completed {
+		if err := r.node.config.Machines.Report(ctx, wave.Number, step.Completed); err != nil {
+			return err
+		}
+		state.running = true
+	}
+	if step.Completed {
+		state.row.Reported = true
+		r.node.log.Log(events.WaveCompleted, wave.Number, len(wave.Machines))
+		return r.saveWave(ctx, wave.Number, state)
+	}
+	for _, name := range step.Begin {
+		err := r.node.config.Machines.Begin(ctx, name, wave.Number, r.node.config.Name, r.fence)
+		if err != nil && !errors.Is(err, ErrNoMachine) {
+			// It may be down: it counts as such for a while and is asked again.
+			state.progress.BegunAt[name] = time.Now()
+			return err
+		}
+		state.progress.BegunAt[name] = time.Now()
+		state.progress.Done[name] = true
+		state.row.Done = append(state.row.Done, name)
+		r.node.log.Log(events.UpkeepBegun, name, wave.Number)
+		if err := r.saveWave(ctx, wave.Number, state); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// saveWave records a wave's progress, on condition that this entry still schedules.
+func (r *reign) saveWave(ctx context.Context, wave int64, state *waveState) error {
+	value, err := json.Marshal(state.row)
+	if err != nil {
+		return err
+	}
+	_, err = r.node.config.Table.Commit(ctx, platform.Txn{
+		Conditions: []platform.Condition{{Key: leaseKey, Version: r.fence}},
+		Writes:     []platform.Write{{Key: upkeepKey(wave), Value: value}},
+	})
+	return err
+}
--- a/process/cluster/worker.go
+++ b/process/cluster/worker.go
@@ -192,8 +192,22 @@
 
 // sendStop orders the end of a run. Without an answer the cell asks again.
 func (r *reign) sendStop(order cell.StopOrder) {
+	r.send(order.Worker, func(ctx context.Context, to Target) error {
+		return r.node.config.Workers.Stop(ctx, to, r.fence, order.RunKey)
+	}, func(now time.Time, c *cell.Cell) { c.StopAnswered(now, order.Worker, order.RunKey) })
+}
+
+// sendPace orders the pace of a run. Without an answer the cell asks again.
+func (r *reign) sendPace(order cell.PaceOrder) {
+	r.send(order.Worker, func(ctx context.Context, to Target) error {
+		return r.node.config.Workers.Pace(ctx, to, r.fence, order)
+	}, func(_ time.Time, c *cell.Cell) { c.Paced(order.Worker, order.RunKey, order.Percent) })
+}
+
+// send makes a call to a worker and tells the cell if it was answered with success.
+func (r *reign) send(id string, call func(context.Context, Target) error, answered func(time.Time, *cell.Cell)) {
 	r.mu.Lock()
-	w := r.workers[order.Worker]
+	w := r.workers[id]
 	var target Target
 	if w != nil {
 		target = w.target
@@ -204,13 +218,13 @@
 	}
 	ctx, cancel := context.WithTimeout(r.ctx, orderTimeout)
 	defer cancel()
-	err := r.node.config.Workers.Stop(ctx, target, r.fence, order.RunKey)
+	err := call(ctx, target)
 	switch {
 	case errors.Is(err, ErrFenced):
 		r.depose(fencedReason)
 	case err != nil:
-		r.node.metrics.stopFailures.Inc()
+		r.node.metrics.orderFailures.Inc()
 	default:
-		r.change(func(now time.Time, c *cell.Cell) { c.StopAnswered(now, order.Worker, order.RunKey) })
+		r.change(answered)
 	}
 }
--- a/process/cluster/world_test.go
+++ b/process/cluster/world_test.go
@@ -413,6 +413,8 @@
 	return nil
 }
 
+func (c *nodeWorkers) Pace(context.Context, Target, uint64, cell.PaceOrder) error { return nil }
+
 func (c *nodeWorkers) Look(ctx context.Context, to Target, call LookCall) (Look, error) {
 	k, err := c.enter(ctx, to.ID, call.Fence)
 	if err != nil {
--- a/process/events/catalogue.go
+++ b/process/events/catalogue.go
@@ -72,6 +72,9 @@
 	WorkerDrains   = &Event{7306, logrus.InfoLevel, "worker drains, no new work", []string{"worker"}, nothing}
 	WorkerMissing  = &Event{7307, logrus.InfoLevel, "worker left the directory", []string{"worker"}, nothing}
 	WorkerUnsound  = &Event{7308, logrus.WarnLevel, "worker set aside", []string{"worker", "reason"}, "It is probed and returns by itself; replace it if it doesn't."}
+	UpkeepBegun    = &Event{7401, logrus.InfoLevel, "machine taken down for its upkeep", []string{"machine", "wave"}, nothing}
+	WaveCompleted  = &Event{7402, logrus.InfoLevel, "wave of upkeep completed", []string{"wave", "machines"}, nothing}
+	UpkeepFailed   = &Event{7403, logrus.WarnLevel, "a step of a wave of upkeep failed", []string{"error"}, "Retried; look at the platform's service for machines if it lasts."}
 	WorkerRestored = &Event{7309, logrus.InfoLevel, "worker set aside works again", []string{"worker"}, nothing}
 )
 
@@ -88,5 +91,5 @@
 	JobAccepted, JobRefused, JobEnded, JobCancelled, CallRefused,
 	RunPlaced, RunWithdrawn, StartFailed, RunEnded, RunStuck, RunStray, AdviceFailed, StepWaits,
 	WorkerTaken, WorkerSilent, WorkerAnswers, WorkerLapsed, WorkerReborn, WorkerDrains, WorkerMissing,
-	WorkerUnsound, WorkerRestored,
+	WorkerUnsound, WorkerRestored, UpkeepBegun, WaveCompleted, UpkeepFailed,
 }
