--- a/internal/imports/imports_test.go
+++ b/internal/imports/imports_test.go
@@ -73,6 +73,24 @@
 	}
 }
 
+// Decisions about a cell see the narrow door to the table and the operators'
+// configuration, and no shell; only the program imports the users' platform.
+func TestCellImports(t *testing.T) {
+	all := importsOf(t)
+	allowed := []string{"process/resource", "process/health", "process/platform", "version/catalog"}
+	for _, decision := range []string{"process/cell", "process/upkeep", "version/catalog"} {
+		assert.Assert(t, decision == "process/upkeep" || len(all[decision]) > 0, decision)
+		for _, name := range all[decision] {
+			assert.Assert(t, slices.Contains(allowed, name), "decision %s imports %s", decision, name)
+		}
+	}
+	for dir, names := range all {
+		if slices.Contains(names, "platform") {
+			assert.Equal(t, dir, "cmd/kingcuplatchd")
+		}
+	}
+}
+
 func checkImport(t *testing.T, dir, name string) {
 	inside := strings.HasPrefix(dir, "internal/")
 	adapter := name == "process/platform/httpplatform" || name == "conn/worker/httpworker"
--- a/process/cell/gang.go
+++ b/process/cell/gang.go
@@ -18,10 +18,17 @@
 const (
 	// maxHeldShare bounds the workers held at a time, as one in so many.
 	maxHeldShare = 2
-	// maxHolders bounds the steps that workers are held for.
-	maxHolders = 3
+	// leastHolders bounds the steps that workers are held for; fleets of more than
+	// workersPerHolder for each have one for so many.
+	leastHolders     = 3
+	workersPerHolder = 16
 )
 
+// full reports whether no more steps may hold workers.
+func (h *holds) full(r *round) bool {
+	return h.holders >= max(leastHolders, len(r.ready)/workersPerHolder)
+}
+
 // keeps reports whether w is held for a step other than s.
 func (h *holds) keeps(w *Worker, s *step) bool {
 	holder := h.by[w]
@@ -74,7 +81,7 @@
 	if s.deferred(r.now) || !c.withinCap(job.Team, total) {
 		return
 	}
-	if c.hopelessNow(r, s) && (u.tier != owed || r.holds.holders >= maxHolders) {
+	if c.hopelessNow(r, s) && (u.tier != owed || r.holds.full(r)) {
 		return
 	}
 	if chosen := chooseSlots(c.gangSlots(r, s), len(s.tasks), s.spec.SameRack); chosen != nil {
@@ -190,7 +197,7 @@
 // add keeps workers free for s: those known to be allowed that will have room
 // soonest, just enough of them.
 func (h *holds) add(c *Cell, r *round, s *step) {
-	if h.holders >= maxHolders {
+	if h.full(r) {
 		return
 	}
 	list := c.candidates(r, s)
--- a/process/cluster/cluster_test.go
+++ b/process/cluster/cluster_test.go
@@ -168,11 +168,11 @@
 		leader := w.awaitLeader(2*time.Second, "")
 		time.Sleep(time.Second)
 		w.mu.Lock()
-		w.slow = 500 * time.Millisecond
+		w.slow = time.Second
 		n := w.nodes[leader]
 		w.mu.Unlock()
 		n.Leave(context.Background())
-		next := w.awaitLeader(5*time.Second, leader)
+		next := w.awaitLeader(10*time.Second, leader)
 		w.mu.Lock()
 		fence := w.nodes[next].lastFence()
 		w.mu.Unlock()
