Write what is awaited first while the table is slow, and refuse what it can't take soon

Change: while the table is slow, acceptances and planned runs go first; beyond 100 unwritten acceptances jobs are refused at once, with Retry-After; the horizon of acknowledgements is the least of a batch, not its first.

--- a/process/cell/admit.go
+++ b/process/cell/admit.go
@@ -41,6 +41,21 @@
 // tableUnavailable is the reason of refusals while nothing can be recorded.
 const tableUnavailable = "table unavailable"
 
+// maxUnaccepted bounds the jobs whose acceptance waits to be written while the
+// table is slow: about as many as it takes within a second.
+const maxUnaccepted = 100
+
+// unaccepted counts the jobs whose acceptance isn't written.
+func (c *Cell) unaccepted() int {
+	n := 0
+	for _, job := range c.live {
+		if !job.accepted {
+			n++
+		}
+	}
+	return n
+}
+
 // Admission is a verdict with its reason.
 type Admission struct {
 	Verdict    Verdict
@@ -104,7 +119,7 @@
 	if err := spec.Check(); err != nil {
 		return Admission{Verdict: Invalid, Reason: err.Error()}
 	}
-	if c.troubled {
+	if c.troubled || (c.slowTable && c.unaccepted() >= maxUnaccepted) {
 		c.note(Note{Kind: NoteJobRefused, Job: spec.ID, Team: spec.Team, Reason: tableUnavailable, Wait: minRetryAfter})
 		return Admission{Verdict: Unavailable, Reason: tableUnavailable, RetryAfter: minRetryAfter}
 	}
--- a/process/cell/batch.go
+++ b/process/cell/batch.go
@@ -27,6 +27,8 @@
 	Writes     []platform.Write
 	jobs       []*batchJob
 	runs       []*Run
+	// bytes are those of the values.
+	bytes int
 }
 
 // batchJob is what a batch records of one job.
@@ -58,7 +60,9 @@
 func (c *Cell) recordedUpTo() uint64 {
 	upTo := c.seq
 	for _, b := range c.batches {
-		upTo = min(upTo, b.jobs[0].dirtyAt-1)
+		for _, e := range b.jobs {
+			upTo = min(upTo, e.dirtyAt-1)
+		}
 	}
 	if len(c.dirty) > 0 {
 		upTo = min(upTo, c.dirty[0].dirtyAt-1)
@@ -67,29 +71,53 @@
 }
 
 // TakeBatch returns the next write, or nil if there is nothing to record. Several
-// may be on their way at a time, each with jobs of its own.
+// may be on their way at a time, each with jobs of its own. While the table is slow,
+// what somebody waits for goes before mere progress.
 func (c *Cell) TakeBatch(now time.Time) *Batch {
 	b := &Batch{}
-	bytes := 0
+	if c.slowTable {
+		c.fill(b, now, (*Job).awaited)
+	}
+	c.fill(b, now, func(*Job) bool { return true })
+	if len(b.jobs) == 0 {
+		return nil
+	}
+	c.batches = append(c.batches, b)
+	return b
+}
+
+// fill moves changed jobs that wanted names from the queue into the batch, while
+// there is room.
+func (c *Cell) fill(b *Batch, now time.Time, wanted func(*Job) bool) {
 	var left []*Job
 	for i, job := range c.dirty {
-		full := len(b.Conditions)+len(b.Writes)+2*maxRowsPerJob > maxBatchEntries || bytes >= maxBatchBytes
-		if full {
+		if len(b.Conditions)+len(b.Writes)+2*maxRowsPerJob > maxBatchEntries || b.bytes >= maxBatchBytes {
 			left = append(left, c.dirty[i:]...)
 			break
 		}
-		if job.inFlight || (c.slowTable && job.mayJoin(now)) {
+		if job.inFlight || (c.slowTable && job.mayJoin(now)) || !wanted(job) {
 			left = append(left, job)
 			continue
 		}
-		bytes += b.add(job)
+		b.bytes += b.add(job)
 	}
 	c.dirty = left
-	if len(b.jobs) == 0 {
-		return nil
+}
+
+// awaited reports whether somebody waits for the job's record: a caller, or a run
+// that is to be started.
+func (j *Job) awaited() bool {
+	if !j.accepted || len(j.waiters) > 0 {
+		return true
 	}
-	c.batches = append(c.batches, b)
-	return b
+	for _, o := range j.occs {
+		for _, s := range o.steps {
+			if slices.ContainsFunc(s.tasks, func(t *task) bool { return t.current != nil && t.current.state == runPlanned }) {
+				return true
+			}
+		}
+	}
+	return false
 }
 
 // SlowTable tells the cell whether writes take long.
--- a/process/cell/faults_test.go
+++ b/process/cell/faults_test.go
@@ -280,3 +280,36 @@
 		assert.Assert(t, !w.cell.health.Aside(id), id)
 	}
 }
+
+// While the table is slow a batch takes what somebody waits for before mere
+// progress, jobs beyond what it can write soon are refused, and nothing is
+// acknowledged before its record.
+func TestSlowTableWritesWhatIsAwaitedFirst(t *testing.T) {
+	c, s, now := gangOfTwo(t)
+	c.SlowTable(true)
+	key := s.tasks[0].current.RunKey
+	c.Listed(now, "w0", Listing{AskedAt: now, Born: 1, Running: []ListedRun{{RunKey: key}}, Ends: []End{{Seq: 1, RunKey: s.tasks[1].current.RunKey, Kind: EndFailed}}})
+	for i := range maxUnaccepted {
+		spec := JobSpec{ID: fmt.Sprintf("new%d", i), Team: "team", Upstream: "desk", Steps: []StepSpec{{Count: 1}}}
+		assert.Equal(t, c.Submit(now, spec, func(Recorded) {}).Verdict, Recording)
+	}
+	refused := c.Submit(now, JobSpec{ID: "late", Team: "team", Steps: []StepSpec{{Count: 1}}}, func(Recorded) {})
+	assert.Equal(t, refused.Verdict, Unavailable)
+	assert.Assert(t, refused.RetryAfter > 0)
+	now = now.Add(2 * joinWait)
+	for {
+		b := c.TakeBatch(now)
+		assert.Assert(t, b != nil)
+		recordVersion++
+		last := b.jobs[len(b.jobs)-1].job.ID == "gang"
+		acked, _ := c.Acked("w0")
+		assert.Equal(t, acked, int64(0))
+		c.BatchRecorded(now, b, recordVersion)
+		if last {
+			break
+		}
+	}
+	acked, _ := c.Acked("w0")
+	assert.Equal(t, acked, int64(1))
+	assert.Assert(t, c.jobs["new99"].accepted)
+}
