--- a/process/cell/admit.go
+++ b/process/cell/admit.go
@@ -171,7 +171,7 @@
 	if len(c.live) >= maxLiveJobs {
 		return "too many jobs", maxRetryAfter
 	}
-	if step, ok := c.misfit(job); !ok {
+	if step, ok := c.unplaceableStep(job); !ok {
 		return fmt.Sprintf("step %d fits no worker", step), maxRetryAfter
 	}
 	if job.Repeat > 0 {
@@ -191,8 +191,8 @@
 	return min(max(whole, minRetryAfter), maxRetryAfter)
 }
 
-// misfit returns the first step of which no known worker could hold a task.
-func (c *Cell) misfit(job *Job) (int, bool) {
+// unplaceableStep returns the first step of which no known worker could hold a task.
+func (c *Cell) unplaceableStep(job *Job) (int, bool) {
 	if len(c.workers) == 0 {
 		return 0, true
 	}
--- a/process/cell/advice.go
+++ b/process/cell/advice.go
@@ -257,7 +257,7 @@
 	c.countAsk(ask.Decide, -1)
 	ref, err := parseTask(ask.Step + ".0")
 	if err != nil {
-		c.note(Note{Kind: NoteStray, Task: ask.Step, Error: err})
+		c.note(Note{Kind: NoteUnknownRun, Task: ask.Step, Error: err})
 		return
 	}
 	job := c.jobs[ref.job]
--- a/process/cell/ends.go
+++ b/process/cell/ends.go
@@ -62,7 +62,7 @@
 func (c *Cell) takeLateEnd(now time.Time, end End) {
 	ref, err := parseTask(end.Task)
 	if err != nil {
-		c.note(Note{Kind: NoteStray, Task: end.Task, Run: end.Number, Error: err})
+		c.note(Note{Kind: NoteUnknownRun, Task: end.Task, Run: end.Number, Error: err})
 		return
 	}
 	job := c.jobs[ref.job]
--- a/process/cell/load.go
+++ b/process/cell/load.go
@@ -104,7 +104,7 @@
 func (c *Cell) workerNamed(id string) *Worker {
 	w := c.workers[id]
 	if w == nil {
-		w = &Worker{WorkerInfo: WorkerInfo{ID: id}, runs: make(map[RunKey]*Run), strays: make(map[RunKey]time.Time)}
+		w = &Worker{WorkerInfo: WorkerInfo{ID: id}, runs: make(map[RunKey]*Run), unknownRuns: make(map[RunKey]time.Time)}
 		c.workers[id] = w
 		c.workerOrder = append(c.workerOrder, w)
 	}
--- a/process/cell/notes.go
+++ b/process/cell/notes.go
@@ -15,7 +15,7 @@
 	NotePlacementDropped
 	NoteStartAnswered
 	NoteRunEnded
-	NoteStray
+	NoteUnknownRun
 	NoteWorkerAdopted
 	NoteWorkerSilent
 	NoteWorkerBack
--- a/process/cell/order.go
+++ b/process/cell/order.go
@@ -17,8 +17,8 @@
 	late
 	// surplus work is beyond its team's weight.
 	surplus
-	// useless work comes too late to be of use.
-	useless
+	// expired work comes too late to be of use.
+	expired
 )
 
 // unit is a step that waits, with its place in the order.
@@ -88,7 +88,7 @@
 		// Its users wait for it at any time.
 		u.latest = o.due
 	case o.tooLate(now):
-		u.tier = useless
+		u.tier = expired
 	case job.Surplus:
 		u.tier = surplus
 	case u.latest.Before(now):
--- a/process/cell/worker.go
+++ b/process/cell/worker.go
@@ -103,8 +103,9 @@
 	// room is Capacity less used.
 	room resource.Amount
 	runs map[RunKey]*Run
-	// strays are runs listed there that this scheduler knows nothing of.
-	strays map[RunKey]time.Time
+	// unknownRuns are listed there and not known to this scheduler; their room isn't
+	// known either, so nothing new is placed beside them.
+	unknownRuns map[RunKey]time.Time
 	// lastEnd is the highest number of an end taken in, acked that of the last
 	// recorded; pendingAcks wait for their records.
 	lastEnd     int64
@@ -135,7 +136,7 @@
 
 // usable reports whether new work may go to the worker.
 func (w *Worker) usable(now time.Time) bool {
-	return w.adopted && w.silentSince.IsZero() && !w.Draining && len(w.strays) == 0 && !w.pause.After(now) &&
+	return w.adopted && w.silentSince.IsZero() && !w.Draining && len(w.unknownRuns) == 0 && !w.pause.After(now) &&
 		(w.listed || now.Sub(w.missingSince) < missingGrace)
 }
 
@@ -196,7 +197,7 @@
 		seen[info.ID] = true
 		w := c.workers[info.ID]
 		if w == nil {
-			w = &Worker{runs: make(map[RunKey]*Run), strays: make(map[RunKey]time.Time)}
+			w = &Worker{runs: make(map[RunKey]*Run), unknownRuns: make(map[RunKey]time.Time)}
 			c.workers[info.ID] = w
 			c.workerOrder = append(c.workerOrder, w)
 		}
@@ -290,7 +291,7 @@
 	if w == nil {
 		return
 	}
-	c.meet(w, l.Born)
+	c.noteAnswer(w, l.Born)
 	for _, end := range l.Ends {
 		c.takeEnd(now, w, end)
 	}
@@ -299,7 +300,7 @@
 		c.releaseAcks(w)
 	}
 	running := make(map[RunKey]bool, len(l.Running))
-	clear(w.strays)
+	clear(w.unknownRuns)
 	for _, listed := range l.Running {
 		running[listed.RunKey] = true
 		c.seeRunning(now, w, listed)
@@ -314,8 +315,8 @@
 	}
 }
 
-// meet notes that the worker answers, and forgets what an earlier life said.
-func (c *Cell) meet(w *Worker, born int64) {
+// noteAnswer notes that the worker answers, and forgets what an earlier life said.
+func (c *Cell) noteAnswer(w *Worker, born int64) {
 	if !w.silentSince.IsZero() {
 		c.note(Note{Kind: NoteWorkerBack, Worker: w.ID})
 	}
@@ -353,9 +354,9 @@
 func (c *Cell) seeRunning(now time.Time, w *Worker, listed ListedRun) {
 	r := w.runs[listed.RunKey]
 	if r == nil {
-		w.strays[listed.RunKey] = now
+		w.unknownRuns[listed.RunKey] = now
 		c.actions.Stops = append(c.actions.Stops, StopOrder{Worker: w.ID, RunKey: listed.RunKey})
-		c.note(Note{Kind: NoteStray, Worker: w.ID, Task: listed.Task, Run: listed.Number})
+		c.note(Note{Kind: NoteUnknownRun, Worker: w.ID, Task: listed.Task, Run: listed.Number})
 		return
 	}
 	if r.state != runListed {
--- a/process/cell/world_test.go
+++ b/process/cell/world_test.go
@@ -3,7 +3,6 @@
 import (
 	"container/heap"
 	"fmt"
-	"math"
 	"math/rand/v2"
 	"slices"
 	"testing"
@@ -48,21 +47,6 @@
 	violations   []string
 }
 
-// fakeJob is what a client knows of a job.
-type fakeJob struct {
-	spec     JobSpec
-	kind     string
-	sent     time.Time
-	done     time.Time
-	rejected bool
-	// objective is worked out from the true times.
-	objective time.Duration
-	// times are the true times of the tasks of each step.
-	times [][]time.Duration
-	// endless jobs fail always.
-	endless bool
-}
-
 type fakeWorker struct {
 	id       string
 	capacity resource.Amount
@@ -100,14 +84,18 @@
 }
 
 func (q *eventQueue) Len() int { return len(q.events) }
+
 func (q *eventQueue) Less(i, j int) bool {
 	if q.events[i].at.Equal(q.events[j].at) {
 		return q.events[i].seq < q.events[j].seq
 	}
 	return q.events[i].at.Before(q.events[j].at)
 }
+
 func (q *eventQueue) Swap(i, j int) { q.events[i], q.events[j] = q.events[j], q.events[i] }
-func (q *eventQueue) Push(x any)    { q.events = append(q.events, x.(event)) }
+
+func (q *eventQueue) Push(x any) { q.events = append(q.events, x.(event)) }
+
 func (q *eventQueue) Pop() any {
 	last := q.events[len(q.events)-1]
 	q.events = q.events[:len(q.events)-1]
@@ -437,9 +425,6 @@
 	})
 }
 
-// goodShares is the part of workers allowed, by queue.
-var goodShares = map[string]float64{"roster": 0.3, "provision": 0.45, "quote": 0.7}
-
 func (w *world) mayRun(step, queue, id string) bool {
 	key := step + "/" + id
 	good, ok := w.good[key]
@@ -459,18 +444,6 @@
 	w.act()
 }
 
-// collect notes which jobs are shown as ended; it is called often.
-func (w *world) collect() {
-	for id, j := range w.jobs {
-		if !j.done.IsZero() {
-			continue
-		}
-		if state, _, _, ok := w.cell.StateOf(id); ok && state == Completed {
-			j.done = w.now
-		}
-	}
-}
-
 // crash ends the process of a worker; it comes back after down as a new life.
 func (w *world) crash(id string, down time.Duration) {
 	f := w.workers[id]
@@ -508,125 +481,3 @@
 	w.writing, w.planned = false, false
 	w.begin()
 }
-
-// share is the part of a kind's jobs that were done within their objective.
-func (w *world) share(kind string) (inTime float64, n int) {
-	good := 0
-	for _, j := range w.jobs {
-		if j.kind != kind || j.endless {
-			continue
-		}
-		n++
-		if !j.done.IsZero() && j.done.Sub(j.sent) <= j.objective {
-			good++
-		}
-	}
-	return float64(good) / float64(max(n, 1)), n
-}
-
-// finished is the part of a kind's accepted jobs that are done.
-func (w *world) finished(kind string) float64 {
-	good, n := 0, 0
-	for _, j := range w.jobs {
-		if j.kind != kind || j.rejected || j.endless {
-			continue
-		}
-		n++
-		if !j.done.IsZero() {
-			good++
-		}
-	}
-	return float64(good) / float64(max(n, 1))
-}
-
-// fakeKind generates jobs of one kind.
-type fakeKind struct {
-	queue   *catalog.Queue
-	perS    float64
-	count   float64
-	cpu     int64
-	length  time.Duration
-	gang    bool
-	guessBy float64
-}
-
-func lognormal(r *rand.Rand, mean, spread float64) float64 {
-	sigma := math.Sqrt(math.Log(1 + spread*spread))
-	return mean * math.Exp(sigma*r.NormFloat64()-sigma*sigma/2)
-}
-
-// job makes one job of the kind.
-func (k fakeKind) job(r *rand.Rand, id string) *fakeJob {
-	widest := 3 * k.count
-	if k.gang {
-		// A wider one might not fit on the workers that advice allows.
-		widest = 1.5 * k.count
-	}
-	count := min(max(1, int(lognormal(r, k.count, 0.8)+0.5)), int(widest))
-	length := min(lognormal(r, k.length.Seconds(), 0.5), 2.5*k.length.Seconds())
-	guess := length * (1 + k.guessBy*(2*r.Float64()-1))
-	j := &fakeJob{kind: k.queue.Name}
-	j.spec = JobSpec{
-		ID: id, Queue: k.queue.Name, Team: "team", Upstream: "desk", Policy: k.queue.Policy,
-		Steps: []StepSpec{{
-			Count: count, Need: resource.Amount{MilliCPU: k.cpu, MemoryMB: k.cpu}, Gang: k.gang,
-			Estimate: time.Duration(guess * float64(time.Second)),
-		}},
-	}
-	times := make([]time.Duration, count)
-	longest := 0.0
-	for i := range times {
-		one := length * (1 + 0.2*(2*r.Float64()-1))
-		longest = max(longest, one)
-		times[i] = time.Duration(one * float64(time.Second))
-	}
-	j.times = [][]time.Duration{times}
-	chain := time.Duration(longest*float64(time.Second)) + k.queue.Policy.Advice.CallTime(30)
-	j.objective = time.Duration(k.queue.Policy.Stretch*float64(chain)) + k.queue.Policy.Target
-	return j
-}
-
-// fakeQueues are three kinds of unlike work at about 80% of 48 workers.
-func fakeQueues() (queues []*catalog.Queue, kinds []fakeKind) {
-	policy := func(priority, attempts int, stretch float64, target, decide, each time.Duration) catalog.Policy {
-		return catalog.Policy{
-			Priority: priority, MaxAttempts: attempts, Stretch: stretch, Target: target,
-			Advice: &catalog.Advice{Decide: decide, Each: each, Valid: 1500 * time.Millisecond},
-		}
-	}
-	roster := &catalog.Queue{Name: "roster", Upstream: "desk", Policy: policy(1, 4, 2.2, time.Second, 520*time.Millisecond, 7400*time.Microsecond)}
-	provision := &catalog.Queue{Name: "provision", Upstream: "desk", Policy: policy(2, 2, 4, 3*time.Second, 82*time.Millisecond, 1200*time.Microsecond)}
-	quote := &catalog.Queue{Name: "quote", Upstream: "desk", Policy: policy(0, 3, 1.5, 250*time.Millisecond, 12*time.Millisecond, 170*time.Microsecond)}
-	return []*catalog.Queue{roster, provision, quote}, []fakeKind{
-		{queue: roster, perS: 1.45, count: 8, cpu: 9000, length: 5 * time.Second, gang: true, guessBy: 0.5},
-		{queue: provision, perS: 6, count: 10, cpu: 2000, length: 3400 * time.Millisecond, guessBy: 0.2},
-		{queue: quote, perS: 31, count: 2, cpu: 2800, length: time.Second, guessBy: 0.9},
-	}
-}
-
-// play sends the kinds' jobs at times their rates while rate says so.
-func (w *world) play(kinds []fakeKind, length time.Duration, rate func(kind string, at time.Duration) float64) {
-	n := 0
-	for _, k := range kinds {
-		var next func()
-		next = func() {
-			at := w.now.Sub(w.started)
-			if at > length {
-				return
-			}
-			n++
-			w.submit(k.job(w.rand, fmt.Sprintf("job%06d", n)))
-			x := rate(k.queue.Name, at)
-			w.after(time.Duration(w.rand.ExpFloat64()/(k.perS*x)*float64(time.Second)), next)
-		}
-		w.after(time.Duration(w.rand.ExpFloat64()/k.perS*float64(time.Second)), next)
-	}
-	var collect func()
-	collect = func() {
-		w.collect()
-		w.after(10*time.Millisecond, collect)
-	}
-	collect()
-}
-
-func steady(string, time.Duration) float64 { return 1 }
--- a/process/cluster/advisers.go
+++ b/process/cluster/advisers.go
@@ -20,20 +20,20 @@
 
 // advisers spreads calls for advice over the entries.
 type advisers struct {
-	reign *reign
+	leadership *leadership
 
 	mu sync.Mutex
 	// busyUntil is when each entry's calls are expected to be answered.
 	busyUntil map[string]time.Time
 }
 
-func newAdvisers(r *reign) *advisers {
-	return &advisers{reign: r, busyUntil: make(map[string]time.Time)}
+func newAdvisers(r *leadership) *advisers {
+	return &advisers{leadership: r, busyUntil: make(map[string]time.Time)}
 }
 
 // ask calls for advice on the entry that is expected to have it first.
 func (a *advisers) ask(ask cell.Ask) {
-	members := a.reign.node.liveMembers()
+	members := a.leadership.node.liveMembers()
 	a.mu.Lock()
 	now := time.Now()
 	chosen := chooseAdviser(now, members, a.busyUntil, ask.Decide >= cell.SlowAdvice)
@@ -84,9 +84,9 @@
 }
 
 func (a *advisers) call(m Member, ask cell.Ask, timeout time.Duration) {
-	ctx, cancel := context.WithTimeout(a.reign.ctx, timeout)
+	ctx, cancel := context.WithTimeout(a.leadership.ctx, timeout)
 	defer cancel()
-	n := a.reign.node
+	n := a.leadership.node
 	began := time.Now()
 	var good []cell.Ticket
 	var err error
@@ -98,11 +98,11 @@
 		good = reply.Good
 	}
 	n.metrics.adviceTime.UpdateDuration(began)
-	if err != nil && a.reign.ctx.Err() == nil {
+	if err != nil && a.leadership.ctx.Err() == nil {
 		n.metrics.adviceFailures.Inc()
 		n.logAdviceFailure(m, ask, err)
 	}
-	a.reign.change(func(now time.Time, c *cell.Cell) { c.Advised(now, now, ask, good, err != nil) })
+	a.leadership.change(func(now time.Time, c *cell.Cell) { c.Advised(now, now, ask, good, err != nil) })
 }
 
 // serveAdvise calls the advisory service for the scheduler.
--- a/process/cluster/doc.go
+++ b/process/cluster/doc.go
@@ -14,7 +14,7 @@
 // row, which happens several times a second, and from workers that have seen a
 // higher fence.
 //
-// # A reign
+// # Leadership
 //
 // A new scheduler reads the cell's rows, looks at every worker with its fence, and
 // only then plans work there. Each worker has a loop of its own that looks at it
--- a/process/cluster/elect.go
+++ b/process/cluster/elect.go
@@ -35,12 +35,12 @@
 	// that larger ones come first.
 	unknownPause    = 150 * time.Millisecond
 	maxUnknownPause = 1200 * time.Millisecond
-	// yieldAfter is how long a scheduler reigns before it gives way to an entry that is
+	// yieldAfter is how long a scheduler goes on before it gives way to an entry that is
 	// larger by yieldFactor, and yieldAgain the pause before it does so again.
 	yieldAfter  = 3 * time.Second
 	yieldAgain  = 20 * time.Second
 	yieldFactor = 1.5
-	// releaseTimeout bounds the giving up of a reign.
+	// releaseTimeout bounds the giving up of the lease.
 	releaseTimeout = 800 * time.Millisecond
 )
 
@@ -52,7 +52,7 @@
 		sleep(ctx, beatEvery-time.Since(began))
 	}
 	n.mu.Lock()
-	r := n.reign
+	r := n.leadership
 	n.mu.Unlock()
 	if r != nil {
 		r.end()
@@ -63,7 +63,7 @@
 	<-n.turn
 	defer func() { n.turn <- struct{}{} }()
 	n.mu.Lock()
-	r, view, leaving := n.reign, n.view, n.leaving
+	r, view, leaving := n.leadership, n.view, n.leaving
 	n.mu.Unlock()
 	if r != nil && !r.over() {
 		n.touchContact(r)
@@ -82,7 +82,7 @@
 
 // touchContact counts the scheduler's own contact with the table as contact about
 // the configuration.
-func (n *Node) touchContact(r *reign) {
+func (n *Node) touchContact(r *leadership) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.contactAt = maxTime(n.contactAt, time.Now().Add(-r.storeAge()))
--- /dev/null
+++ b/process/cluster/fakes_test.go
@@ -0,0 +1,302 @@
+package cluster
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/kingcuplatch/kingcuplatch/conn/peer"
+	"github.com/kingcuplatch/kingcuplatch/process/cell"
+	"github.com/kingcuplatch/kingcuplatch/process/platform"
+	"github.com/kingcuplatch/kingcuplatch/version/catalog"
+)
+
+// worker is a fake worker of package cluster's tests.
+type worker struct {
+	fence   uint64
+	running map[cell.RunKey]time.Time
+	// starts counts the starts of a task, over all runs.
+	starts map[string]int
+	ends   []cell.End
+	seq    int64
+	until  int64
+	takes  time.Duration
+	wake   chan struct{}
+	// silentTo are the nodes whose calls it doesn't hear.
+	silentTo map[string]bool
+}
+
+// nodeTable is the table as a node sees it.
+type nodeTable struct {
+	w    *world
+	node string
+}
+
+func (t *nodeTable) reach(ctx context.Context) error {
+	t.w.mu.Lock()
+	refuse, silent, slow := t.w.refuse[t.node], t.w.silent[t.node], t.w.slow
+	t.w.mu.Unlock()
+	if refuse {
+		return platform.ErrUnavailable
+	}
+	if silent {
+		<-ctx.Done()
+		return errors.Join(platform.ErrUnknown, ctx.Err())
+	}
+	sleep(ctx, slow)
+	if ctx.Err() != nil {
+		return errors.Join(platform.ErrUnknown, ctx.Err())
+	}
+	return nil
+}
+
+func (t *nodeTable) Get(ctx context.Context, key string) (platform.Row, bool, error) {
+	if err := t.reach(ctx); err != nil {
+		return platform.Row{}, false, err
+	}
+	t.w.mu.Lock()
+	defer t.w.mu.Unlock()
+	row, ok := t.w.rows[key]
+	return row, ok, nil
+}
+
+func (t *nodeTable) Scan(ctx context.Context, prefix, after string, limit int) ([]platform.Row, error) {
+	if err := t.reach(ctx); err != nil {
+		return nil, err
+	}
+	t.w.mu.Lock()
+	defer t.w.mu.Unlock()
+	var rows []platform.Row
+	for key, row := range t.w.rows {
+		if strings.HasPrefix(key, prefix) && key > after {
+			rows = append(rows, row)
+		}
+	}
+	slices.SortFunc(rows, func(a, b platform.Row) int { return strings.Compare(a.Key, b.Key) })
+	return rows[:min(limit, len(rows))], nil
+}
+
+func (t *nodeTable) Commit(ctx context.Context, txn platform.Txn) (uint64, error) {
+	if err := t.reach(ctx); err != nil {
+		return 0, err
+	}
+	t.w.mu.Lock()
+	defer t.w.mu.Unlock()
+	if t.w.loseAnswers > 0 {
+		t.w.loseAnswers--
+		late := t.w.lateBy
+		go func() {
+			time.Sleep(late)
+			t.w.mu.Lock()
+			defer t.w.mu.Unlock()
+			_, _ = t.w.apply(txn)
+		}()
+		return 0, platform.ErrUnknown
+	}
+	return t.w.apply(txn)
+}
+
+// apply does a transaction. w.mu is held.
+func (w *world) apply(txn platform.Txn) (uint64, error) {
+	for _, c := range txn.Conditions {
+		if w.rows[c.Key].Version != c.Version {
+			return 0, &platform.ConflictError{Key: c.Key, Version: w.rows[c.Key].Version}
+		}
+	}
+	w.version++
+	for _, write := range txn.Writes {
+		if write.Delete {
+			delete(w.rows, write.Key)
+			continue
+		}
+		w.rows[write.Key] = platform.Row{Key: write.Key, Value: write.Value, Version: w.version}
+	}
+	return w.version, nil
+}
+
+// nodePeers are the other nodes as a node sees them.
+type nodePeers struct {
+	w    *world
+	node string
+}
+
+func (p *nodePeers) Call(ctx context.Context, address, method string, params, result any) error {
+	sleep(ctx, time.Millisecond)
+	p.w.mu.Lock()
+	n := p.w.nodes[address]
+	cut := p.w.cut[p.node+">"+address] || p.w.nodes[p.node] == nil
+	p.w.mu.Unlock()
+	if cut {
+		<-ctx.Done()
+		return errors.Join(peer.ErrUnknown, ctx.Err())
+	}
+	if n == nil {
+		return peer.ErrNotSent
+	}
+	raw, err := json.Marshal(params)
+	if err != nil {
+		return err
+	}
+	got, err := n.Handlers()[method](ctx, raw)
+	if err != nil {
+		return err
+	}
+	encoded, err := json.Marshal(got)
+	if err != nil {
+		return err
+	}
+	if result == nil {
+		return nil
+	}
+	return json.Unmarshal(encoded, result)
+}
+
+// nodeWorkers are the workers as a node sees them.
+type nodeWorkers struct {
+	w    *world
+	node string
+}
+
+// enter checks the fence; w.mu is held on success.
+func (c *nodeWorkers) enter(ctx context.Context, id string, fence uint64) (*worker, error) {
+	sleep(ctx, time.Millisecond)
+	c.w.mu.Lock()
+	k := c.w.workers[id]
+	if k.silentTo[c.node] || c.w.nodes[c.node] == nil {
+		c.w.mu.Unlock()
+		<-ctx.Done()
+		return nil, errors.Join(ErrLost, ctx.Err())
+	}
+	if fence < k.fence {
+		c.w.mu.Unlock()
+		return nil, ErrFenced
+	}
+	k.fence = fence
+	k.lapse()
+	return k, nil
+}
+
+// clock is the workers' clock in milliseconds.
+func clock() int64 { return time.Since(worldStart).Milliseconds() }
+
+func (c *nodeWorkers) Start(ctx context.Context, to Target, call StartCall) (cell.StartAnswer, error) {
+	k, err := c.enter(ctx, to.ID, call.Fence)
+	if err != nil {
+		return cell.StartLost, err
+	}
+	defer c.w.mu.Unlock()
+	if call.NotAfter < clock() {
+		return cell.StartRefused, nil
+	}
+	k.until = max(k.until, call.NotAfter)
+	k.running[call.RunKey] = time.Now()
+	k.starts[call.Task]++
+	c.w.checkTwice(call.Task)
+	key := call.RunKey
+	time.AfterFunc(k.takes, func() { c.w.endRun(k, key, cell.EndDone) })
+	return cell.StartOK, nil
+}
+
+// checkTwice fails the test if a task runs on two workers. w.mu is held.
+func (w *world) checkTwice(task string) {
+	n := 0
+	for _, k := range w.workers {
+		k.lapse()
+		for key := range k.running {
+			if key.Task == task {
+				n++
+			}
+		}
+	}
+	if n > 1 {
+		w.t.Errorf("task %s runs %d times at once", task, n)
+	}
+}
+
+// lapse ends what runs on a worker whose lease has run out. The world's lock is held.
+func (k *worker) lapse() {
+	if clock() <= k.until {
+		return
+	}
+	for key := range k.running {
+		k.end(key, cell.EndLapsed)
+	}
+}
+
+// end lists the end of a run. The world's lock is held.
+func (k *worker) end(key cell.RunKey, kind cell.EndKind) {
+	delete(k.running, key)
+	k.seq++
+	k.ends = append(k.ends, cell.End{Seq: k.seq, RunKey: key, Kind: kind})
+	close(k.wake)
+	k.wake = make(chan struct{})
+}
+
+func (w *world) endRun(k *worker, key cell.RunKey, kind cell.EndKind) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	k.lapse()
+	if _, ok := k.running[key]; ok {
+		k.end(key, kind)
+	}
+}
+
+func (c *nodeWorkers) Stop(ctx context.Context, to Target, fence uint64, run cell.RunKey) error {
+	k, err := c.enter(ctx, to.ID, fence)
+	if err != nil {
+		return err
+	}
+	c.w.mu.Unlock()
+	c.w.endRun(k, run, cell.EndStopped)
+	return nil
+}
+
+func (c *nodeWorkers) Pace(context.Context, Target, uint64, cell.PaceOrder) error { return nil }
+
+func (c *nodeWorkers) Look(ctx context.Context, to Target, call LookCall) (Look, error) {
+	k, err := c.enter(ctx, to.ID, call.Fence)
+	if err != nil {
+		return Look{}, err
+	}
+	k.until = max(k.until, call.NotAfter)
+	k.ends = slices.DeleteFunc(k.ends, func(e cell.End) bool { return e.Seq <= call.Acked })
+	wake, waits := k.wake, len(k.ends) == 0
+	c.w.mu.Unlock()
+	if waits {
+		waiting, cancel := context.WithTimeout(ctx, call.Wait)
+		select {
+		case <-wake:
+		case <-waiting.Done():
+		}
+		cancel()
+	}
+	c.w.mu.Lock()
+	defer c.w.mu.Unlock()
+	look := Look{Clock: clock(), Listing: cell.Listing{Born: 1, Ends: slices.Clone(k.ends)}}
+	for key, began := range k.running {
+		percent := int(100 * time.Since(began) / k.takes)
+		look.Listing.Running = append(look.Listing.Running, cell.ListedRun{RunKey: key, Percent: percent})
+	}
+	return look, nil
+}
+
+// worldCatalogs gives every node the same configuration.
+type worldCatalogs struct{ w *world }
+
+func (c worldCatalogs) Follow(ctx context.Context, take func(Publication), contact func()) {
+	published, err := c.Decode([]byte("1"))
+	if err != nil {
+		c.w.t.Error(err)
+	}
+	take(published)
+	contact()
+	<-ctx.Done()
+}
+
+func (c worldCatalogs) Decode(raw []byte) (Publication, error) {
+	return Publication{Raw: raw, Catalog: catalog.New(1,
+		[]*catalog.Queue{{Name: "q", Upstream: "desk"}}, []*catalog.Team{{Name: "crew", Weight: 100}}, nil, catalog.Limits{})}, nil
+}
--- a/process/cluster/forward.go
+++ b/process/cluster/forward.go
@@ -28,7 +28,7 @@
 // Do answers a call: here, if this entry is the scheduler, else there.
 func (n *Node) Do(ctx context.Context, call Call) Reply {
 	n.mu.Lock()
-	r, view := n.reign, n.view
+	r, view := n.leadership, n.view
 	n.mu.Unlock()
 	if r != nil && !r.over() {
 		return r.do(ctx, call)
@@ -67,7 +67,7 @@
 		return nil, err
 	}
 	n.mu.Lock()
-	r := n.reign
+	r := n.leadership
 	n.mu.Unlock()
 	if r == nil || r.over() {
 		return nil, errNotScheduler
@@ -76,7 +76,7 @@
 }
 
 // do answers a call as the scheduler.
-func (r *reign) do(ctx context.Context, call Call) Reply {
+func (r *leadership) do(ctx context.Context, call Call) Reply {
 	switch call.Op {
 	case OpSubmit:
 		return r.submit(ctx, call)
@@ -89,7 +89,7 @@
 	}
 }
 
-func (r *reign) submit(ctx context.Context, call Call) Reply {
+func (r *leadership) submit(ctx context.Context, call Call) Reply {
 	if call.Spec == nil {
 		return Reply{Result: ResultInvalid, Reason: "the job is missing"}
 	}
@@ -112,7 +112,7 @@
 }
 
 // awaitRecord waits until a change is recorded, within bounds.
-func (r *reign) awaitRecord(ctx context.Context, recorded <-chan cell.Recorded) Reply {
+func (r *leadership) awaitRecord(ctx context.Context, recorded <-chan cell.Recorded) Reply {
 	ctx, cancel := context.WithTimeout(ctx, recordTimeout)
 	defer cancel()
 	look := time.NewTicker(unknownAfter / 4)
@@ -143,7 +143,7 @@
 	}
 }
 
-func (r *reign) cancelJob(ctx context.Context, call Call) Reply {
+func (r *leadership) cancelJob(ctx context.Context, call Call) Reply {
 	if !r.owns(call) {
 		return r.noJob()
 	}
@@ -163,14 +163,14 @@
 }
 
 // owns reports whether the job is one of the call's queue and team, or unknown.
-func (r *reign) owns(call Call) bool {
+func (r *leadership) owns(call Call) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	job, ok := r.cell.Job(call.ID)
 	return !ok || (job.Queue == call.Queue && (call.Team == "" || job.Team == call.Team))
 }
 
-func (r *reign) state(call Call) Reply {
+func (r *leadership) state(call Call) Reply {
 	r.mu.Lock()
 	state, queue, team, ok := r.cell.StateOf(call.ID)
 	r.mu.Unlock()
@@ -182,14 +182,14 @@
 
 // noJob denies that a job exists, which only a scheduler may do that surely still
 // is one.
-func (r *reign) noJob() Reply {
+func (r *leadership) noJob() Reply {
 	if r.storeAge() > freshFor {
 		return unavailable("the table hasn't answered lately")
 	}
 	return Reply{Result: ResultNoJob}
 }
 
-func (r *reign) pending(call Call) Reply {
+func (r *leadership) pending(call Call) Reply {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	return Reply{Result: ResultOK, Pending: r.cell.Pending(call.Queue)}
--- a/process/cluster/reign.go
+++ b/process/cluster/leadership.go
@@ -10,7 +10,7 @@
 	"github.com/kingcuplatch/kingcuplatch/version/catalog"
 )
 
-// Timings of a reign.
+// Timings of a leadership.
 const (
 	// planPause gathers events that come close together into one plan; planRest
 	// times what the last plan took is the least pause, so that planning leaves most
@@ -41,14 +41,14 @@
 	predecessorMargin = 500 * time.Millisecond
 )
 
-// reign is the time in which this entry schedules a cell.
-type reign struct {
+// leadership is the time in which this entry schedules a cell.
+type leadership struct {
 	node  *Node
 	fence uint64
-	// timings are those in force when the reign began.
+	// timings are those in force when the leadership began.
 	timings Timings
 	began   time.Time
-	// ctx ends with the reign.
+	// ctx ends with the leadership.
 	ctx    context.Context
 	cancel context.CancelFunc
 	tasks  sync.WaitGroup
@@ -71,9 +71,9 @@
 	writes map[*cell.Batch]time.Time
 }
 
-// newReign loads the cell's rows; the lease row must be this entry's at version
+// newLeadership loads the cell's rows; the lease row must be this entry's at version
 // fence.
-func newReign(ctx context.Context, n *Node, fence uint64, since time.Time) (*reign, error) {
+func newLeadership(ctx context.Context, n *Node, fence uint64, since time.Time) (*leadership, error) {
 	rows, err := scanAll(ctx, n.config.Table)
 	if err != nil {
 		return nil, err
@@ -83,7 +83,7 @@
 		return nil, err
 	}
 	loaded.SetCatalog(n.catalog())
-	r := &reign{
+	r := &leadership{
 		node: n, fence: fence, timings: n.timings(), began: since, cell: loaded,
 		kick: make(chan struct{}, 1), record: make(chan struct{}, 1),
 		workers: make(map[string]*workerLoop), storeAt: since, writes: make(map[*cell.Batch]time.Time),
@@ -112,8 +112,8 @@
 	}
 }
 
-// run schedules until the reign ends.
-func (r *reign) run() {
+// run schedules until the leadership ends.
+func (r *leadership) run() {
 	for _, loop := range []func(){r.planLoop, r.recordLoop, r.tickLoop, r.probeLoop, r.followDirectory, r.upkeepLoop} {
 		r.tasks.Add(1)
 		go func() {
@@ -124,15 +124,15 @@
 	r.tasks.Wait()
 }
 
-// end ends the reign; it doesn't wait.
-func (r *reign) end() { r.cancel() }
+// end ends the leadership; it doesn't wait.
+func (r *leadership) end() { r.cancel() }
 
-// over reports whether the reign has ended.
-func (r *reign) over() bool { return r.ctx.Err() != nil }
+// over reports whether the leadership has ended.
+func (r *leadership) over() bool { return r.ctx.Err() != nil }
 
 // change runs f on the cell under its lock, carries out what follows from it and
 // lets the loops look again.
-func (r *reign) change(f func(now time.Time, c *cell.Cell)) {
+func (r *leadership) change(f func(now time.Time, c *cell.Cell)) {
 	r.mu.Lock()
 	f(time.Now(), r.cell)
 	actions := r.cell.Take()
@@ -151,7 +151,7 @@
 }
 
 // carryOut starts what the cell decided.
-func (r *reign) carryOut(a cell.Actions) {
+func (r *leadership) carryOut(a cell.Actions) {
 	for _, n := range a.Notes {
 		r.node.logNote(n)
 	}
@@ -172,7 +172,7 @@
 	}
 }
 
-func (r *reign) planLoop() {
+func (r *leadership) planLoop() {
 	pause := planPause
 	for {
 		select {
@@ -193,7 +193,7 @@
 	}
 }
 
-func (r *reign) tickLoop() {
+func (r *leadership) tickLoop() {
 	ticker := time.NewTicker(tickEvery)
 	defer ticker.Stop()
 	for {
@@ -220,8 +220,8 @@
 }
 
 // lapseUnlisted gives up runs recorded on workers that the directory didn't list
-// since this reign began, once no earlier scheduler's lease can hold there.
-func (r *reign) lapseUnlisted(now time.Time, c *cell.Cell) {
+// since this leadership began, once no earlier scheduler's lease can hold there.
+func (r *leadership) lapseUnlisted(now time.Time, c *cell.Cell) {
 	if now.Before(r.predecessorsBound()) {
 		return
 	}
@@ -233,18 +233,18 @@
 }
 
 // followDirectory keeps a loop for every worker that the directory lists.
-func (r *reign) followDirectory() {
+func (r *leadership) followDirectory() {
 	r.node.config.Directory.Follow(r.ctx, func(list []cell.WorkerInfo) {
 		r.change(func(now time.Time, c *cell.Cell) {
 			c.SetWorkers(now, list)
 			for _, info := range list {
-				r.meetWorker(info)
+				r.addWorker(info)
 			}
 		})
 	})
 }
 
-func (r *reign) setCatalog(published *catalog.Catalog) {
+func (r *leadership) setCatalog(published *catalog.Catalog) {
 	r.change(func(_ time.Time, c *cell.Cell) { c.SetCatalog(published) })
 }
 
--- a/process/cluster/log.go
+++ b/process/cluster/log.go
@@ -18,7 +18,7 @@
 		log.Log(events.JobEnded, n.Job, n.Team, n.State, n.Age.String())
 	case cell.NoteJobCancelled:
 		log.Log(events.JobCancelled, n.Job, n.Team, n.Age.String())
-	case cell.NotePlaced, cell.NotePlacementDropped, cell.NoteStartAnswered, cell.NoteRunEnded, cell.NoteRunStuck, cell.NoteStray, cell.NoteWaits:
+	case cell.NotePlaced, cell.NotePlacementDropped, cell.NoteStartAnswered, cell.NoteRunEnded, cell.NoteRunStuck, cell.NoteUnknownRun, cell.NoteWaits:
 		logRun(log, n)
 	default:
 		logWorker(log, n)
@@ -39,8 +39,8 @@
 		log.Log(events.RunStuck, n.Task, n.Run, n.Worker, n.Age.String())
 	case cell.NoteWaits:
 		log.Log(events.StepWaits, n.Task, n.Team, n.Age.String(), n.Reason, n.Runs)
-	case cell.NoteStray:
-		log.Log(events.RunStray, n.Task, n.Run, n.Worker, n.Error)
+	case cell.NoteUnknownRun:
+		log.Log(events.RunUnknown, n.Task, n.Run, n.Worker, n.Error)
 	}
 }
 
--- a/process/cluster/node.go
+++ b/process/cluster/node.go
@@ -62,17 +62,17 @@
 
 	mu        sync.Mutex
 	published Publication
-	// loading is the fence of a reign whose cell is being read; 0 if there is none.
+	// loading is the fence of a leadership whose cell is being read; 0 if there is none.
 	loading uint64
 	// contactAt is when the operators' table was last heard of, directly or through
 	// the scheduler.
-	contactAt time.Time
-	view      leaderView
-	reign     *reign
+	contactAt  time.Time
+	view       leaderView
+	leadership *leadership
 	// heard are the standbys that sent a heartbeat, by name.
 	heard   map[string]heardMember
 	leaving bool
-	// startedAt is when this life began; yieldedAt when it last gave its reign to a
+	// startedAt is when this life began; yieldedAt when it last gave the lease to a
 	// larger entry.
 	startedAt time.Time
 	yieldedAt time.Time
@@ -142,7 +142,7 @@
 	}
 	n.published = p
 	n.contactAt = time.Now()
-	r := n.reign
+	r := n.leadership
 	n.mu.Unlock()
 	n.log.Log(events.VersionInForce, p.Catalog.Version)
 	if r != nil {
@@ -187,14 +187,14 @@
 func (n *Node) Schedules() bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	return n.reign != nil && !n.reign.over()
+	return n.leadership != nil && !n.leadership.over()
 }
 
-// Leave makes the node not ready and gives its reign to another entry.
+// Leave makes the node not ready and gives the lease to another entry.
 func (n *Node) Leave(ctx context.Context) {
 	n.mu.Lock()
 	n.leaving = true
-	r := n.reign
+	r := n.leadership
 	n.mu.Unlock()
 	if r != nil && !r.over() {
 		n.release(ctx, r)
@@ -221,7 +221,7 @@
 	return members
 }
 
-// allHeard reports whether every standby that was ever heard in this reign was
+// allHeard reports whether every standby that was ever heard in this leadership was
 // heard lately.
 func (n *Node) allHeard() bool {
 	n.mu.Lock()
--- a/process/cluster/record.go
+++ b/process/cluster/record.go
@@ -34,7 +34,7 @@
 
 // recordLoop writes what has changed. A write that takes its usual time is followed
 // by the next one; while writes take longer, more are sent beside them.
-func (r *reign) recordLoop() {
+func (r *leadership) recordLoop() {
 	for {
 		select {
 		case <-r.ctx.Done():
@@ -63,7 +63,7 @@
 
 // mayWrite reports whether another write may be sent now. If one is under way, the
 // loop looks again once that has taken its usual time.
-func (r *reign) mayWrite() bool {
+func (r *leadership) mayWrite() bool {
 	r.storeMu.Lock()
 	defer r.storeMu.Unlock()
 	oldest := time.Duration(0)
@@ -80,7 +80,7 @@
 }
 
 // recordBatch writes one batch and lets what waited for it go on.
-func (r *reign) recordBatch(batch *cell.Batch, began time.Time) {
+func (r *leadership) recordBatch(batch *cell.Batch, began time.Time) {
 	version, ok := r.write(batch)
 	took := time.Since(began)
 	r.storeMu.Lock()
@@ -104,8 +104,8 @@
 }
 
 // write repeats the same transaction until its outcome is known. It reports false
-// when the reign is over.
-func (r *reign) write(batch *cell.Batch) (version uint64, ok bool) {
+// when the leadership is over.
+func (r *leadership) write(batch *cell.Batch) (version uint64, ok bool) {
 	txn := platform.Txn{
 		Conditions: append([]platform.Condition{{Key: leaseKey, Version: r.fence}}, batch.Conditions...),
 		Writes:     batch.Writes,
@@ -132,7 +132,7 @@
 
 // resolve finds out whether an earlier try of the batch, whose answer was lost,
 // took effect. If it didn't, somebody else writes the cell's rows.
-func (r *reign) resolve(batch *cell.Batch) (version uint64, ok bool) {
+func (r *leadership) resolve(batch *cell.Batch) (version uint64, ok bool) {
 	for !r.over() {
 		version, mine, err := r.readBack(batch)
 		if err != nil {
@@ -143,14 +143,14 @@
 		if mine {
 			return version, true
 		}
-		r.depose("a record is not as this entry left it")
+		r.stepDown("a record is not as this entry left it")
 	}
 	return 0, false
 }
 
 // readBack reports whether the lease row is still this entry's and the batch's
 // first row is as the batch wrote it.
-func (r *reign) readBack(batch *cell.Batch) (version uint64, mine bool, err error) {
+func (r *leadership) readBack(batch *cell.Batch) (version uint64, mine bool, err error) {
 	lease, ok, err := r.get(leaseKey)
 	if err != nil {
 		return 0, false, err
@@ -177,7 +177,7 @@
 	return version, true, nil
 }
 
-func (r *reign) get(key string) (platform.Row, bool, error) {
+func (r *leadership) get(key string) (platform.Row, bool, error) {
 	ctx, cancel := context.WithTimeout(r.ctx, tableTimeout)
 	defer cancel()
 	sent := time.Now()
@@ -190,7 +190,7 @@
 
 // probeLoop looks at the lease row while nothing is written, so that a scheduler
 // that was replaced learns it soon.
-func (r *reign) probeLoop() {
+func (r *leadership) probeLoop() {
 	for !r.over() {
 		sleep(r.ctx, probeEvery)
 		if r.over() || !r.probeDue() {
@@ -201,27 +201,27 @@
 		case err != nil:
 			r.storeFailed(err)
 		case !ok || row.Version != r.fence:
-			r.depose("the lease row was taken over")
+			r.stepDown("the lease row was taken over")
 		}
 	}
 }
 
-func (r *reign) probeDue() bool {
+func (r *leadership) probeDue() bool {
 	r.storeMu.Lock()
 	defer r.storeMu.Unlock()
 	return time.Since(r.storeAt) >= probeEvery
 }
 
-// depose ends a reign that another entry has taken over.
-func (r *reign) depose(reason string) {
+// stepDown ends a leadership that another entry has taken over.
+func (r *leadership) stepDown(reason string) {
 	if r.over() {
 		return
 	}
-	r.node.log.Log(events.SchedulerDeposed, r.fence, reason)
+	r.node.log.Log(events.SchedulerReplaced, r.fence, reason)
 	r.end()
 }
 
-func (r *reign) storeAnswered(sent time.Time) {
+func (r *leadership) storeAnswered(sent time.Time) {
 	r.storeMu.Lock()
 	if sent.After(r.storeAt) {
 		r.storeAt = sent
@@ -234,7 +234,7 @@
 	}
 }
 
-func (r *reign) storeFailed(err error) {
+func (r *leadership) storeFailed(err error) {
 	if r.over() {
 		return
 	}
@@ -253,7 +253,7 @@
 
 // storeTrouble reports whether the table takes no writes now, and for how long
 // calls have failed.
-func (r *reign) storeTrouble() (troubled bool, failing time.Duration) {
+func (r *leadership) storeTrouble() (troubled bool, failing time.Duration) {
 	r.storeMu.Lock()
 	defer r.storeMu.Unlock()
 	if r.failingSince.IsZero() {
@@ -264,7 +264,7 @@
 }
 
 // storeAge is how long ago the last call that the table answered was sent.
-func (r *reign) storeAge() time.Duration {
+func (r *leadership) storeAge() time.Duration {
 	r.storeMu.Lock()
 	defer r.storeMu.Unlock()
 	return time.Since(r.storeAt)
--- a/process/cluster/standby.go
+++ b/process/cluster/standby.go
@@ -132,7 +132,7 @@
 	<-n.turn
 	defer func() { n.turn <- struct{}{} }()
 	n.mu.Lock()
-	idle := n.view.fence == 0 && !n.leaving && (n.reign == nil || n.reign.over())
+	idle := n.view.fence == 0 && !n.leaving && (n.leadership == nil || n.leadership.over())
 	n.mu.Unlock()
 	if idle {
 		n.lookAtLease(context.Background(), true)
@@ -146,7 +146,7 @@
 		return nil, err
 	}
 	n.mu.Lock()
-	r := n.reign
+	r := n.leadership
 	if n.loading != 0 {
 		// The cell is being read: the others are to wait for it.
 		defer n.mu.Unlock()
@@ -176,8 +176,8 @@
 func (n *Node) serveSeen(context.Context, json.RawMessage) (any, error) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	if n.reign != nil && !n.reign.over() {
-		return seenReply{leaseRow: n.view.leaseRow, Fence: n.reign.fence, StoreAgeMS: n.reign.storeAge().Milliseconds()}, nil
+	if n.leadership != nil && !n.leadership.over() {
+		return seenReply{leaseRow: n.view.leaseRow, Fence: n.leadership.fence, StoreAgeMS: n.leadership.storeAge().Milliseconds()}, nil
 	}
 	return seenReply{
 		leaseRow: n.view.leaseRow, Fence: n.view.fence, HeardAgoMS: time.Since(n.view.heardAt).Milliseconds(), StoreAgeMS: time.Since(n.view.storeAt).Milliseconds(),
--- a/process/cluster/take.go
+++ b/process/cluster/take.go
@@ -11,8 +11,8 @@
 	"github.com/kingcuplatch/kingcuplatch/process/platform"
 )
 
-// yield gives the reign to a larger entry, if one is heard.
-func (n *Node) yield(ctx context.Context, r *reign) {
+// yield gives the lease to a larger entry, if one is heard.
+func (n *Node) yield(ctx context.Context, r *leadership) {
 	n.mu.Lock()
 	largest := n.membersLocked()[0]
 	due := time.Since(r.began) > yieldAfter && time.Since(n.yieldedAt) > yieldAgain &&
@@ -46,7 +46,7 @@
 }
 
 // take writes this entry's name into the lease row, on condition of its version,
-// and begins to reign.
+// and begins to schedule.
 func (n *Node) take(ctx context.Context, version uint64, reason string) {
 	began := time.Now()
 	value, err := json.Marshal(leaseRow{Holder: n.config.Name, Address: n.config.Address, Incarnation: n.config.Incarnation})
@@ -89,23 +89,23 @@
 	return 0, nil
 }
 
-// lastFence is the fence of this node's last reign, 0 if there was none.
+// lastFence is the fence of this node's last leadership, 0 if there was none.
 func (n *Node) lastFence() uint64 {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	if n.reign == nil {
+	if n.leadership == nil {
 		return 0
 	}
-	return n.reign.fence
+	return n.leadership.fence
 }
 
-// begin reads the cell and starts to reign. A cell that can't be read is given up.
+// begin reads the cell and starts to schedule. A cell that can't be read is given up.
 func (n *Node) begin(ctx context.Context, fence uint64, since time.Time) {
 	n.setLoading(fence)
 	defer n.setLoading(0)
 	loadCtx, cancel := context.WithTimeout(ctx, loadTimeout)
 	defer cancel()
-	r, err := newReign(loadCtx, n, fence, since)
+	r, err := newLeadership(loadCtx, n, fence, since)
 	if err != nil {
 		n.log.Log(events.OwnershipFailed, "read the cell", err)
 		n.writeRelease(ctx, fence)
@@ -118,7 +118,7 @@
 		n.writeRelease(ctx, fence)
 		return
 	}
-	n.reign = r
+	n.leadership = r
 	for _, m := range n.view.members {
 		if _, known := n.heard[m.Name]; !known {
 			n.heard[m.Name] = heardMember{Member: m}
@@ -134,7 +134,7 @@
 	}()
 }
 
-// setLoading notes the fence of a reign whose cell is being read.
+// setLoading notes the fence of a leadership whose cell is being read.
 func (n *Node) setLoading(fence uint64) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
@@ -142,7 +142,7 @@
 }
 
 // ended makes the node a standby that looks at the lease row next.
-func (n *Node) ended(r *reign) {
+func (n *Node) ended(r *leadership) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	if n.view.fence == r.fence {
@@ -151,8 +151,8 @@
 	n.log.Log(events.SchedulerEnded, r.fence)
 }
 
-// release ends a reign and gives the lease row up, then tells the next in turn.
-func (n *Node) release(ctx context.Context, r *reign) {
+// release ends a leadership and gives the lease row up, then tells the next in turn.
+func (n *Node) release(ctx context.Context, r *leadership) {
 	r.end()
 	r.tasks.Wait()
 	n.writeRelease(ctx, r.fence)
--- a/process/cluster/upkeep.go
+++ b/process/cluster/upkeep.go
@@ -54,7 +54,7 @@
 
 // upkeepLoop carries out the operators' waves. A new scheduler first lets the time
 // pass in which its predecessor may still give orders for machines.
-func (r *reign) upkeepLoop() {
+func (r *leadership) upkeepLoop() {
 	if r.node.config.Machines == nil {
 		return
 	}
@@ -69,7 +69,7 @@
 }
 
 // upkeepOnce looks at all waves that aren't completed.
-func (r *reign) upkeepOnce(waves map[int64]*waveState) error {
+func (r *leadership) upkeepOnce(waves map[int64]*waveState) error {
 	open, err := r.openWaves(waves)
 	cordon := make(map[string]bool)
 	defer r.change(func(_ time.Time, c *cell.Cell) { c.SetCordon(cordon) })
@@ -104,7 +104,7 @@
 
 // openWaves returns the waves that aren't reported as completed, and reads what an
 // earlier scheduler did of new ones.
-func (r *reign) openWaves(waves map[int64]*waveState) ([]upkeep.Wave, error) {
+func (r *leadership) openWaves(waves map[int64]*waveState) ([]upkeep.Wave, error) {
 	var open []upkeep.Wave
 	for _, wave := range r.node.config.Machines.Waves() {
 		state := waves[wave.Number]
@@ -132,7 +132,7 @@
 func upkeepKey(wave int64) string { return upkeepPrefix + strconv.FormatInt(wave, 10) }
 
 // carryOutWave reports on a wave and takes machines down.
-func (r *reign) carryOutWave(wave upkeep.Wave, state *waveState, step upkeep.Step) error {
+func (r *leadership) carryOutWave(wave upkeep.Wave, state *waveState, step upkeep.Step) error {
 	ctx, cancel := context.WithTimeout(r.ctx, machinesTimeout)
 	defer cancel()
 	if !state.running || step.Completed {
@@ -165,7 +165,7 @@
 }
 
 // saveWave records a wave's progress, on condition that this entry still schedules.
-func (r *reign) saveWave(ctx context.Context, wave int64, state *waveState) error {
+func (r *leadership) saveWave(ctx context.Context, wave int64, state *waveState) error {
 	value, err := json.Marshal(state.row)
 	if err != nil {
 		return err
--- a/process/cluster/worker.go
+++ b/process/cluster/worker.go
@@ -20,11 +20,11 @@
 	ackPause = 120 * time.Millisecond
 )
 
-// fencedReason is why a reign ends when a worker refuses its fence. The fence is
+// fencedReason is why a leadership ends when a worker refuses its fence. The fence is
 // the lease row's version, so somebody has taken the row over.
 const fencedReason = "a worker has seen a higher fence"
 
-// workerLoop looks at one worker. Its fields are guarded by the reign's lock.
+// workerLoop looks at one worker. Its fields are guarded by the leadership's lock.
 type workerLoop struct {
 	target Target
 	lease  workerLease
@@ -33,9 +33,9 @@
 	cancel context.CancelFunc
 }
 
-// meetWorker starts a worker's loop, or takes in its new address. The reign's
+// addWorker starts a worker's loop, or takes in its new address. The leadership's
 // lock is held.
-func (r *reign) meetWorker(info cell.WorkerInfo) {
+func (r *leadership) addWorker(info cell.WorkerInfo) {
 	if w := r.workers[info.ID]; w != nil {
 		w.target.Address = info.Address
 		return
@@ -52,19 +52,19 @@
 
 // predecessorsBound is when every lease that an earlier scheduler granted has
 // surely run out: it extends leases for a while after it lost the table.
-func (r *reign) predecessorsBound() time.Time {
+func (r *leadership) predecessorsBound() time.Time {
 	longest := time.Duration(float64(r.timings.Lease) / (1 - clockSlack))
 	return r.began.Add(extendWithoutTable + memberFor + longest + predecessorMargin)
 }
 
 // mayExtend reports whether leases may be extended: the table answers, or nobody
 // can have taken over since it did.
-func (r *reign) mayExtend() bool {
+func (r *leadership) mayExtend() bool {
 	return r.storeAge() < extendWithoutTable || r.node.allHeard()
 }
 
-// endWorker stops the loop of a worker that left. The reign's lock is held.
-func (r *reign) endWorker(id string) {
+// endWorker stops the loop of a worker that left. The leadership's lock is held.
+func (r *leadership) endWorker(id string) {
 	if w := r.workers[id]; w != nil {
 		w.cancel()
 		delete(r.workers, id)
@@ -72,7 +72,7 @@
 }
 
 // watch looks at the worker until ctx ends.
-func (r *reign) watch(ctx context.Context, w *workerLoop) {
+func (r *leadership) watch(ctx context.Context, w *workerLoop) {
 	silent := false
 	for ctx.Err() == nil {
 		call, target := r.nextLook(w, silent)
@@ -98,7 +98,7 @@
 
 // nextLook prepares a look. A worker that didn't answer last time is asked at once
 // and without extending its lease, so that the lease can run out.
-func (r *reign) nextLook(w *workerLoop, silent bool) (LookCall, Target) {
+func (r *leadership) nextLook(w *workerLoop, silent bool) (LookCall, Target) {
 	extend := r.mayExtend()
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -116,9 +116,9 @@
 	return call, w.target
 }
 
-func (r *reign) lookFailed(w *workerLoop, err error) {
+func (r *leadership) lookFailed(w *workerLoop, err error) {
 	if errors.Is(err, ErrFenced) {
-		r.depose(fencedReason)
+		r.stepDown(fencedReason)
 	}
 	r.change(func(now time.Time, c *cell.Cell) {
 		c.WorkerSilent(now, w.target.ID)
@@ -128,7 +128,7 @@
 	})
 }
 
-func (r *reign) listed(w *workerLoop, look Look) {
+func (r *leadership) listed(w *workerLoop, look Look) {
 	r.change(func(now time.Time, c *cell.Cell) {
 		if w.life != look.Listing.Born {
 			w.lease.reset()
@@ -141,7 +141,7 @@
 
 // awaitAcks waits for the records of the ends just listed, since a look that can't
 // acknowledge them would be answered with them at once.
-func (r *reign) awaitAcks(ctx context.Context, w *workerLoop) {
+func (r *leadership) awaitAcks(ctx context.Context, w *workerLoop) {
 	limit := time.NewTimer(ackPause)
 	defer limit.Stop()
 	for {
@@ -162,7 +162,7 @@
 }
 
 // sendStart orders the start of a run whose record is written.
-func (r *reign) sendStart(order cell.StartOrder) {
+func (r *leadership) sendStart(order cell.StartOrder) {
 	r.mu.Lock()
 	w := r.workers[order.Worker]
 	var call StartCall
@@ -182,7 +182,7 @@
 	}
 	switch {
 	case errors.Is(err, ErrFenced):
-		r.depose(fencedReason)
+		r.stepDown(fencedReason)
 		return
 	case err != nil:
 		answer = cell.StartLost
@@ -191,21 +191,21 @@
 }
 
 // sendStop orders the end of a run. Without an answer the cell asks again.
-func (r *reign) sendStop(order cell.StopOrder) {
+func (r *leadership) sendStop(order cell.StopOrder) {
 	r.send(order.Worker, func(ctx context.Context, to Target) error {
 		return r.node.config.Workers.Stop(ctx, to, r.fence, order.RunKey)
 	}, func(now time.Time, c *cell.Cell) { c.StopAnswered(now, order.Worker, order.RunKey) })
 }
 
 // sendPace orders the pace of a run. Without an answer the cell asks again.
-func (r *reign) sendPace(order cell.PaceOrder) {
+func (r *leadership) sendPace(order cell.PaceOrder) {
 	r.send(order.Worker, func(ctx context.Context, to Target) error {
 		return r.node.config.Workers.Pace(ctx, to, r.fence, order)
 	}, func(_ time.Time, c *cell.Cell) { c.Paced(order.Worker, order.RunKey, order.Percent) })
 }
 
 // send makes a call to a worker and tells the cell if it was answered with success.
-func (r *reign) send(id string, call func(context.Context, Target) error, answered func(time.Time, *cell.Cell)) {
+func (r *leadership) send(id string, call func(context.Context, Target) error, answered func(time.Time, *cell.Cell)) {
 	r.mu.Lock()
 	w := r.workers[id]
 	var target Target
@@ -221,7 +221,7 @@
 	err := call(ctx, target)
 	switch {
 	case errors.Is(err, ErrFenced):
-		r.depose(fencedReason)
+		r.stepDown(fencedReason)
 	case err != nil:
 		r.node.metrics.orderFailures.Inc()
 	default:
--- a/process/events/catalogue.go
+++ b/process/events/catalogue.go
@@ -39,7 +39,7 @@
 	SchedulerKnown   = &Event{7001, logrus.InfoLevel, "scheduler known", []string{"holder", "fence"}, nothing}
 	SchedulerTook    = &Event{7002, logrus.InfoLevel, "lease of the cell taken", []string{"fence", "reason", "took"}, "If it was taken from a live entry, look at that entry's network."}
 	SchedulerBegan   = &Event{7003, logrus.InfoLevel, "cell read, scheduling", []string{"fence", "jobs", "live", "took"}, nothing}
-	SchedulerDeposed = &Event{7004, logrus.WarnLevel, "another entry schedules the cell", []string{"fence", "reason"}, "Look at this entry's network and processor at that time."}
+	SchedulerReplaced = &Event{7004, logrus.WarnLevel, "another entry schedules the cell", []string{"fence", "reason"}, "Look at this entry's network and processor at that time."}
 	SchedulerEnded   = &Event{7005, logrus.InfoLevel, "no longer scheduling", []string{"fence"}, nothing}
 	TableLost        = &Event{7006, logrus.WarnLevel, "the table can't be reached", []string{"age", "error"}, "Look at the platform; nothing new is accepted or started meanwhile."}
 	TableBack        = &Event{7007, logrus.InfoLevel, "the table answers again", []string{"after"}, nothing}
@@ -61,7 +61,7 @@
 	StartFailed    = &Event{7203, logrus.WarnLevel, "order to start wasn't answered with success", []string{"task", "run", "worker", "answer", "age"}, nothing}
 	RunEnded       = &Event{7204, logrus.InfoLevel, "run ended without success", []string{"task", "run", "worker", "end", "age"}, nothing}
 	RunStuck       = &Event{7205, logrus.WarnLevel, "run stands still, stopped", []string{"task", "run", "worker", "still_for"}, "Look at the worker if it repeats."}
-	RunStray       = &Event{7206, logrus.WarnLevel, "a worker lists a run that isn't known, stopped", []string{"task", "run", "worker", "error"}, nothing}
+	RunUnknown       = &Event{7206, logrus.WarnLevel, "a worker lists a run that isn't known, stopped", []string{"task", "run", "worker", "error"}, nothing}
 	AdviceFailed   = &Event{7207, logrus.WarnLevel, "call for advice failed", []string{"step", "entry", "workers", "error"}, "Asked again by itself; look at the advisory service if it lasts."}
 	StepWaits      = &Event{7208, logrus.InfoLevel, "the step that waits longest", []string{"step", "team", "age", "reason", "steps"}, "The reason counts the workers that each condition leaves."}
 	WorkerTaken    = &Event{7301, logrus.InfoLevel, "worker adopted by this scheduler", []string{"worker", "runs"}, nothing}
@@ -86,10 +86,10 @@
 	WorkerAdopted, WorkerUnreachable, WorkerAside, WorkerReturned, TeamShrunk,
 	RequestUnknown,
 	KeeperError,
-	SchedulerKnown, SchedulerTook, SchedulerBegan, SchedulerDeposed, SchedulerEnded, TableLost, TableBack,
+	SchedulerKnown, SchedulerTook, SchedulerBegan, SchedulerReplaced, SchedulerEnded, TableLost, TableBack,
 	SettingsReloaded, FeedLost, FeedBack, RowIgnored, WriteSlow,
 	JobAccepted, JobRefused, JobEnded, JobCancelled, CallRefused,
-	RunPlaced, RunWithdrawn, StartFailed, RunEnded, RunStuck, RunStray, AdviceFailed, StepWaits,
+	RunPlaced, RunWithdrawn, StartFailed, RunEnded, RunStuck, RunUnknown, AdviceFailed, StepWaits,
 	WorkerTaken, WorkerSilent, WorkerAnswers, WorkerLapsed, WorkerReborn, WorkerDrains, WorkerMissing,
 	WorkerUnsound, WorkerRestored, UpkeepBegun, WaveCompleted, UpkeepFailed,
 }
