--- a/process/events/catalogue.go
+++ b/process/events/catalogue.go
@@ -36,17 +36,17 @@
 
 	KeeperError = &Event{6002, logrus.WarnLevel, "job keeper step failed", []string{"step", "error"}, "Retried; look at the platform if it lasts."}
 
-	SchedulerKnown   = &Event{7001, logrus.InfoLevel, "scheduler known", []string{"holder", "fence"}, nothing}
-	SchedulerTook    = &Event{7002, logrus.InfoLevel, "lease of the cell taken", []string{"fence", "reason", "took"}, "If it was taken from a live entry, look at that entry's network."}
-	SchedulerBegan   = &Event{7003, logrus.InfoLevel, "cell read, scheduling", []string{"fence", "jobs", "live", "took"}, nothing}
+	SchedulerKnown    = &Event{7001, logrus.InfoLevel, "scheduler known", []string{"holder", "fence"}, nothing}
+	SchedulerTook     = &Event{7002, logrus.InfoLevel, "lease of the cell taken", []string{"fence", "reason", "took"}, "If it was taken from a live entry, look at that entry's network."}
+	SchedulerBegan    = &Event{7003, logrus.InfoLevel, "cell read, scheduling", []string{"fence", "jobs", "live", "took"}, nothing}
 	SchedulerReplaced = &Event{7004, logrus.WarnLevel, "another entry schedules the cell", []string{"fence", "reason"}, "Look at this entry's network and processor at that time."}
-	SchedulerEnded   = &Event{7005, logrus.InfoLevel, "no longer scheduling", []string{"fence"}, nothing}
-	TableLost        = &Event{7006, logrus.WarnLevel, "the table can't be reached", []string{"age", "error"}, "Look at the platform; nothing new is accepted or started meanwhile."}
-	TableBack        = &Event{7007, logrus.InfoLevel, "the table answers again", []string{"after"}, nothing}
-	SettingsReloaded = &Event{7008, logrus.InfoLevel, "settings read again", []string{"reason", "outcome"}, nothing}
-	FeedLost         = &Event{7009, logrus.WarnLevel, "a feed of the platform can't be read", []string{"table", "error"}, "Look at the platform; the last state stays in use."}
-	FeedBack         = &Event{7010, logrus.InfoLevel, "a feed of the platform is read again", []string{"table", "after"}, nothing}
-	RowIgnored       = &Event{7011, logrus.WarnLevel, "a row of the platform can't be used", []string{"table", "key", "error"}, "Look at who writes that row."}
+	SchedulerEnded    = &Event{7005, logrus.InfoLevel, "no longer scheduling", []string{"fence"}, nothing}
+	TableLost         = &Event{7006, logrus.WarnLevel, "the table can't be reached", []string{"age", "error"}, "Look at the platform; nothing new is accepted or started meanwhile."}
+	TableBack         = &Event{7007, logrus.InfoLevel, "the table answers again", []string{"after"}, nothing}
+	SettingsReloaded  = &Event{7008, logrus.InfoLevel, "settings read again", []string{"reason", "outcome"}, nothing}
+	FeedLost          = &Event{7009, logrus.WarnLevel, "a feed of the platform can't be read", []string{"table", "error"}, "Look at the platform; the last state stays in use."}
+	FeedBack          = &Event{7010, logrus.InfoLevel, "a feed of the platform is read again", []string{"table", "after"}, nothing}
+	RowIgnored        = &Event{7011, logrus.WarnLevel, "a row of the platform can't be used", []string{"table", "key", "error"}, "Look at who writes that row."}
 
 	WriteSlow = &Event{7012, logrus.WarnLevel, "a write to the table took long", []string{"took", "under_way", "rows"}, "Look at the platform if it lasts."}
 
@@ -61,7 +61,7 @@
 	StartFailed    = &Event{7203, logrus.WarnLevel, "order to start wasn't answered with success", []string{"task", "run", "worker", "answer", "age"}, nothing}
 	RunEnded       = &Event{7204, logrus.InfoLevel, "run ended without success", []string{"task", "run", "worker", "end", "age"}, nothing}
 	RunStuck       = &Event{7205, logrus.WarnLevel, "run stands still, stopped", []string{"task", "run", "worker", "still_for"}, "Look at the worker if it repeats."}
-	RunUnknown       = &Event{7206, logrus.WarnLevel, "a worker lists a run that isn't known, stopped", []string{"task", "run", "worker", "error"}, nothing}
+	RunUnknown     = &Event{7206, logrus.WarnLevel, "a worker lists a run that isn't known, stopped", []string{"task", "run", "worker", "error"}, nothing}
 	AdviceFailed   = &Event{7207, logrus.WarnLevel, "call for advice failed", []string{"step", "entry", "workers", "error"}, "Asked again by itself; look at the advisory service if it lasts."}
 	StepWaits      = &Event{7208, logrus.InfoLevel, "the step that waits longest", []string{"step", "team", "age", "reason", "steps"}, "The reason counts the workers that each condition leaves."}
 	WorkerTaken    = &Event{7301, logrus.InfoLevel, "worker adopted by this scheduler", []string{"worker", "runs"}, nothing}
