--- /dev/null
+++ b/process/cell/fleet_test.go
@@ -0,0 +1,432 @@
+package cell
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/kingcuplatch/kingcuplatch/process/resource"
+)
+
+// Habits of the fake workers.
+const (
+	fakeLeaseLength = 4 * time.Second
+	fakeStopTime    = 100 * time.Millisecond
+	fakeGangWait    = 3 * time.Second
+	fakeSaveEvery   = time.Second
+)
+
+// fakeWorker keeps the rules that real workers keep: it refuses lower fences and
+// tickets that aren't good, kills everything when its lease ends, lists ends until
+// they are acknowledged and starts anything that it is told to, room or not.
+type fakeWorker struct {
+	id       string
+	capacity resource.Amount
+	speed    float64
+	up       bool
+	// silent workers are cut off and run on.
+	silent bool
+	// hang lets everything there stand still, fails lets everything fail.
+	hang     bool
+	fails    bool
+	draining bool
+	// drainsSince is when it said so.
+	drainsSince time.Time
+	// listed is whether the directory has it.
+	listed   bool
+	born     int64
+	fence    int
+	leaseEnd time.Time
+	running  map[RunKey]*fakeRun
+	ends     []End
+	seq      int64
+	// ended is the highest run of a task that ended or was stopped here.
+	ended   map[string]int
+	looking bool
+	asked   time.Time
+}
+
+// fakeRun is a run on a fake worker.
+type fakeRun struct {
+	RunKey
+	worker *fakeWorker
+	// began is when it started to work; zero while a gang waits for members.
+	began time.Time
+	// length is how long it takes, done how much of its work an earlier run saved.
+	length time.Duration
+	done   time.Duration
+	need   resource.Amount
+	saves  bool
+	gang   *fakeGang
+}
+
+// fakeGang is one run of a gang, over its workers.
+type fakeGang struct {
+	members    map[string]*fakeRun
+	count      int
+	checkpoint string
+	over       bool
+}
+
+// worked is how much of the run's work is done.
+func (r *fakeRun) worked(now time.Time) time.Duration {
+	if r.began.IsZero() || r.worker.hang {
+		return r.done
+	}
+	return min(r.done+now.Sub(r.began), r.length)
+}
+
+// saved is the run's checkpoint: the job, the step, the task unless it is a gang's, and
+// how much of the work is done.
+func (r *fakeRun) saved(now time.Time) string {
+	kept := r.worked(now).Truncate(fakeSaveEvery)
+	if !r.saves || kept <= 0 {
+		return ""
+	}
+	return fmt.Sprintf("%s@%d", r.savedName(), kept.Milliseconds())
+}
+
+func (r *fakeRun) savedName() string {
+	if r.gang == nil {
+		return r.Task
+	}
+	return r.Task[:strings.LastIndex(r.Task, ".")]
+}
+
+func (w *world) violate(format string, args ...any) {
+	w.violations = append(w.violations, fmt.Sprintf("%s: ", w.now.Sub(w.started))+fmt.Sprintf(format, args...))
+}
+
+// start is what a worker does on an order to start with the given fence.
+func (w *world) start(o StartOrder, fence int) StartAnswer {
+	f := w.workers[o.Worker]
+	if fence < f.fence || f.ended[o.Task] >= o.Number {
+		return StartRefused
+	}
+	f.fence = fence
+	if f.running[o.RunKey] != nil {
+		return StartOK
+	}
+	ref, err := parseTask(o.Task)
+	if err != nil {
+		w.violate("UNASKED %v", err)
+		return StartRefused
+	}
+	job := w.jobs[ref.job]
+	step := &job.spec.Steps[ref.step]
+	if !w.ticketGood(o, f, job) {
+		return StartTicket
+	}
+	run := &fakeRun{RunKey: o.RunKey, worker: f, need: step.Need, saves: step.Checkpointing}
+	run.length = time.Duration(float64(job.times[ref.step][ref.index]) / f.speed)
+	f.running[o.RunKey] = run
+	f.extend(w.now.Add(1500 * time.Millisecond))
+	w.checkStart(job, ref, o, f)
+	if step.Gang {
+		w.joinGang(run, ref, step.Count, o.Checkpoint)
+		return StartOK
+	}
+	w.resume(run, o.Checkpoint)
+	w.begin(run)
+	return StartOK
+}
+
+// resume takes over what an earlier run saved.
+func (w *world) resume(r *fakeRun, checkpoint string) {
+	if checkpoint == "" {
+		return
+	}
+	name, ms, ok := strings.Cut(checkpoint, "@")
+	var saved int64
+	if _, err := fmt.Sscan(ms, &saved); !ok || err != nil || name != r.savedName() {
+		w.violate("UNASKED %s starts with the checkpoint %q", r.Task, checkpoint)
+		return
+	}
+	r.done = min(time.Duration(saved)*time.Millisecond, r.length)
+}
+
+// begin lets a run work until its end.
+func (w *world) begin(r *fakeRun) {
+	r.began = w.now
+	w.after(r.length-r.done, func() { w.finishRun(r) })
+}
+
+func (w *world) finishRun(r *fakeRun) {
+	f := r.worker
+	if f.running[r.RunKey] != r || f.hang {
+		return
+	}
+	ref, _ := parseTask(r.Task)
+	job := w.jobs[ref.job]
+	if job.endless || f.fails {
+		w.endRun(r, EndFailed)
+		return
+	}
+	w.doneEver[r.Task] = true
+	w.endRun(r, EndDone)
+}
+
+// joinGang adds a member; the last one lets all begin.
+func (w *world) joinGang(r *fakeRun, ref taskRef, count int, checkpoint string) {
+	key := fmt.Sprintf("%s.%d.%d/%d", ref.job, ref.occ, ref.step, r.Number)
+	g := w.gangs[key]
+	if g == nil {
+		g = &fakeGang{members: make(map[string]*fakeRun), count: count, checkpoint: checkpoint}
+		w.gangs[key] = g
+	}
+	if g.checkpoint != checkpoint {
+		w.violate("UNASKED %s has a checkpoint other than its gang's", r.Task)
+	}
+	r.gang = g
+	w.resume(r, checkpoint)
+	g.members[r.Task] = r
+	w.after(fakeGangWait, func() {
+		if r.worker.running[r.RunKey] == r && r.began.IsZero() {
+			w.endRun(r, EndAlone)
+		}
+	})
+	if len(g.members) < count || g.over {
+		return
+	}
+	longest := r
+	for _, m := range g.members {
+		m.began = w.now
+		if m.length-m.done > longest.length-longest.done {
+			longest = m
+		}
+	}
+	w.after(longest.length-longest.done, func() { w.finishGang(longest) })
+}
+
+// finishGang ends all members together, if all are sound.
+func (w *world) finishGang(last *fakeRun) {
+	g := last.gang
+	if g.over {
+		return
+	}
+	for _, m := range g.members {
+		if m.worker.hang {
+			return
+		}
+	}
+	for _, m := range sortedMembers(g) {
+		if w.jobs[taskJob(m.Task)].endless || m.worker.fails {
+			w.endRun(m, EndFailed)
+			return
+		}
+	}
+	g.over = true
+	for _, m := range sortedMembers(g) {
+		w.doneEver[m.Task] = true
+		w.endRun(m, EndDone)
+	}
+}
+
+func taskJob(task string) string { return task[:strings.Index(task, ".")] }
+
+func sortedMembers(g *fakeGang) []*fakeRun {
+	var members []*fakeRun
+	for _, m := range g.members {
+		members = append(members, m)
+	}
+	slices.SortFunc(members, func(a, b *fakeRun) int { return compareStrings(a.Task, b.Task) })
+	return members
+}
+
+// endRun ends a run and breaks its gang.
+func (w *world) endRun(r *fakeRun, kind EndKind) {
+	f := r.worker
+	w.runningTasks[r.Task]--
+	delete(f.running, r.RunKey)
+	f.ended[r.Task] = max(f.ended[r.Task], r.Number)
+	f.seq++
+	f.ends = append(f.ends, End{Seq: f.seq, RunKey: r.RunKey, Kind: kind, Saved: r.saved(w.now)})
+	if f.looking && !f.silent {
+		w.answerLook(f)
+	}
+	w.breakGang(r)
+}
+
+// breakGang ends the other members of a gang of which r ended.
+func (w *world) breakGang(r *fakeRun) {
+	g := r.gang
+	if g == nil || g.over || r.began.IsZero() {
+		return
+	}
+	g.over = true
+	for _, m := range sortedMembers(g) {
+		if m.worker.running[m.RunKey] == m {
+			w.endRun(m, EndBroken)
+		}
+	}
+}
+
+// checkStart holds a start to the rules.
+func (w *world) checkStart(job *fakeJob, ref taskRef, o StartOrder, f *fakeWorker) {
+	var used resource.Amount
+	for _, r := range f.running {
+		used = used.Add(r.need)
+	}
+	if !used.Fits(f.capacity) {
+		w.violate("LIMIT %s by %s", f.id, o.Task)
+	}
+	w.runningTasks[o.Task]++
+	if w.runningTasks[o.Task] > 1 {
+		w.violate("TWICE %s run %d on %s", o.Task, o.Number, f.id)
+	}
+	if w.doneAcked[o.Task] {
+		w.violate("TWICE %s run %d after its end", o.Task, o.Number)
+	}
+	if most := job.spec.Policy.MaxAttempts; len(w.failedAcked[w.attemptKey(job, ref, o.Task)]) >= most {
+		w.violate("BUDGET %s run %d", o.Task, o.Number)
+	}
+	if !job.cancelled.IsZero() && w.now.Sub(job.cancelled) > 3*time.Second {
+		w.violate("UNASKED %s after its cancelling", o.Task)
+	}
+	if f.draining && w.now.Sub(f.drainsSince) > 2*time.Second {
+		w.violate("DRAIN %s on %s", o.Task, f.id)
+	}
+	for _, before := range job.spec.Steps[ref.step].After {
+		for i := range job.spec.Steps[before].Count {
+			if !w.doneEver[fmt.Sprintf("%s.%d.%d.%d", ref.job, ref.occ, before, i)] {
+				w.violate("ORDER %s before step %d", o.Task, before)
+				return
+			}
+		}
+	}
+}
+
+// attemptKey is what attempts are counted for: a task, or a whole gang.
+func (w *world) attemptKey(job *fakeJob, ref taskRef, task string) string {
+	if job.spec.Steps[ref.step].Gang {
+		return task[:strings.LastIndex(task, ".")]
+	}
+	return task
+}
+
+// acknowledge forgets ends up to number and notes what was acknowledged.
+func (w *world) acknowledge(f *fakeWorker, number int64) {
+	for _, e := range f.ends {
+		if e.Seq > number {
+			continue
+		}
+		ref, _ := parseTask(e.Task)
+		job := w.jobs[ref.job]
+		switch e.Kind {
+		case EndDone:
+			w.noteDone(job, ref, e.Task)
+		case EndFailed:
+			key := w.attemptKey(job, ref, e.Task)
+			if w.failedAcked[key] == nil {
+				w.failedAcked[key] = make(map[int]bool)
+			}
+			w.failedAcked[key][e.Number] = true
+		}
+	}
+	f.ends = slices.DeleteFunc(f.ends, func(e End) bool { return e.Seq <= number })
+}
+
+// noteDone notes an acknowledged success; that of one member stands for its gang.
+func (w *world) noteDone(job *fakeJob, ref taskRef, task string) {
+	w.doneAcked[task] = true
+	step := job.spec.Steps[ref.step]
+	if !step.Gang {
+		return
+	}
+	for i := range step.Count {
+		w.doneAcked[fmt.Sprintf("%s.%d.%d.%d", ref.job, ref.occ, ref.step, i)] = true
+	}
+}
+
+// extend extends the lease of everything on f.
+func (f *fakeWorker) extend(until time.Time) {
+	if until.After(f.leaseEnd) {
+		f.leaseEnd = until
+	}
+}
+
+// watchLeases kills what outlives its lease, and is called often.
+func (w *world) watchLeases() {
+	for _, id := range w.order {
+		f := w.workers[id]
+		if !f.up || len(f.running) == 0 || w.now.Before(f.leaseEnd) {
+			continue
+		}
+		for _, r := range f.sorted() {
+			if f.running[r.RunKey] == r {
+				w.endRun(r, EndLapsed)
+			}
+		}
+	}
+	w.after(100*time.Millisecond, w.watchLeases)
+}
+
+// sorted returns what runs, in a fixed order.
+func (f *fakeWorker) sorted() []*fakeRun {
+	var runs []*fakeRun
+	for _, r := range f.running {
+		runs = append(runs, r)
+	}
+	slices.SortFunc(runs, func(a, b *fakeRun) int { return compareStrings(a.Task, b.Task) })
+	return runs
+}
+
+// crash ends the process of a worker; it comes back after down as a new life, or
+// never if down is 0.
+func (w *world) crash(id string, down time.Duration) {
+	f := w.workers[id]
+	if !f.up {
+		return
+	}
+	if f.looking {
+		w.lookLost(f)
+	}
+	f.up, f.looking = false, false
+	runs := f.sorted()
+	f.running, f.ends, f.seq, f.ended, f.fence = make(map[RunKey]*fakeRun), nil, 0, make(map[string]int), 0
+	for _, r := range runs {
+		w.runningTasks[r.Task]--
+		w.breakGang(r)
+	}
+	w.after(worldHeartbeats, func() {
+		if !f.up {
+			w.relist(f, false)
+		}
+	})
+	if down == 0 {
+		return
+	}
+	w.after(down, func() {
+		f.up = true
+		f.born++
+		w.relist(f, true)
+	})
+}
+
+// worldHeartbeats is how long a worker's entry outlives it.
+const worldHeartbeats = 4500 * time.Millisecond
+
+// relist changes whether the directory has a worker, and tells the cell.
+func (w *world) relist(f *fakeWorker, listed bool) {
+	f.listed = listed
+	c := w.cell
+	w.after(worldStore, func() {
+		if w.cell == c {
+			c.SetWorkers(w.now, w.directory())
+			w.watch(f.id)
+			w.act()
+		}
+	})
+}
+
+// drain lets a worker say that it leaves, and leave.
+func (w *world) drain(id string, after time.Duration) {
+	f := w.workers[id]
+	f.draining, f.drainsSince = true, w.now
+	w.relist(f, f.listed)
+	w.after(after, func() {
+		w.crash(id, 0)
+		w.relist(f, false)
+	})
+}
--- a/process/cell/kinds_test.go
+++ b/process/cell/kinds_test.go
@@ -17,6 +17,11 @@
 	sent     time.Time
 	done     time.Time
 	rejected bool
+	// accepted is set once its acceptance was answered, cancelled when its cancelling was.
+	accepted  bool
+	cancelled time.Time
+	// cancelling is set once it was asked for.
+	cancelling bool
 	// objective is worked out from the true times.
 	objective time.Duration
 	// times are the true times of the tasks of each step.
@@ -146,7 +151,11 @@
 				return
 			}
 			n++
-			w.submit(k.job(w.rand, fmt.Sprintf("job%06d", n)))
+			j := k.job(w.rand, fmt.Sprintf("job%06d", n))
+			if w.shape != nil {
+				w.shape(j)
+			}
+			w.submit(j)
 			x := rate(k.queue.Name, at)
 			w.after(time.Duration(w.rand.ExpFloat64()/(k.perS*x)*float64(time.Second)), next)
 		}
--- a/process/cell/progress.go
+++ b/process/cell/progress.go
@@ -2,6 +2,9 @@
 
 import (
 	"math"
+	"slices"
+	"strconv"
+	"strings"
 	"time"
 
 	"github.com/kingcuplatch/kingcuplatch/process/health"
@@ -157,10 +160,69 @@
 // doubles each time that the task was stopped for it: some tasks show no progress.
 const maxStuck = 5
 
+// waitsForOthers reports whether a member of a gang has done its own part and others
+// have not.
+func (r *Run) waitsForOthers() bool {
+	if r.percent < ownPartDone {
+		return false
+	}
+	return slices.ContainsFunc(r.task.step.tasks, func(t *task) bool { return t.current.percent < ownPartDone })
+}
+
 // ownPartDone is the percentage from which a member of a gang only waits for the
 // others.
 const ownPartDone = 98
 
+// gangBegan returns when the last member of the gang was first listed, which is when
+// its tasks can begin; ok is false while members are missing.
+func (s *step) gangBegan() (began time.Time, ok bool) {
+	for _, t := range s.tasks {
+		if t.current == nil || t.current.state != runListed {
+			return time.Time{}, false
+		}
+		began = maxTime(began, t.current.listedAt)
+	}
+	return began, true
+}
+
+// progress tells how far the step's runs are, in percent.
+func (s *step) progress() string {
+	var percents []string
+	for _, t := range s.tasks {
+		if t.current != nil {
+			percents = append(percents, strconv.Itoa(t.current.percent))
+		}
+	}
+	return strings.Join(percents, " ")
+}
+
+// holdsUp reports whether it is r's worker that keeps r from going on, and not
+// another one that a gang waits for.
+func (r *Run) holdsUp() bool {
+	s := r.task.step
+	if !s.spec.Gang {
+		return true
+	}
+	alone := true
+	for _, t := range s.tasks {
+		if t.current == nil || t.current.worker == r.worker {
+			continue
+		}
+		alone = false
+		if t.current.percent > r.percent {
+			return true
+		}
+	}
+	return alone
+}
+
+func maxTime(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
 // watchProgress stops a run that stands still although its worker answers, so
 // that its task can go on elsewhere.
 func (c *Cell) watchProgress(now time.Time, r *Run) {
@@ -173,18 +235,21 @@
 		c.sampleSpeed(now, r, span)
 	}
 	limit := (stuckAfter + s.spec.Estimate/stuckPart) << r.task.stuck
-	// Members of a gang wait for the others, before they begin and when their own
-	// part is done.
-	if s.spec.Gang && (r.percent == 0 || r.percent >= ownPartDone) {
-		return
+	since := r.movedAt
+	if s.spec.Gang {
+		began, ok := s.gangBegan()
+		if !ok || r.waitsForOthers() {
+			return
+		}
+		since = maxTime(since, began)
 	}
-	if now.Sub(r.movedAt) < limit {
+	if now.Sub(since) < limit {
 		return
 	}
-	c.note(Note{Kind: NoteRunStuck, Task: r.Task, Run: r.Number, Worker: w.ID, Age: now.Sub(r.movedAt)})
+	c.note(Note{Kind: NoteRunStuck, Task: r.Task, Run: r.Number, Worker: w.ID, Age: now.Sub(since), Reason: s.progress()})
 	r.task.avoid = w.ID
 	r.task.stuck = min(r.task.stuck+1, maxStuck)
-	if c.health.Record(now, health.Outcome{Worker: w.ID, Kind: s.occ.job.Queue, Failed: true}) {
+	if r.holdsUp() && c.health.Record(now, health.Outcome{Worker: w.ID, Kind: s.occ.job.Queue, Failed: true}) {
 		c.note(Note{Kind: NoteWorkerAside, Worker: w.ID, Reason: "tasks stand still"})
 	}
 	c.stopRun(now, r)
