--- a/internal/scenario/scenario.go
+++ b/internal/scenario/scenario.go
@@ -21,9 +21,11 @@
 //	checkload NAME [FLAGS]        check a load's answers against the workers' records
 //	findworker VAR TEXT           wait for TEXT in a worker's record, put its address into $VAR
 //	checkworkers [FLAGS]          check the workers' own records
+//	settled PROGRAM [ARG...]      run a command until its outcome is known; it must succeed
 //	mark VAR                      put the present time into $VAR
 //	checkteams [FLAGS]            check how much of a team ran at a time
 //	waitstarted N                 wait until N attempts of tasks were started
+//	waitbegun N                   wait until N requests were begun
 //	waitmark VAR DURATION         wait until that long after the mark
 //	checkkey LOAD [FLAGS]         check when the load's key began or ceased to work
 //	checkidle WORKER [FLAGS]      check that a worker began nothing after a mark
@@ -65,9 +67,11 @@
 		"waithttp":    waitHTTP,
 		"get":         get,
 		"post":        post,
+		"settled":     settled,
 		"mark":        mark,
 		"checkteams":  checkTeams,
 		"waitstarted": waitStarted,
+		"waitbegun":   waitBegun,
 		"cluster":     startCluster,
 		"entry":       startEntry,
 		"ready":       ready,
@@ -91,10 +95,18 @@
 	procs := newProcesses(env.WorkDir, env.Vars)
 	env.Values[processesKey{}] = procs
 	env.Values[loadsKey{}] = make(map[string]*load)
-	env.Defer(procs.killAll)
+	env.Defer(func() {
+		procs.killAll()
+		if t, ok := env.T().(failer); ok && t.Failed() {
+			env.T().Log(procs.tails())
+		}
+	})
 	return nil
 }
 
+// failer is the part of testing.T that tells whether a script has failed.
+type failer interface{ Failed() bool }
+
 // usage fails the script unless there are at least low and at most high args.
 func usage(ts *testscript.TestScript, args []string, low, high int, text string) {
 	if len(args) < low || len(args) > high {
