--- a/process/cell/admit.go
+++ b/process/cell/admit.go
@@ -110,6 +110,9 @@
 // Submit decides on a job. The waiter is told only if the verdict is Recording.
 func (c *Cell) Submit(now time.Time, spec JobSpec, wait Waiter) Admission {
 	if job := c.jobs[spec.ID]; job != nil {
+		if job.Queue != spec.Queue || job.Team != spec.Team {
+			return Admission{Verdict: Invalid, Reason: fmt.Sprintf("id: %s names a job of another team or queue", spec.ID)}
+		}
 		if job.accepted {
 			return Admission{Verdict: Known}
 		}
--- a/process/cell/progress.go
+++ b/process/cell/progress.go
@@ -46,20 +46,21 @@
 func (c *Cell) observe(now time.Time, r *Run, kind EndKind) {
 	w := r.worker
 	job := r.task.step.occ.job
-	failed := kind != EndDone
-	if c.health.Aside(w.ID) {
-		if c.health.Probed(now, w.ID, failed) {
+	switch {
+	case kind == EndFailed:
+		c.blame(now, r, "fails more than its peers")
+		return
+	case kind != EndDone:
+		c.health.ProbeLost(w.ID)
+		return
+	case c.health.Aside(w.ID):
+		if c.health.Probed(now, w.ID, false) {
 			c.note(Note{Kind: NoteWorkerReturned, Worker: w.ID})
 		}
 		return
 	}
-	if kind != EndDone && kind != EndFailed {
-		return
-	}
-	if c.health.Record(now, health.Outcome{Worker: w.ID, Kind: job.Queue, Failed: failed}) {
-		c.note(Note{Kind: NoteWorkerAside, Worker: w.ID, Reason: "fails more than its peers"})
-	}
-	if !failed && !r.task.step.spec.Gang {
+	c.health.Record(now, health.Outcome{Worker: w.ID, Kind: job.Queue})
+	if !r.task.step.spec.Gang {
 		r.span = now.Sub(r.listedAt)
 		r.task.step.spans = append(r.task.step.spans, taskSpan{r.worker, r.span})
 		c.sampleSpeed(now, r, r.span)
@@ -249,8 +250,20 @@
 	c.note(Note{Kind: NoteRunStuck, Task: r.Task, Run: r.Number, Worker: w.ID, Age: now.Sub(since), Reason: s.progress()})
 	r.task.avoid = w.ID
 	r.task.stuck = min(r.task.stuck+1, maxStuck)
-	if r.holdsUp() && c.health.Record(now, health.Outcome{Worker: w.ID, Kind: s.occ.job.Queue, Failed: true}) {
-		c.note(Note{Kind: NoteWorkerAside, Worker: w.ID, Reason: "tasks stand still"})
+	if r.holdsUp() {
+		c.blame(now, r, "tasks stand still")
 	}
 	c.stopRun(now, r)
 }
+
+// blame takes in that a run's worker failed it.
+func (c *Cell) blame(now time.Time, r *Run, reason string) {
+	id := r.worker.ID
+	if c.health.Aside(id) {
+		c.health.Probed(now, id, true)
+		return
+	}
+	if c.health.Record(now, health.Outcome{Worker: id, Kind: r.task.step.occ.job.Queue, Failed: true}) {
+		c.note(Note{Kind: NoteWorkerAside, Worker: id, Reason: reason})
+	}
+}
--- a/process/cell/worker.go
+++ b/process/cell/worker.go
@@ -291,7 +291,7 @@
 	if w == nil {
 		return
 	}
-	c.noteAnswer(w, l.Born)
+	c.noteAnswer(now, w, l.Born)
 	for _, end := range l.Ends {
 		c.takeEnd(now, w, end)
 	}
@@ -316,7 +316,7 @@
 }
 
 // noteAnswer notes that the worker answers, and forgets what an earlier life said.
-func (c *Cell) noteAnswer(w *Worker, born int64) {
+func (c *Cell) noteAnswer(now time.Time, w *Worker, born int64) {
 	if !w.silentSince.IsZero() {
 		c.note(Note{Kind: NoteWorkerBack, Worker: w.ID})
 	}
@@ -331,6 +331,8 @@
 	}
 	if w.life != 0 {
 		c.note(Note{Kind: NoteWorkerReborn, Worker: w.ID, Runs: len(w.runs)})
+		c.health.Reset(now, w.ID)
+		w.probe = false
 	}
 	w.life = born
 	w.lastEnd, w.acked, w.pendingAcks = 0, 0, nil
--- a/process/health/health.go
+++ b/process/health/health.go
@@ -192,7 +192,7 @@
 }
 
 // Probes returns the workers, in order of name, that are due for one unit of
-// idempotent work each. Every one must be followed by Probed.
+// idempotent work each. Every one must be followed by Probed or ProbeLost.
 func (m *Monitor) Probes(now time.Time) []string {
 	var due []string
 	for name, w := range m.workers {
@@ -229,6 +229,27 @@
 	return true
 }
 
+// ProbeLost takes in that a probe ended without telling anything of its worker. The
+// worker is due for another one.
+func (m *Monitor) ProbeLost(worker string) {
+	if w := m.workers[worker]; w != nil {
+		w.probing = false
+	}
+}
+
+// Reset drops the record of a worker that is a new one under its former name.
+func (m *Monitor) Reset(now time.Time, worker string) {
+	w := m.workers[worker]
+	if w == nil {
+		return
+	}
+	m.forget(w)
+	if w.aside {
+		m.aside--
+	}
+	m.workers[worker] = &workerState{kinds: make(map[string]counts), faded: now}
+}
+
 // fade lets old outcomes count less. It changes no rate.
 func (w *workerState) fade(now time.Time) {
 	factor := 1.0
