--- a/process/cluster/advisers.go
+++ b/process/cluster/advisers.go
@@ -22,42 +22,57 @@
 type advisers struct {
 	leadership *leadership
 
-	mu sync.Mutex
-	// busyUntil is when each entry's calls are expected to be answered.
-	busyUntil map[string]time.Time
+	mu    sync.Mutex
+	queue adviceQueue
 }
 
+// adviceQueue is when each entry's calls are expected to be answered, by name.
+type adviceQueue struct{ busyUntil map[string]time.Time }
+
+// adviserRest is how long an entry gets no calls after one of its failed, so that an
+// entry which can't reach the service doesn't look idle and draw all calls.
+const adviserRest = time.Second
+
 func newAdvisers(r *leadership) *advisers {
-	return &advisers{leadership: r, busyUntil: make(map[string]time.Time)}
+	return &advisers{leadership: r, queue: adviceQueue{busyUntil: make(map[string]time.Time)}}
 }
 
 // ask calls for advice on the entry that is expected to have it first.
 func (a *advisers) ask(ask cell.Ask) {
 	members := a.leadership.node.liveMembers()
-	a.mu.Lock()
 	now := time.Now()
-	chosen := chooseAdviser(now, members, a.busyUntil, ask.Decide >= cell.SlowAdvice)
-	ready := maxTime(now, a.busyUntil[chosen.Name]).Add(ask.Takes)
-	a.busyUntil[chosen.Name] = ready
+	a.mu.Lock()
+	chosen, ready := a.queue.take(now, members, ask)
 	a.mu.Unlock()
 	go a.call(chosen, ask, ready.Sub(now)+adviceTimeout)
 }
 
-// chooseAdviser returns the member that can answer first among those for calls as
-// slow as this one. members are in a fixed order and not empty.
-func chooseAdviser(now time.Time, members []Member, busyUntil map[string]time.Time, slow bool) Member {
+// take chooses the member that can answer first among those for calls as slow as
+// this one, and returns when it will have. members are in a fixed order and not empty.
+func (q *adviceQueue) take(now time.Time, members []Member, ask cell.Ask) (Member, time.Time) {
 	count := slowCount(len(members))
 	group := members[:count]
-	if !slow && count < len(members) {
+	if ask.Decide < cell.SlowAdvice && count < len(members) {
 		group = members[count:]
 	}
 	best := group[0]
 	for _, m := range group[1:] {
-		if maxTime(now, busyUntil[m.Name]).Before(maxTime(now, busyUntil[best.Name])) {
+		if q.freeAt(now, m).Before(q.freeAt(now, best)) {
 			best = m
 		}
 	}
-	return best
+	ready := q.freeAt(now, best).Add(ask.Takes)
+	q.busyUntil[best.Name] = ready
+	return best, ready
+}
+
+func (q *adviceQueue) freeAt(now time.Time, m Member) time.Time {
+	return maxTime(now, q.busyUntil[m.Name])
+}
+
+// failed takes in that a call on a member failed.
+func (q *adviceQueue) failed(now time.Time, m Member) {
+	q.busyUntil[m.Name] = maxTime(q.busyUntil[m.Name], now.Add(adviserRest))
 }
 
 // slowCount is how many of n entries slow calls go to.
@@ -101,6 +116,9 @@
 	if err != nil && a.leadership.ctx.Err() == nil {
 		n.metrics.adviceFailures.Inc()
 		n.logAdviceFailure(m, ask, err)
+		a.mu.Lock()
+		a.queue.failed(time.Now(), m)
+		a.mu.Unlock()
 	}
 	a.leadership.change(func(now time.Time, c *cell.Cell) { c.Advised(now, now, ask, good, err != nil) })
 }
