--- a/process/cluster/log.go
+++ b/process/cluster/log.go
@@ -36,7 +36,7 @@
 	case cell.NoteRunEnded:
 		log.Log(events.RunEnded, n.Task, n.Run, n.Worker, n.End, n.Age.String())
 	case cell.NoteRunStuck:
-		log.Log(events.RunStuck, n.Task, n.Run, n.Worker, n.Age.String())
+		log.Log(events.RunStuck, n.Task, n.Run, n.Worker, n.Age.String(), n.Reason)
 	case cell.NoteWaits:
 		log.Log(events.StepWaits, n.Task, n.Team, n.Age.String(), n.Reason, n.Runs)
 	case cell.NoteUnknownRun:
--- a/process/events/catalogue.go
+++ b/process/events/catalogue.go
@@ -60,7 +60,7 @@
 	RunWithdrawn   = &Event{7202, logrus.InfoLevel, "run withdrawn, it surely isn't on its worker", []string{"task", "run", "worker", "reason"}, nothing}
 	StartFailed    = &Event{7203, logrus.WarnLevel, "order to start wasn't answered with success", []string{"task", "run", "worker", "answer", "age"}, nothing}
 	RunEnded       = &Event{7204, logrus.InfoLevel, "run ended without success", []string{"task", "run", "worker", "end", "age"}, nothing}
-	RunStuck       = &Event{7205, logrus.WarnLevel, "run stands still, stopped", []string{"task", "run", "worker", "still_for"}, "Look at the worker if it repeats."}
+	RunStuck       = &Event{7205, logrus.WarnLevel, "run stands still, stopped", []string{"task", "run", "worker", "still_for", "percents"}, "Look at the worker if it repeats; percents tells how far all runs of the step are."}
 	RunUnknown     = &Event{7206, logrus.WarnLevel, "a worker lists a run that isn't known, stopped", []string{"task", "run", "worker", "error"}, nothing}
 	AdviceFailed   = &Event{7207, logrus.WarnLevel, "call for advice failed", []string{"step", "entry", "workers", "error"}, "Asked again by itself; look at the advisory service if it lasts."}
 	StepWaits      = &Event{7208, logrus.InfoLevel, "the step that waits longest", []string{"step", "team", "age", "reason", "steps"}, "The reason counts the workers that each condition leaves."}
--- a/process/events/events.go
+++ b/process/events/events.go
@@ -37,11 +37,14 @@
 	fields logrus.Fields
 }
 
+// timeFormat has milliseconds, so that lines of several entries can be put in order.
+const timeFormat = "2006-01-02T15:04:05.000Z07:00"
+
 // New returns a logger that writes to w; every line carries the instance.
 func New(w io.Writer, instance string) *Logger {
 	log := logrus.New()
 	log.SetOutput(w)
-	log.SetFormatter(&logrus.JSONFormatter{})
+	log.SetFormatter(&logrus.JSONFormatter{TimestampFormat: timeFormat})
 	return &Logger{log: log, fields: logrus.Fields{"instance": instance}}
 }
 
