--- a/process/cluster/calls.go
+++ b/process/cluster/calls.go
@@ -11,6 +11,8 @@
 	methodBeat     = "cell.beat"
 	methodSeen     = "cell.seen"
 	methodReleased = "cell.released"
+	methodTaking   = "cell.taking"
+	methodTook     = "cell.took"
 	methodCall     = "cell.call"
 	methodAdvise   = "cell.advise"
 	methodCatalog  = "cell.catalog"
@@ -40,6 +42,8 @@
 	Fence          uint64 `json:"fence"`
 	CatalogVersion int64  `json:"catalog"`
 	StoreAgeMS     int64  `json:"store_age_ms"`
+	// FailingMS is how long the table has refused the scheduler's calls.
+	FailingMS int64 `json:"failing_ms,omitempty"`
 	// Members are sent if the standby has another list.
 	Members []Member `json:"members,omitempty"`
 	Leaving bool     `json:"leaving,omitempty"`
--- a/process/cluster/elect.go
+++ b/process/cluster/elect.go
@@ -7,7 +7,10 @@
 
 // Timings of the election.
 const (
-	// beatEvery is the period of heartbeats to the scheduler.
+	// electEvery is the period of looks at what is known of the scheduler.
+	electEvery = 50 * time.Millisecond
+	// beatEvery is the period of heartbeats to the scheduler, and of looks at the lease
+	// row while none is known.
 	beatEvery = 200 * time.Millisecond
 	// beatTimeout bounds a heartbeat.
 	beatTimeout = 600 * time.Millisecond
@@ -17,10 +20,15 @@
 	refusedAfter = 100 * time.Millisecond
 	// firstRankPause is the pause of all but the first in turn, which so has looked
 	// before them; rankPause is added for each standby between.
-	firstRankPause = 2 * beatEvery
-	rankPause      = 100 * time.Millisecond
+	firstRankPause = 4 * electEvery
+	rankPause      = 25 * time.Millisecond
+	// takingPause is how long a standby leaves the lease to another one that is
+	// writing it.
+	takingPause = tableTimeout
 	// staleTable is how long a scheduler may be without the table.
-	staleTable = 600 * time.Millisecond
+	staleTable = 500 * time.Millisecond
+	// failingTable is the same if the table refuses its calls at once.
+	failingTable = 250 * time.Millisecond
 	// quickTable is how fast the table must answer a standby that takes over from a
 	// scheduler without table: if it is slow for all, nothing is won.
 	quickTable = 120 * time.Millisecond
@@ -49,7 +57,7 @@
 	for ctx.Err() == nil {
 		began := time.Now()
 		n.electOnce(ctx)
-		sleep(ctx, beatEvery-time.Since(began))
+		sleep(ctx, electEvery-time.Since(began))
 	}
 	n.mu.Lock()
 	r := n.leadership
@@ -59,6 +67,32 @@
 	}
 }
 
+// beatLoop sends heartbeats to the scheduler while it is another entry. It is apart
+// from elect, which may wait for the table.
+func (n *Node) beatLoop(ctx context.Context) {
+	var period pacer
+	for ; ctx.Err() == nil; sleep(ctx, electEvery) {
+		view, wanted := n.beatTarget()
+		if view.fence != 0 && (wanted || period.due(beatEvery)) {
+			go n.sendBeat(ctx, view)
+		}
+	}
+}
+
+// beatTarget returns the view of the scheduler that is to hear heartbeats, the zero
+// view if there is none, and whether somebody suspects it and this entry hasn't
+// looked for itself lately.
+func (n *Node) beatTarget() (view leaderView, wanted bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.view.Holder == "" || (n.leadership != nil && !n.leadership.over()) {
+		return leaderView{}, false
+	}
+	wanted = n.suspected && time.Since(n.view.heardAt) > electEvery
+	n.suspected = false
+	return n.view, wanted
+}
+
 func (n *Node) electOnce(ctx context.Context) {
 	<-n.turn
 	defer func() { n.turn <- struct{}{} }()
@@ -71,15 +105,28 @@
 		return
 	}
 	if view.fence == 0 || view.Holder == "" {
-		n.lookAtLease(ctx, !leaving)
+		if n.looks.due(beatEvery) {
+			n.lookAtLease(ctx, !leaving)
+		}
 		return
 	}
-	n.sendBeat(ctx, view)
 	if !leaving {
 		n.considerTakeover(ctx)
 	}
 }
 
+// pacer keeps a period. It is used by one goroutine.
+type pacer struct{ last time.Time }
+
+// due reports whether the period is over, and begins the next one then.
+func (p *pacer) due(every time.Duration) bool {
+	if time.Since(p.last) < every {
+		return false
+	}
+	p.last = time.Now()
+	return true
+}
+
 // touchContact counts the scheduler's own contact with the table as contact about
 // the configuration.
 func (n *Node) touchContact(r *leadership) {
@@ -119,8 +166,10 @@
 	if rank, known := rankOf(n.config.Name, view); known {
 		pause = turnPause(rank)
 	}
-	silent, stale := view.missing(time.Now(), pause)
-	if !silent && !stale {
+	now := time.Now()
+	silent, stale := view.missing(now, pause)
+	if (!silent && !stale) || n.leftToOther() {
+		n.lookForSuccessor(ctx, view)
 		return
 	}
 	if silent && n.heardByOthers(ctx, view) {
@@ -131,15 +180,55 @@
 	}
 	began := time.Now()
 	row, ok, err := n.readLease(ctx)
-	if err != nil || (stale && !silent && time.Since(began) > quickTable) {
+	slow := time.Since(began) > quickTable
+	if err != nil || (stale && !silent && slow) {
 		return
 	}
+	reason := "the scheduler is silent"
+	if stale && !silent {
+		reason = "the scheduler has lost the table"
+	}
 	switch {
 	case ok && row.version != view.fence && row.Holder != "":
 		n.follow(row)
-	case stale && !silent:
-		n.take(ctx, row.version, "the scheduler has lost the table")
 	default:
-		n.take(ctx, row.version, "the scheduler is silent")
+		if n.leftToOther() {
+			return
+		}
+		if slow {
+			n.tell(view.members, methodTaking, seenReply{Fence: view.fence})
+		}
+		n.take(ctx, row.version, reason)
+	}
+}
+
+// leftToOther reports whether another standby has the first try at the lease.
+func (n *Node) leftToOther() bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return time.Now().Before(n.view.takingUntil)
+}
+
+// firstInTurn is how many standbys hear of a suspicion.
+const firstInTurn = 3
+
+// lookForSuccessor acts on a first suspicion: the first in turn are asked, so that they
+// look for themselves, and the lease row is read, in case the message of another entry
+// that took over was lost.
+func (n *Node) lookForSuccessor(ctx context.Context, view leaderView) {
+	if suspect, _ := view.missing(time.Now(), 0); !suspect || !n.looks.due(beatEvery) {
+		return
+	}
+	asked := 0
+	for _, m := range view.members {
+		if m.Name == n.config.Name || m.Name == view.Holder || asked == firstInTurn {
+			continue
+		}
+		asked++
+		go n.askSeen(ctx, m)
+	}
+	row, ok, err := n.readLease(ctx)
+	if err == nil && ok && row.Holder != "" {
+		n.follow(row)
 	}
 }
--- a/process/cluster/fakes_test.go
+++ b/process/cluster/fakes_test.go
@@ -80,6 +80,9 @@
 }
 
 func (t *nodeTable) Commit(ctx context.Context, txn platform.Txn) (uint64, error) {
+	t.w.mu.Lock()
+	t.w.commits++
+	t.w.mu.Unlock()
 	if err := t.reach(ctx); err != nil {
 		return 0, err
 	}
--- a/process/cluster/forward.go
+++ b/process/cluster/forward.go
@@ -15,6 +15,8 @@
 	forwardTimeout = 2 * time.Second
 	// retrySoon is the time to come back after which there is a scheduler again.
 	retrySoon = time.Second
+	// loadPatience is how long a call waits while the cell is read.
+	loadPatience = 250 * time.Millisecond
 )
 
 // errNotScheduler refuses a call that only the scheduler can answer.
@@ -27,6 +29,7 @@
 
 // Do answers a call: here, if this entry is the scheduler, else there.
 func (n *Node) Do(ctx context.Context, call Call) Reply {
+	n.awaitLoaded(ctx)
 	n.mu.Lock()
 	r, view := n.leadership, n.view
 	n.mu.Unlock()
@@ -66,6 +69,7 @@
 	if err := json.Unmarshal(params, &call); err != nil {
 		return nil, err
 	}
+	n.awaitLoaded(ctx)
 	n.mu.Lock()
 	r := n.leadership
 	n.mu.Unlock()
--- a/process/cluster/node.go
+++ b/process/cluster/node.go
@@ -57,17 +57,23 @@
 	metrics *nodeMetrics
 	log     *events.Logger
 
-	// turn holds a token while nobody looks at the lease row in order to take it.
-	turn chan struct{}
+	// turn holds a token while nobody looks at the lease row in order to take it. Its
+	// holder uses looks, the period of looks at that row.
+	turn  chan struct{}
+	looks pacer
 
 	mu        sync.Mutex
 	published Publication
 	// loading is the fence of a leadership whose cell is being read; 0 if there is none.
+	// loaded is closed when it has been.
 	loading uint64
+	loaded  chan struct{}
 	// contactAt is when the operators' table was last heard of, directly or through
 	// the scheduler.
-	contactAt  time.Time
-	view       leaderView
+	contactAt time.Time
+	view      leaderView
+	// suspected is set when another entry doesn't hear the scheduler.
+	suspected  bool
 	leadership *leadership
 	// heard are the standbys that sent a heartbeat, by name.
 	heard   map[string]heardMember
@@ -82,10 +88,22 @@
 type heardMember struct {
 	Member
 	at time.Time
+	// inherited is when it was taken over from a former scheduler.
+	inherited time.Time
 }
 
-// memberFor is how long a standby counts as live after its last heartbeat.
-const memberFor = time.Second
+const (
+	// memberFor is how long a standby counts as live after its last heartbeat.
+	memberFor = time.Second
+	// inheritedFor is how long one counts as live that a former scheduler knew: two
+	// heartbeats and some.
+	inheritedFor = 700 * time.Millisecond
+)
+
+// live reports whether the standby is to be counted on.
+func (m heardMember) live() bool {
+	return time.Since(m.at) < memberFor || time.Since(m.inherited) < inheritedFor
+}
 
 // NewNode returns a node that isn't running.
 func NewNode(c Config) *Node {
@@ -101,6 +119,8 @@
 		methodBeat:     n.serveBeat,
 		methodSeen:     n.serveSeen,
 		methodReleased: n.serveReleased,
+		methodTaking:   n.serveTaking,
+		methodTook:     n.serveTook,
 		methodCall:     n.serveCall,
 		methodAdvise:   n.serveAdvise,
 		methodCatalog:  n.serveCatalog,
@@ -111,7 +131,7 @@
 func (n *Node) Run(ctx context.Context) {
 	var loops sync.WaitGroup
 	inner, cancel := context.WithCancel(context.WithoutCancel(ctx))
-	for _, loop := range []func(context.Context){n.followCatalog, n.elect} {
+	for _, loop := range []func(context.Context){n.followCatalog, n.beatLoop, n.elect} {
 		loops.Add(1)
 		go func() {
 			defer loops.Done()
@@ -211,7 +231,7 @@
 func (n *Node) membersLocked() []Member {
 	members := []Member{n.member()}
 	for name, m := range n.heard {
-		if time.Since(m.at) < memberFor && name != n.config.Name {
+		if m.live() && name != n.config.Name {
 			members = append(members, m.Member)
 		}
 	}
--- a/process/cluster/standby.go
+++ b/process/cluster/standby.go
@@ -4,9 +4,11 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"sync"
 	"time"
 
 	"github.com/kingcuplatch/kingcuplatch/conn/peer"
+	"github.com/kingcuplatch/kingcuplatch/process/events"
 )
 
 // sendBeat sends a heartbeat to the scheduler and takes in its answer.
@@ -23,7 +25,7 @@
 	}
 	var remote *peer.RemoteError
 	if err != nil {
-		n.view.refused = errors.Is(err, peer.ErrNotSent) || errors.As(err, &remote)
+		n.view.refused = (errors.Is(err, peer.ErrNotSent) || errors.As(err, &remote)) && sent.After(n.view.heardAt)
 		lost := !n.view.refused || time.Since(n.view.heardAt) > beatEvery
 		n.mu.Unlock()
 		if lost {
@@ -37,8 +39,10 @@
 			n.view.ctx, n.view.cancel = context.WithCancel(context.Background())
 		}
 		n.view.refused = false
-		n.view.heardAt = sent
-		n.view.storeAt = sent.Add(-time.Duration(reply.StoreAgeMS) * time.Millisecond)
+		n.view.heardAt = maxTime(n.view.heardAt, sent)
+		n.view.storeAt = maxTime(n.view.storeAt, sent.Add(-time.Duration(reply.StoreAgeMS)*time.Millisecond))
+		n.view.failingFor = time.Duration(reply.FailingMS) * time.Millisecond
+		n.view.failingSince = sent.Add(-n.view.failingFor)
 		if len(reply.Members) > 0 {
 			n.view.members = reply.Members
 		}
@@ -129,6 +133,55 @@
 	return struct{}{}, nil
 }
 
+// serveTaking leaves the lease to another standby that is writing it.
+func (n *Node) serveTaking(_ context.Context, params json.RawMessage) (any, error) {
+	var told seenReply
+	if err := json.Unmarshal(params, &told); err != nil {
+		return nil, err
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.view.fence == told.Fence {
+		n.view.takingUntil = time.Now().Add(takingPause)
+	}
+	return struct{}{}, nil
+}
+
+// serveTook follows a scheduler that has just taken the lease.
+func (n *Node) serveTook(_ context.Context, params json.RawMessage) (any, error) {
+	var told seenReply
+	if err := json.Unmarshal(params, &told); err != nil {
+		return nil, err
+	}
+	n.mu.Lock()
+	r := n.leadership
+	n.mu.Unlock()
+	if r != nil && told.Fence > r.fence {
+		r.stepDown("another entry took the lease")
+	}
+	n.follow(leaseState{leaseRow: told.leaseRow, version: told.Fence})
+	return struct{}{}, nil
+}
+
+// tell sends the same message to members, but not to this entry, and returns at once.
+// The group is done when all were told or couldn't be.
+func (n *Node) tell(members []Member, method string, message seenReply) *sync.WaitGroup {
+	var told sync.WaitGroup
+	for _, m := range members {
+		if m.Name == n.config.Name {
+			continue
+		}
+		told.Go(func() {
+			ctx, cancel := context.WithTimeout(context.Background(), releaseTimeout)
+			defer cancel()
+			if err := n.config.Peers.Call(ctx, m.Address, method, message, nil); err != nil {
+				n.log.Log(events.PeerFailed, m.Address, err)
+			}
+		})
+	}
+	return &told
+}
+
 // lookAfterRelease is a look at the lease row outside the turn of elect.
 func (n *Node) lookAfterRelease() {
 	<-n.turn
@@ -160,7 +213,8 @@
 		return nil, errNotScheduler
 	}
 	n.heard[b.Name] = heardMember{Member: b.Member, at: time.Now()}
-	reply := beatReply{Fence: r.fence, StoreAgeMS: r.storeAge().Milliseconds(), Leaving: n.leaving}
+	_, failing := r.storeTrouble()
+	reply := beatReply{Fence: r.fence, StoreAgeMS: r.storeAge().Milliseconds(), FailingMS: failing.Milliseconds(), Leaving: n.leaving}
 	if members := n.membersLocked(); hashMembers(members) != b.MembersHash {
 		reply.Members = members
 	}
@@ -174,10 +228,12 @@
 	return reply, nil
 }
 
-// serveSeen tells another standby how recently this entry heard the scheduler.
+// serveSeen tells another standby how recently this entry heard the scheduler, and
+// lets this one look for itself.
 func (n *Node) serveSeen(context.Context, json.RawMessage) (any, error) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
+	n.suspected = true
 	if n.leadership != nil && !n.leadership.over() {
 		return seenReply{leaseRow: n.view.leaseRow, Fence: n.leadership.fence, StoreAgeMS: n.leadership.storeAge().Milliseconds()}, nil
 	}
--- a/process/cluster/take.go
+++ b/process/cluster/take.go
@@ -4,7 +4,6 @@
 	"context"
 	"encoding/json"
 	"errors"
-	"sync"
 	"time"
 
 	"github.com/kingcuplatch/kingcuplatch/process/events"
@@ -50,7 +49,7 @@
 // and begins to schedule.
 func (n *Node) take(ctx context.Context, version uint64, reason string) {
 	began := time.Now()
-	value, err := json.Marshal(leaseRow{Holder: n.config.Name, Address: n.config.Address, Incarnation: n.config.Incarnation})
+	value, err := json.Marshal(n.ownLease())
 	if err != nil {
 		n.log.Log(events.OwnershipFailed, "encode lease row", err)
 		return
@@ -68,6 +67,7 @@
 		return
 	}
 	n.log.Log(events.SchedulerTook, fence, reason, time.Since(began).String())
+	n.tell(n.knownMembers(), methodTook, seenReply{leaseRow: n.ownLease(), Fence: fence})
 	n.begin(ctx, fence, began)
 }
 
@@ -120,13 +120,8 @@
 		return
 	}
 	n.leadership = r
-	for _, m := range n.view.members {
-		if _, known := n.heard[m.Name]; !known {
-			n.heard[m.Name] = heardMember{Member: m}
-		}
-	}
-	own := leaseRow{Holder: n.config.Name, Address: n.config.Address, Incarnation: n.config.Incarnation}
-	n.setView(newView(fence, own, n.view.members))
+	n.inherit(n.view)
+	n.setView(newView(fence, n.ownLease(), n.view.members))
 	n.mu.Unlock()
 	n.log.Log(events.SchedulerBegan, fence, jobs, live, time.Since(since).String())
 	go func() {
@@ -135,13 +130,54 @@
 	}()
 }
 
-// setLoading notes the fence of a leadership whose cell is being read.
+// ownLease is the lease row with which this entry schedules.
+func (n *Node) ownLease() leaseRow {
+	return leaseRow{Holder: n.config.Name, Address: n.config.Address, Incarnation: n.config.Incarnation}
+}
+
+// inherit takes over the members that the former scheduler knew, but not itself. They
+// count as live until they had the time to send a heartbeat. n.mu is held.
+func (n *Node) inherit(former leaderView) {
+	for _, m := range former.members {
+		if m.Name == former.Holder {
+			continue
+		}
+		known := n.heard[m.Name]
+		n.heard[m.Name] = heardMember{Member: m, at: known.at, inherited: time.Now()}
+	}
+}
+
+// setLoading notes the fence of a leadership whose cell is being read, or that none
+// is.
 func (n *Node) setLoading(fence uint64) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
+	if n.loading == 0 && fence != 0 {
+		n.loaded = make(chan struct{})
+	}
+	if n.loading != 0 && fence == 0 {
+		close(n.loaded)
+	}
 	n.loading = fence
 }
 
+// awaitLoaded waits for the end of the reading of the cell, if it is being read, for
+// a moment.
+func (n *Node) awaitLoaded(ctx context.Context) {
+	n.mu.Lock()
+	loading, loaded := n.loading != 0, n.loaded
+	n.mu.Unlock()
+	if !loading {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, loadPatience)
+	defer cancel()
+	select {
+	case <-loaded:
+	case <-ctx.Done():
+	}
+}
+
 // ended makes the node a standby that looks at the lease row next.
 func (n *Node) ended(r *leadership) {
 	n.mu.Lock()
@@ -157,22 +193,7 @@
 	r.end()
 	r.tasks.Wait()
 	n.writeRelease(ctx, r.fence)
-	ctx, cancel := context.WithTimeout(ctx, releaseTimeout)
-	defer cancel()
-	var told sync.WaitGroup
-	for _, m := range n.liveMembers() {
-		if m.Name == n.config.Name {
-			continue
-		}
-		told.Add(1)
-		go func() {
-			defer told.Done()
-			if err := n.config.Peers.Call(ctx, m.Address, methodReleased, seenReply{Fence: r.fence}, nil); err != nil {
-				n.log.Log(events.PeerFailed, m.Address, err)
-			}
-		}()
-	}
-	told.Wait()
+	n.tell(n.liveMembers(), methodReleased, seenReply{Fence: r.fence}).Wait()
 }
 
 func (n *Node) writeRelease(ctx context.Context, fence uint64) {
--- /dev/null
+++ b/process/cluster/takeover_test.go
@@ -0,0 +1,128 @@
+package cluster
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// manyEntries is the number of entries of a large user.
+const manyEntries = 40
+
+// pendingAt asks a node for the length of a queue, which only the scheduler knows.
+func (w *world) pendingAt(n *Node) Reply {
+	return n.Do(context.Background(), Call{Op: OpPending, Queue: "q", Team: "crew"})
+}
+
+// awaitServed waits until every node that isn't dead reaches the scheduler, and
+// returns how long that took.
+func (w *world) awaitServed(within time.Duration) time.Duration {
+	w.t.Helper()
+	began := time.Now()
+	for {
+		unserved := 0
+		for _, n := range w.all() {
+			if w.pendingAt(n).Result != ResultOK {
+				unserved++
+			}
+		}
+		if unserved == 0 {
+			return time.Since(began)
+		}
+		assert.Assert(w.t, time.Since(began) < within, "%d nodes don't reach the scheduler after %s", unserved, within)
+		time.Sleep(20 * time.Millisecond)
+	}
+}
+
+// all returns the nodes.
+func (w *world) all() []*Node {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	var nodes []*Node
+	for _, n := range w.nodes {
+		nodes = append(nodes, n)
+	}
+	return nodes
+}
+
+// A killed scheduler is replaced, and all of many entries pass calls on to the next
+// one, within a second: nobody waits for its turn to learn who that is.
+func TestManyEntriesLearnOfATakeover(t *testing.T) {
+	inWorld(t, manyEntries, func(w *world) {
+		leader := w.awaitLeader(2*time.Second, "")
+		time.Sleep(3 * time.Second)
+		w.kill(leader)
+		w.awaitLeader(800*time.Millisecond, leader)
+		w.awaitServed(200 * time.Millisecond)
+	})
+}
+
+// So do they when the table turns the scheduler away and its machine lives.
+func TestManyEntriesLearnOfALostTable(t *testing.T) {
+	inWorld(t, manyEntries, func(w *world) {
+		leader := w.awaitLeader(2*time.Second, "")
+		time.Sleep(3 * time.Second)
+		w.mu.Lock()
+		w.refuse[leader] = true
+		w.mu.Unlock()
+		w.awaitLeader(700*time.Millisecond, leader)
+		w.awaitServed(200 * time.Millisecond)
+		time.Sleep(100 * time.Millisecond)
+		assert.Equal(t, len(w.leaders()), 1, "the former scheduler knows that it was replaced")
+	})
+}
+
+// A new scheduler knows at once how many entries can ask for advice.
+func TestNewSchedulerKnowsTheOthers(t *testing.T) {
+	inWorld(t, manyEntries, func(w *world) {
+		leader := w.awaitLeader(2*time.Second, "")
+		time.Sleep(3 * time.Second)
+		w.kill(leader)
+		next := w.awaitLeader(800*time.Millisecond, leader)
+		w.mu.Lock()
+		n := w.nodes[next]
+		w.mu.Unlock()
+		assert.Assert(t, len(n.liveMembers()) >= manyEntries-2, "%d of %d are known", len(n.liveMembers()), manyEntries-1)
+		time.Sleep(3 * time.Second)
+		assert.Equal(t, len(n.liveMembers()), manyEntries-1)
+	})
+}
+
+// With a slow table, which does writes one by one, few of many standbys write the
+// lease row.
+func TestFewWriteTheLeaseOfASlowTable(t *testing.T) {
+	inWorld(t, manyEntries, func(w *world) {
+		leader := w.awaitLeader(2*time.Second, "")
+		time.Sleep(3 * time.Second)
+		w.mu.Lock()
+		w.slow = 400 * time.Millisecond
+		w.commits = 0
+		w.mu.Unlock()
+		w.kill(leader)
+		w.awaitLeader(4*time.Second, leader)
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		assert.Assert(t, w.commits <= 4, "%d writes", w.commits)
+	})
+}
+
+// Calls that come while the cell is read wait for it: that takes a moment.
+func TestCallsWaitWhileTheCellIsRead(t *testing.T) {
+	inWorld(t, 3, func(w *world) {
+		leader := w.awaitLeader(2*time.Second, "")
+		time.Sleep(time.Second)
+		other := w.other(leader)
+		other.setLoading(99)
+		time.AfterFunc(100*time.Millisecond, func() { other.setLoading(0) })
+		began := time.Now()
+		w.pendingAt(other)
+		assert.Assert(t, time.Since(began) >= 100*time.Millisecond)
+		other.setLoading(99)
+		began = time.Now()
+		w.pendingAt(other)
+		assert.Assert(t, time.Since(began) <= loadPatience+10*time.Millisecond)
+		other.setLoading(0)
+	})
+}
--- a/process/cluster/view.go
+++ b/process/cluster/view.go
@@ -26,6 +26,12 @@
 	// table, by its own word.
 	heardAt time.Time
 	storeAt time.Time
+	// failingFor is how long the table had refused its calls when it was last heard, and
+	// failingSince when that began.
+	failingFor   time.Duration
+	failingSince time.Time
+	// takingUntil is until when another standby has the first try at the lease.
+	takingUntil time.Time
 	// refused is set while its address refuses connections.
 	refused bool
 	leaving bool
@@ -83,8 +89,10 @@
 	if v.refused || v.leaving {
 		patience = refusedAfter
 	}
+	lost := now.Sub(v.storeAt) > staleTable+pause ||
+		(v.failingFor > failingTable && now.Sub(v.failingSince) > failingTable+pause)
 	settled := now.Sub(v.since) > settleTime
-	return now.Sub(v.heardAt) > patience+pause, settled && now.Sub(v.storeAt) > staleTable+pause
+	return now.Sub(v.heardAt) > patience+pause, settled && lost
 }
 
 // turnPause is how long a standby of this rank waits.
--- a/process/cluster/world_test.go
+++ b/process/cluster/world_test.go
@@ -35,6 +35,8 @@
 	// loseAnswers loses the answers of so many writes, which are done lateBy after.
 	loseAnswers int
 	lateBy      time.Duration
+	// commits counts the writes that were sent.
+	commits int
 	// cut links between nodes, by "from>to".
 	cut     map[string]bool
 	workers map[string]*worker
