--- a/process/cell/admit.go
+++ b/process/cell/admit.go
@@ -122,14 +122,20 @@
 	if err := spec.Check(); err != nil {
 		return Admission{Verdict: Invalid, Reason: err.Error()}
 	}
-	if c.troubled || (c.slowTable && c.unaccepted() >= maxUnaccepted) {
-		c.note(Note{Kind: NoteJobRefused, Job: spec.ID, Team: spec.Team, Reason: tableUnavailable, Wait: minRetryAfter})
-		return Admission{Verdict: Unavailable, Reason: tableUnavailable, RetryAfter: minRetryAfter}
+	if c.troubled > 0 || (c.slowTable && c.unaccepted() >= maxUnaccepted) {
+		wait := OutageWait(c.troubled)
+		c.note(Note{Kind: NoteJobRefused, Job: spec.ID, Team: spec.Team, Reason: tableUnavailable, Wait: wait})
+		return Admission{Verdict: Unavailable, Reason: tableUnavailable, RetryAfter: wait}
 	}
-	spec.FirstSeen = now
-	spec.Surplus = c.isSurplus(now, spec.Team)
+	first := c.refused.recall(now, spec.ID)
+	if first.at.IsZero() {
+		first = firstTry{at: now, surplus: c.isSurplus(now, spec.Team)}
+	}
+	spec.FirstSeen, spec.Surplus = first.at, first.surplus
 	job := newJob(spec)
+	job.arrived = now
 	if reason, after := c.refusal(now, job); reason != "" {
+		c.refused.remember(now, spec.ID, first)
 		c.note(Note{Kind: NoteJobRefused, Job: spec.ID, Team: spec.Team, Reason: reason, Wait: after})
 		return Admission{Verdict: Refused, Reason: reason, RetryAfter: after}
 	}
@@ -180,10 +186,12 @@
 	if job.Repeat > 0 {
 		return "", 0
 	}
-	wait := c.expectedWait(now, job)
-	useful := lateFactor * job.objective()
-	if over := wait + job.fullChain() - useful; over > 0 {
-		return "can't be done in time", retryAfter(over)
+	wait, useful := c.expectedWait(now, job), lateFactor*job.objective()
+	if job.Surplus {
+		wait, useful = c.surplusWait(now, job.Queue), job.objective()
+	}
+	if over := now.Sub(job.FirstSeen) + wait + job.fullChain() - useful; over > 0 {
+		return "can't be done in time", retryAfter(min(over, max(wait, minRetryAfter)))
 	}
 	return "", 0
 }
@@ -362,5 +370,5 @@
 			break
 		}
 	}
-	c.note(Note{Kind: NoteJobRefused, Job: job.ID, Team: job.Team, Reason: tableUnavailable, Wait: minRetryAfter})
+	c.note(Note{Kind: NoteJobRefused, Job: job.ID, Team: job.Team, Reason: tableUnavailable, Wait: OutageWait(c.troubled)})
 }
--- a/process/cell/cell.go
+++ b/process/cell/cell.go
@@ -40,19 +40,24 @@
 	workers     map[string]*Worker
 	workerOrder []*Worker
 	// usage is what each team has running or planned.
-	usage  map[string]resource.Amount
-	teams  map[string]*bucket
-	shares map[string]float64
-	health *health.Monitor
+	usage map[string]resource.Amount
+	teams map[string]*bucket
+	// drains measure the placements of surplus work, by queue.
+	drains map[string]*drain
+	// refused are the first tries of jobs that were refused lately.
+	refused *refusedJobs
+	shares  map[string]float64
+	health  *health.Monitor
 	// slowAsks and quickAsks are the calls for advice under way, within lanes.
 	slowAsks, quickAsks int
 	lanes               Lanes
 
-	seq      uint64
-	dirty    []*Job
-	batches  []*Batch
-	actions  Actions
-	troubled bool
+	seq     uint64
+	dirty   []*Job
+	batches []*Batch
+	actions Actions
+	// troubled is for how long the table has taken no writes.
+	troubled time.Duration
 	// slowTable is set while writes take long.
 	slowTable bool
 	// cordon are the workers that get no new work since their machines go down.
@@ -67,7 +72,7 @@
 		settings: settings, catalog: published,
 		jobs: make(map[string]*Job), workers: make(map[string]*Worker),
 		usage: make(map[string]resource.Amount), teams: make(map[string]*bucket),
-		shares: make(map[string]float64),
+		shares: make(map[string]float64), refused: newRefusedJobs(), drains: make(map[string]*drain),
 		health: health.New(), lanes: Lanes{Slow: 1, Quick: 2},
 	}
 }
@@ -159,8 +164,17 @@
 
 func compareStrings(a, b string) int { return strings.Compare(a, b) }
 
-// Troubled tells the cell whether the table takes writes.
-func (c *Cell) Troubled(now bool) { c.troubled = now }
+// Troubled tells the cell for how long the table has taken no writes; 0 is that it
+// takes them.
+func (c *Cell) Troubled(since time.Duration) { c.troubled = since }
+
+// outagePart is the part of the time that an outage has lasted after which callers are
+// to come back: nothing tells more of how long it will last, and callers that come
+// back each second have used up their tries before the end of a longer one.
+const outagePart = 2
+
+// OutageWait is when to come back after a refusal during an outage.
+func OutageWait(lasted time.Duration) time.Duration { return retryAfter(lasted / outagePart) }
 
 // Job returns a known job.
 func (c *Cell) Job(id string) (*Job, bool) {
--- a/process/cell/gang.go
+++ b/process/cell/gang.go
@@ -86,10 +86,11 @@
 	}
 	if chosen := chooseSlots(c.gangSlots(r, s), len(s.tasks), s.spec.SameRack); chosen != nil {
 		c.placeGang(r.now, s, chosen)
+		r.free -= total.MilliCPU
 		return
 	}
-	r.misses++
-	if u.tier == owed {
+	r.miss(u, len(s.tasks))
+	if u.tier <= late {
 		r.holds.add(c, r, s)
 	}
 	c.askForGang(r, s)
--- a/process/cell/job.go
+++ b/process/cell/job.go
@@ -96,6 +96,10 @@
 	shown   State
 	endedAt time.Time
 	started bool
+	// arrived is when the job came to this scheduler, placed is set once a run of it was
+	// planned.
+	arrived time.Time
+	placed  bool
 	// accepted is set once the job's row is recorded.
 	accepted bool
 	occs     []*occurrence
--- a/process/cell/place.go
+++ b/process/cell/place.go
@@ -55,7 +55,7 @@
 			short++
 			continue
 		}
-		if !c.withinCap(job.Team, s.spec.charge()) {
+		if !c.withinCap(job.Team, s.spec.charge()) || !r.leaves(u) {
 			break
 		}
 		w := c.bestWorker(t, list)
@@ -64,10 +64,11 @@
 			continue
 		}
 		placed = append(placed, c.place(r.now, t, w))
+		r.free -= s.spec.Need.MilliCPU
 	}
 	c.notePlaced(r.now, s, placed)
 	if short > 0 {
-		r.misses++
+		r.miss(u, short)
 		c.askForTasks(r, s, short)
 	}
 }
@@ -82,6 +83,7 @@
 	t.lastRun++
 	r := c.addRun(t, w, runPlanned)
 	r.plannedAt = now
+	c.noteFirstPlaced(now, t.step.occ.job)
 	if v, ok := t.step.advice.judged[w.ID]; ok {
 		r.ticket, r.ticketUntil = v.ticket, v.until
 	}
--- a/process/cell/round.go
+++ b/process/cell/round.go
@@ -19,6 +19,10 @@
 	holds holds
 	// misses counts the steps that were looked at and found no room or no ticket.
 	misses int
+	// free are the processors that are free on all of ready, kept those that steps owed
+	// to their teams wait for.
+	free int64
+	kept int64
 }
 
 // readyWorker is a worker with its free processors at the start of a round.
@@ -41,12 +45,26 @@
 	for _, w := range c.workerOrder {
 		if c.takes(now, w) {
 			r.ready = append(r.ready, readyWorker{w, w.room.MilliCPU})
+			r.free += w.room.MilliCPU
 		}
 	}
 	slices.SortStableFunc(r.ready, func(a, b readyWorker) int { return cmp.Compare(b.freeCPU, a.freeCPU) })
 	return r
 }
 
+// miss notes that a step found no room or no ticket for so many of its tasks.
+func (r *round) miss(u unit, tasks int) {
+	r.misses++
+	if u.tier < surplus {
+		r.kept += int64(tasks) * u.step.spec.Need.MilliCPU
+	}
+}
+
+// leaves reports whether placing a task of the unit leaves what others are owed.
+func (r *round) leaves(u unit) bool {
+	return u.tier < surplus || r.free-u.step.spec.Need.MilliCPU >= r.kept
+}
+
 // roomy returns the workers that may have room for need.
 func (r *round) roomy(need resource.Amount) []readyWorker {
 	n, _ := slices.BinarySearchFunc(r.ready, need.MilliCPU, func(w readyWorker, cpu int64) int {
--- a/process/cluster/forward.go
+++ b/process/cluster/forward.go
@@ -22,9 +22,9 @@
 // errNotScheduler refuses a call that only the scheduler can answer.
 var errNotScheduler = &peer.RemoteError{Code: codeNotScheduler, Message: "this entry is not the scheduler"}
 
-// unavailable is the answer when nobody can decide now.
-func unavailable(reason string) Reply {
-	return Reply{Result: ResultUnavailable, Reason: reason, RetryAfter: retrySoon}
+// unavailable is the answer when nobody can decide now, and couldn't for a while.
+func unavailable(reason string, lasted time.Duration) Reply {
+	return Reply{Result: ResultUnavailable, Reason: reason, RetryAfter: cell.OutageWait(lasted)}
 }
 
 // Do answers a call: here, if this entry is the scheduler, else there.
@@ -37,10 +37,10 @@
 		return r.do(ctx, call)
 	}
 	if view.Holder == "" || view.Holder == n.config.Name {
-		return unavailable("no scheduler is known")
+		return unavailable("no scheduler is known", 0)
 	}
-	if view.refused || time.Since(view.heardAt) > silentAfter {
-		return unavailable("the scheduler is silent")
+	if silent := time.Since(view.heardAt); view.refused || silent > silentAfter {
+		return unavailable("the scheduler is silent", silent)
 	}
 	ctx, cancel := context.WithTimeout(ctx, forwardTimeout)
 	defer cancel()
@@ -58,7 +58,7 @@
 	var remote *peer.RemoteError
 	notRun := errors.Is(err, peer.ErrNotSent) || errors.As(err, &remote)
 	if notRun || call.Op == OpState || call.Op == OpPending {
-		return unavailable(err.Error())
+		return unavailable(err.Error(), 0)
 	}
 	return Reply{Result: ResultUnknown, Reason: err.Error(), RetryAfter: retrySoon}
 }
@@ -124,26 +124,26 @@
 	for {
 		select {
 		case how := <-recorded:
-			return recordReply(how)
+			return r.recordReply(how)
 		case <-look.C:
-			if _, failing := r.storeTrouble(); failing < unknownAfter {
+			if r.storeFailing() < unknownAfter {
 				continue
 			}
 		case <-ctx.Done():
 		case <-r.ctx.Done():
 		}
-		return recordReply(cell.RecordedUnknown)
+		return r.recordReply(cell.RecordedUnknown)
 	}
 }
 
-func recordReply(how cell.Recorded) Reply {
+func (r *leadership) recordReply(how cell.Recorded) Reply {
 	switch how {
 	case cell.RecordedYes:
 		return Reply{Result: ResultOK}
 	case cell.RecordedNo:
-		return unavailable("the table takes no writes")
+		return unavailable("the table takes no writes", r.storeFailing())
 	default:
-		return Reply{Result: ResultUnknown, Reason: "the record's outcome is unknown", RetryAfter: retrySoon}
+		return Reply{Result: ResultUnknown, Reason: "the record's outcome is unknown", RetryAfter: cell.OutageWait(r.storeFailing())}
 	}
 }
 
@@ -188,7 +188,7 @@
 // is one.
 func (r *leadership) noJob() Reply {
 	if r.storeAge() > freshFor {
-		return unavailable("the table hasn't answered lately")
+		return unavailable("the table hasn't answered lately", r.storeAge())
 	}
 	return Reply{Result: ResultNoJob}
 }
--- a/process/cluster/leadership.go
+++ b/process/cluster/leadership.go
@@ -202,10 +202,10 @@
 			return
 		case <-ticker.C:
 		}
-		troubled, failing := r.storeTrouble()
+		failing := r.storeFailing()
 		lanes := lanesOf(len(r.node.liveMembers()))
 		r.change(func(now time.Time, c *cell.Cell) {
-			c.Troubled(troubled)
+			c.Troubled(refusedFor(failing))
 			c.SetLanes(lanes)
 			if failing > forgetUnwritten {
 				c.Forget(now.Add(-forgetUnwritten))
--- a/process/cluster/record.go
+++ b/process/cluster/record.go
@@ -251,16 +251,23 @@
 	}
 }
 
-// storeTrouble reports whether the table takes no writes now, and for how long
-// calls have failed.
-func (r *leadership) storeTrouble() (troubled bool, failing time.Duration) {
+// storeFailing is for how long calls to the table have failed; 0 while they succeed.
+func (r *leadership) storeFailing() time.Duration {
 	r.storeMu.Lock()
 	defer r.storeMu.Unlock()
 	if r.failingSince.IsZero() {
-		return false, 0
+		return 0
 	}
-	failing = time.Since(r.failingSince)
-	return failing > troubledAfter, failing
+	return time.Since(r.failingSince)
+}
+
+// refusedFor is for how long new work is to be refused since the table fails; 0 while
+// it fails for a moment only.
+func refusedFor(failing time.Duration) time.Duration {
+	if failing <= troubledAfter {
+		return 0
+	}
+	return failing
 }
 
 // storeAge is how long ago the last call that the table answered was sent.
--- a/process/cluster/standby.go
+++ b/process/cluster/standby.go
@@ -213,8 +213,9 @@
 		return nil, errNotScheduler
 	}
 	n.heard[b.Name] = heardMember{Member: b.Member, at: time.Now()}
-	_, failing := r.storeTrouble()
-	reply := beatReply{Fence: r.fence, StoreAgeMS: r.storeAge().Milliseconds(), FailingMS: failing.Milliseconds(), Leaving: n.leaving}
+	reply := beatReply{
+		Fence: r.fence, StoreAgeMS: r.storeAge().Milliseconds(), FailingMS: r.storeFailing().Milliseconds(), Leaving: n.leaving,
+	}
 	if members := n.membersLocked(); hashMembers(members) != b.MembersHash {
 		reply.Members = members
 	}
