--- a/process/cluster/elect.go
+++ b/process/cluster/elect.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"errors"
+	"hash/fnv"
 	"time"
 )
 
@@ -29,6 +31,13 @@
 	staleTable = 500 * time.Millisecond
 	// failingTable is the same if the table refuses its calls at once.
 	failingTable = 250 * time.Millisecond
+	// waveringTable is from when on a standby looks whether it reaches the table itself.
+	waveringTable = 300 * time.Millisecond
+	// confirmTable is for how long the first standby in turn must have reached the table
+	// while the scheduler didn't: when it comes back for all, somebody sees it first.
+	confirmTable = 200 * time.Millisecond
+	// lookEvery is the period of these looks.
+	lookEvery = 2 * electEvery
 	// quickTable is how fast the table must answer a standby that takes over from a
 	// scheduler without table: if it is slow for all, nothing is won.
 	quickTable = 120 * time.Millisecond
@@ -54,6 +63,7 @@
 
 // elect follows the scheduler and takes over when it is gone.
 func (n *Node) elect(ctx context.Context) {
+	sleep(ctx, phaseOf(n.config.Name))
 	for ctx.Err() == nil {
 		began := time.Now()
 		n.electOnce(ctx)
@@ -115,6 +125,15 @@
 	}
 }
 
+// phaseOf spreads the entries' looks over the period, so that entries which start
+// together don't act at the same moment.
+func phaseOf(name string) time.Duration {
+	h := fnv.New32a()
+	// A hash never fails to write.
+	_, _ = h.Write([]byte(name))
+	return time.Duration(h.Sum32()) % electEvery
+}
+
 // pacer keeps a period. It is used by one goroutine.
 type pacer struct{ last time.Time }
 
@@ -157,7 +176,8 @@
 	return min(maxUnknownPause, time.Duration(float64(unknownPause)/max(n.config.Cores, 0.01)))
 }
 
-// considerTakeover takes the lease over if the scheduler is gone.
+// considerTakeover takes the lease over if the scheduler is gone, or has lost the table
+// alone.
 func (n *Node) considerTakeover(ctx context.Context) {
 	n.mu.Lock()
 	view := n.view
@@ -166,40 +186,60 @@
 	if rank, known := rankOf(n.config.Name, view); known {
 		pause = turnPause(rank)
 	}
-	now := time.Now()
-	silent, stale := view.missing(now, pause)
-	if (!silent && !stale) || n.leftToOther() {
+	switch now := time.Now(); {
+	case n.leftToOther():
+		n.lookForSuccessor(ctx, view)
+	case view.silent(now, pause):
+		n.takeFromSilent(ctx, view)
+	case view.tableLost(now) && n.reaches.goodFor(now) >= confirmTable+pause:
+		n.takeWithoutTable(ctx, view)
+	case view.silent(now, 0) || view.tableWavers(now):
 		n.lookForSuccessor(ctx, view)
-		return
 	}
-	if silent && n.heardByOthers(ctx, view) {
+}
+
+// takeFromSilent takes the lease over from a scheduler that nobody hears. On a slow
+// table others are told before, since their tries would wait in line with this one.
+func (n *Node) takeFromSilent(ctx context.Context, view leaderView) {
+	if n.heardByOthers(ctx, view) || n.leftToOther() {
 		return
 	}
-	if silent && view.cancel != nil {
+	if view.cancel != nil {
 		view.cancel()
 	}
+	if n.reaches.slow() {
+		n.tell(view.members, methodTaking, seenReply{Fence: view.fence})
+	}
+	if row, err := n.readSuccessor(ctx, view); err == nil {
+		n.take(ctx, row.version, "the scheduler is silent")
+	}
+}
+
+// takeWithoutTable takes the lease over from a scheduler that has lost the table, if
+// the table answers this entry quickly: if it is slow for all, nothing is won.
+func (n *Node) takeWithoutTable(ctx context.Context, view leaderView) {
 	began := time.Now()
-	row, ok, err := n.readLease(ctx)
-	slow := time.Since(began) > quickTable
-	if err != nil || (stale && !silent && slow) {
-		return
+	row, err := n.readSuccessor(ctx, view)
+	if err == nil && time.Since(began) <= quickTable {
+		n.take(ctx, row.version, "the scheduler has lost the table")
 	}
-	reason := "the scheduler is silent"
-	if stale && !silent {
-		reason = "the scheduler has lost the table"
+}
+
+// errFollowed says that another scheduler was found.
+var errFollowed = errors.New("another scheduler is known now")
+
+// readSuccessor reads the lease row. It is an error if the table can't be read, or if
+// the row names another scheduler, which is followed.
+func (n *Node) readSuccessor(ctx context.Context, view leaderView) (leaseState, error) {
+	row, ok, err := n.readLease(ctx)
+	if err != nil {
+		return row, err
 	}
-	switch {
-	case ok && row.version != view.fence && row.Holder != "":
+	if ok && row.version != view.fence && row.Holder != "" {
 		n.follow(row)
-	default:
-		if n.leftToOther() {
-			return
-		}
-		if slow {
-			n.tell(view.members, methodTaking, seenReply{Fence: view.fence})
-		}
-		n.take(ctx, row.version, reason)
+		return row, errFollowed
 	}
+	return row, nil
 }
 
 // leftToOther reports whether another standby has the first try at the lease.
@@ -212,23 +252,22 @@
 // firstInTurn is how many standbys hear of a suspicion.
 const firstInTurn = 3
 
-// lookForSuccessor acts on a first suspicion: the first in turn are asked, so that they
-// look for themselves, and the lease row is read, in case the message of another entry
-// that took over was lost.
+// lookForSuccessor acts on a first suspicion: it reads the lease row, in case the
+// message of another entry that took over was lost, and to see whether the table
+// answers. If the scheduler is silent, the first in turn are asked, so that they look
+// for themselves.
 func (n *Node) lookForSuccessor(ctx context.Context, view leaderView) {
-	if suspect, _ := view.missing(time.Now(), 0); !suspect || !n.looks.due(beatEvery) {
+	if !n.looks.due(lookEvery) {
 		return
 	}
 	asked := 0
 	for _, m := range view.members {
-		if m.Name == n.config.Name || m.Name == view.Holder || asked == firstInTurn {
+		if m.Name == n.config.Name || m.Name == view.Holder || asked == firstInTurn || !view.silent(time.Now(), 0) {
 			continue
 		}
 		asked++
 		go n.askSeen(ctx, m)
 	}
-	row, ok, err := n.readLease(ctx)
-	if err == nil && ok && row.Holder != "" {
-		n.follow(row)
-	}
+	// Its error is counted, and kept by reaches.
+	_, _ = n.readSuccessor(ctx, view)
 }
--- a/process/cluster/fakes_test.go
+++ b/process/cluster/fakes_test.go
@@ -68,6 +68,10 @@
 		return nil, err
 	}
 	t.w.mu.Lock()
+	takes := t.w.scanTakes
+	t.w.mu.Unlock()
+	sleep(ctx, takes)
+	t.w.mu.Lock()
 	defer t.w.mu.Unlock()
 	var rows []platform.Row
 	for key, row := range t.w.rows {
--- a/process/cluster/leadership.go
+++ b/process/cluster/leadership.go
@@ -67,6 +67,9 @@
 	// is zero while calls succeed.
 	storeAt      time.Time
 	failingSince time.Time
+	// returned ends, by tableReturns, when the table answers again; then it is replaced.
+	returned     context.Context
+	tableReturns context.CancelFunc
 	// writes are the batches under way and when each was sent first.
 	writes map[*cell.Batch]time.Time
 }
@@ -78,6 +81,7 @@
 	if err != nil {
 		return nil, err
 	}
+	read := time.Now()
 	loaded, err := cell.Load(cell.Settings{KeepEnded: n.timings().KeepEnded}, rows)
 	if err != nil {
 		return nil, err
@@ -86,10 +90,11 @@
 	r := &leadership{
 		node: n, fence: fence, timings: n.timings(), began: since, cell: loaded,
 		kick: make(chan struct{}, 1), record: make(chan struct{}, 1),
-		workers: make(map[string]*workerLoop), storeAt: since, writes: make(map[*cell.Batch]time.Time),
+		workers: make(map[string]*workerLoop), storeAt: read, writes: make(map[*cell.Batch]time.Time),
 	}
 	r.advisers = newAdvisers(r)
 	r.ctx, r.cancel = context.WithCancel(context.Background())
+	r.returned, r.tableReturns = context.WithCancel(context.Background())
 	return r, nil
 }
 
--- a/process/cluster/node.go
+++ b/process/cluster/node.go
@@ -59,8 +59,9 @@
 
 	// turn holds a token while nobody looks at the lease row in order to take it. Its
 	// holder uses looks, the period of looks at that row.
-	turn  chan struct{}
-	looks pacer
+	turn    chan struct{}
+	looks   pacer
+	reaches reachTracker
 
 	mu        sync.Mutex
 	published Publication
--- a/process/cluster/record.go
+++ b/process/cluster/record.go
@@ -30,6 +30,12 @@
 	// probeEvery is the pause between looks at the lease row while nothing is
 	// written.
 	probeEvery = 250 * time.Millisecond
+	// lostProbeEvery is the same while the table doesn't answer; such a look is given
+	// lostProbeTimeout, so that the table's return is seen soon.
+	lostProbeEvery   = 100 * time.Millisecond
+	lostProbeTimeout = 400 * time.Millisecond
+	// freshCall is how old a call may be at the table's return and still be waited for.
+	freshCall = 100 * time.Millisecond
 )
 
 // recordLoop writes what has changed. A write that takes its usual time is followed
@@ -112,7 +118,7 @@
 	}
 	for !r.over() {
 		sent := time.Now()
-		ctx, cancel := context.WithTimeout(r.ctx, tableTimeout)
+		ctx, cancel := r.tableCall(sent)
 		version, err := r.node.config.Table.Commit(ctx, txn)
 		cancel()
 		if err == nil {
@@ -130,6 +136,24 @@
 	return 0, false
 }
 
+// tableCall is the context of a write sent now. When the table returns after it was
+// lost, calls from before are given up: their answers may be lost for good.
+func (r *leadership) tableCall(sent time.Time) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithTimeout(r.ctx, tableTimeout)
+	r.storeMu.Lock()
+	returned := r.returned
+	r.storeMu.Unlock()
+	stop := context.AfterFunc(returned, func() {
+		if time.Since(sent) > freshCall {
+			cancel()
+		}
+	})
+	return ctx, func() {
+		stop()
+		cancel()
+	}
+}
+
 // resolve finds out whether an earlier try of the batch, whose answer was lost,
 // took effect. If it didn't, somebody else writes the cell's rows.
 func (r *leadership) resolve(batch *cell.Batch) (version uint64, ok bool) {
@@ -178,7 +202,11 @@
 }
 
 func (r *leadership) get(key string) (platform.Row, bool, error) {
-	ctx, cancel := context.WithTimeout(r.ctx, tableTimeout)
+	return r.getWithin(key, tableTimeout)
+}
+
+func (r *leadership) getWithin(key string, timeout time.Duration) (platform.Row, bool, error) {
+	ctx, cancel := context.WithTimeout(r.ctx, timeout)
 	defer cancel()
 	sent := time.Now()
 	row, ok, err := r.node.config.Table.Get(ctx, key)
@@ -189,23 +217,33 @@
 }
 
 // probeLoop looks at the lease row while nothing is written, so that a scheduler
-// that was replaced learns it soon.
+// that was replaced learns it soon, and while the table doesn't answer, one look
+// beside the other.
 func (r *leadership) probeLoop() {
 	for !r.over() {
-		sleep(r.ctx, probeEvery)
-		if r.over() || !r.probeDue() {
+		if r.storeFailing() > 0 {
+			sleep(r.ctx, lostProbeEvery)
+			r.tasks.Go(func() { r.probe(lostProbeTimeout) })
 			continue
 		}
-		row, ok, err := r.get(leaseKey)
-		switch {
-		case err != nil:
-			r.storeFailed(err)
-		case !ok || row.Version != r.fence:
-			r.stepDown("the lease row was taken over")
+		sleep(r.ctx, probeEvery)
+		if !r.over() && r.probeDue() {
+			r.probe(tableTimeout)
 		}
 	}
 }
 
+// probe looks at the lease row.
+func (r *leadership) probe(timeout time.Duration) {
+	row, ok, err := r.getWithin(leaseKey, timeout)
+	switch {
+	case err != nil:
+		r.storeFailed(err)
+	case !ok || row.Version != r.fence:
+		r.stepDown("the lease row was taken over")
+	}
+}
+
 func (r *leadership) probeDue() bool {
 	r.storeMu.Lock()
 	defer r.storeMu.Unlock()
@@ -228,6 +266,10 @@
 	}
 	failing := r.failingSince
 	r.failingSince = time.Time{}
+	if !failing.IsZero() {
+		r.tableReturns()
+		r.returned, r.tableReturns = context.WithCancel(context.Background())
+	}
 	r.storeMu.Unlock()
 	if !failing.IsZero() {
 		r.node.log.Log(events.TableBack, time.Since(failing).String())
--- a/process/cluster/standby.go
+++ b/process/cluster/standby.go
@@ -42,7 +42,6 @@
 		n.view.heardAt = maxTime(n.view.heardAt, sent)
 		n.view.storeAt = maxTime(n.view.storeAt, sent.Add(-time.Duration(reply.StoreAgeMS)*time.Millisecond))
 		n.view.failingFor = time.Duration(reply.FailingMS) * time.Millisecond
-		n.view.failingSince = sent.Add(-n.view.failingFor)
 		if len(reply.Members) > 0 {
 			n.view.members = reply.Members
 		}
--- a/process/cluster/take.go
+++ b/process/cluster/take.go
@@ -28,7 +28,9 @@
 func (n *Node) readLease(ctx context.Context) (leaseState, bool, error) {
 	ctx, cancel := context.WithTimeout(ctx, tableTimeout)
 	defer cancel()
+	sent := time.Now()
 	row, ok, err := n.config.Table.Get(ctx, leaseKey)
+	n.reaches.note(time.Now(), time.Since(sent), err == nil)
 	if err != nil {
 		// Counted, not logged: this entry's feeds log once that the store is lost.
 		n.metrics.tableFailures.Inc()
--- a/process/cluster/takeover_test.go
+++ b/process/cluster/takeover_test.go
@@ -126,3 +126,51 @@
 		other.setLoading(0)
 	})
 }
+
+// The table comes back for all at the same moment: the scheduler goes on, whoever
+// looks first.
+func TestReturnOfTheTableIsNoReasonToTakeOver(t *testing.T) {
+	for _, silent := range []bool{false, true} {
+		inWorld(t, manyEntries, func(w *world) {
+			leader := w.awaitLeader(2*time.Second, "")
+			time.Sleep(3 * time.Second)
+			for range 3 {
+				w.tableAway(true, silent)
+				time.Sleep(4700 * time.Millisecond)
+				w.tableAway(false, silent)
+				for range 40 {
+					assert.DeepEqual(t, w.leaders(), []string{leader})
+					time.Sleep(50 * time.Millisecond)
+				}
+			}
+		})
+	}
+}
+
+// tableAway takes the table away from all nodes, or gives it back.
+func (w *world) tableAway(away, silent bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for name := range w.nodes {
+		w.refuse[name] = away && !silent
+		w.silent[name] = away && silent
+	}
+}
+
+// A scheduler that needs a second to read its cell isn't taken for one that has lost
+// the table afterwards.
+func TestLongReadIsNoLostTable(t *testing.T) {
+	inWorld(t, manyEntries, func(w *world) {
+		leader := w.awaitLeader(2*time.Second, "")
+		time.Sleep(3 * time.Second)
+		w.mu.Lock()
+		w.scanTakes = 1500 * time.Millisecond
+		w.mu.Unlock()
+		w.kill(leader)
+		next := w.awaitLeader(4*time.Second, leader)
+		for range 100 {
+			assert.DeepEqual(t, w.leaders(), []string{next})
+			time.Sleep(50 * time.Millisecond)
+		}
+	})
+}
--- a/process/cluster/view.go
+++ b/process/cluster/view.go
@@ -26,10 +26,8 @@
 	// table, by its own word.
 	heardAt time.Time
 	storeAt time.Time
-	// failingFor is how long the table had refused its calls when it was last heard, and
-	// failingSince when that began.
-	failingFor   time.Duration
-	failingSince time.Time
+	// failingFor is how long the table had refused its calls when it was last heard.
+	failingFor time.Duration
 	// takingUntil is until when another standby has the first try at the lease.
 	takingUntil time.Time
 	// refused is set while its address refuses connections.
@@ -82,17 +80,26 @@
 	n.log.Log(events.SchedulerKnown, row.Holder, row.version)
 }
 
-// missing reports whether the scheduler is silent, or without the table, for
-// longer than a standby waits whose turn comes after pause.
-func (v leaderView) missing(now time.Time, pause time.Duration) (silent, stale bool) {
+// silent reports whether the scheduler is silent for longer than a standby waits whose
+// turn comes after pause.
+func (v leaderView) silent(now time.Time, pause time.Duration) bool {
 	patience := silentAfter
 	if v.refused || v.leaving {
 		patience = refusedAfter
 	}
-	lost := now.Sub(v.storeAt) > staleTable+pause ||
-		(v.failingFor > failingTable && now.Sub(v.failingSince) > failingTable+pause)
+	return now.Sub(v.heardAt) > patience+pause
+}
+
+// tableLost reports whether the scheduler is without the table, by its own word. A new
+// one is given some time.
+func (v leaderView) tableLost(now time.Time) bool {
 	settled := now.Sub(v.since) > settleTime
-	return now.Sub(v.heardAt) > patience+pause, settled && lost
+	return settled && (now.Sub(v.storeAt) > staleTable || v.failingFor > failingTable)
+}
+
+// tableWavers reports whether the scheduler may have lost the table.
+func (v leaderView) tableWavers(now time.Time) bool {
+	return now.Sub(v.storeAt) > waveringTable || v.failingFor > 0
 }
 
 // turnPause is how long a standby of this rank waits.
--- a/process/cluster/world_test.go
+++ b/process/cluster/world_test.go
@@ -32,6 +32,8 @@
 	silent map[string]bool
 	// slow is how long every call of the table takes.
 	slow time.Duration
+	// scanTakes is added to each reading of a range.
+	scanTakes time.Duration
 	// loseAnswers loses the answers of so many writes, which are done lateBy after.
 	loseAnswers int
 	lateBy      time.Duration
