--- a/process/cell/gang.go
+++ b/process/cell/gang.go
@@ -201,26 +201,19 @@
 	if h.full(r) {
 		return
 	}
-	list := c.candidates(r, s)
-	var candidates []workerSlots
-	ends := make(map[*Worker]time.Time)
-	for _, w := range list {
-		if h.by[w] != nil || !s.advice.mayRun(s, w) {
+	upstream := c.upstreamOf(s.occ.job)
+	left := len(s.tasks)
+	for _, w := range r.soonestEmpty() {
+		if left <= 0 || (len(h.by)+1)*maxHeldShare > len(r.ready) {
+			break
+		}
+		if h.by[w] != nil || !s.carries(upstream, w) || !s.advice.mayRun(s, w) {
 			continue
 		}
 		if n := s.slotsIn(w.Capacity); n > 0 {
-			candidates = append(candidates, workerSlots{w, n})
-			ends[w] = w.lastEndEstimate(r.now)
-		}
-	}
-	slices.SortStableFunc(candidates, func(a, b workerSlots) int { return ends[a.worker].Compare(ends[b.worker]) })
-	left := len(s.tasks)
-	for _, slot := range candidates {
-		if left <= 0 || (len(h.by)+1)*maxHeldShare > len(list) {
-			break
+			h.by[w] = s
+			left -= n
 		}
-		h.by[slot.worker] = s
-		left -= slot.tasks
 	}
 	if left < len(s.tasks) {
 		h.holders++
--- a/process/cell/round.go
+++ b/process/cell/round.go
@@ -16,6 +16,9 @@
 	// the start of the round first. Placing only makes room smaller, so the order
 	// bounds from above.
 	ready []readyWorker
+	// byEnd are the same workers, those whose last run ends first, first; nil until they
+	// are asked for.
+	byEnd []*Worker
 	holds holds
 	// misses counts the steps that were looked at and found no room or no ticket.
 	misses int
@@ -52,6 +55,22 @@
 	return r
 }
 
+// soonestEmpty returns the workers that take new work in the order in which their last
+// runs are expected to end.
+func (r *round) soonestEmpty() []*Worker {
+	if r.byEnd != nil {
+		return r.byEnd
+	}
+	ends := make(map[*Worker]time.Time, len(r.ready))
+	r.byEnd = make([]*Worker, 0, len(r.ready))
+	for _, w := range r.ready {
+		ends[w.Worker] = w.lastEndEstimate(r.now)
+		r.byEnd = append(r.byEnd, w.Worker)
+	}
+	slices.SortStableFunc(r.byEnd, func(a, b *Worker) int { return ends[a].Compare(ends[b]) })
+	return r.byEnd
+}
+
 // miss notes that a step found no room or no ticket for so many of its tasks.
 func (r *round) miss(u unit, tasks int) {
 	r.misses++
--- a/process/cluster/elect.go
+++ b/process/cluster/elect.go
@@ -34,8 +34,9 @@
 	// waveringTable is from when on a standby looks whether it reaches the table itself.
 	waveringTable = 300 * time.Millisecond
 	// confirmTable is for how long the first standby in turn must have reached the table
-	// while the scheduler didn't: when it comes back for all, somebody sees it first.
-	confirmTable = 200 * time.Millisecond
+	// when the scheduler still says that it doesn't: when the table comes back for all,
+	// somebody sees it first.
+	confirmTable = lostProbeEvery + electEvery
 	// lookEvery is the period of these looks.
 	lookEvery = 2 * electEvery
 	// quickTable is how fast the table must answer a standby that takes over from a
@@ -191,9 +192,9 @@
 		n.lookForSuccessor(ctx, view)
 	case view.silent(now, pause):
 		n.takeFromSilent(ctx, view)
-	case view.tableLost(now) && n.reaches.goodFor(now) >= confirmTable+pause:
+	case view.tableLost(now) && n.reaches.goodFor(view.heardAt) >= confirmTable+pause:
 		n.takeWithoutTable(ctx, view)
-	case view.silent(now, 0) || view.tableWavers(now):
+	case view.silent(now, 0) || view.tableWavers():
 		n.lookForSuccessor(ctx, view)
 	}
 }
--- a/process/cluster/reach.go
+++ b/process/cluster/reach.go
@@ -32,14 +32,15 @@
 	t.last = now
 }
 
-// goodFor is for how long the table has answered without a failure.
-func (t *reachTracker) goodFor(now time.Time) time.Duration {
+// goodFor is for how long the table had answered without a failure at a time; 0 if it
+// hasn't lately.
+func (t *reachTracker) goodFor(at time.Time) time.Duration {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if t.since.IsZero() || now.Sub(t.last) > reachFades {
+	if t.since.IsZero() || time.Since(t.last) > reachFades {
 		return 0
 	}
-	return now.Sub(t.since)
+	return max(0, at.Sub(t.since))
 }
 
 // slow reports whether the last call took long.
--- a/process/cluster/standby.go
+++ b/process/cluster/standby.go
@@ -39,8 +39,9 @@
 			n.view.ctx, n.view.cancel = context.WithCancel(context.Background())
 		}
 		n.view.refused = false
+		n.view.storeAge = time.Duration(reply.StoreAgeMS) * time.Millisecond
 		n.view.heardAt = maxTime(n.view.heardAt, sent)
-		n.view.storeAt = maxTime(n.view.storeAt, sent.Add(-time.Duration(reply.StoreAgeMS)*time.Millisecond))
+		n.view.storeAt = maxTime(n.view.storeAt, sent.Add(-n.view.storeAge))
 		n.view.failingFor = time.Duration(reply.FailingMS) * time.Millisecond
 		if len(reply.Members) > 0 {
 			n.view.members = reply.Members
--- a/process/cluster/view.go
+++ b/process/cluster/view.go
@@ -26,7 +26,9 @@
 	// table, by its own word.
 	heardAt time.Time
 	storeAt time.Time
-	// failingFor is how long the table had refused its calls when it was last heard.
+	// storeAge is how long ago the table had answered it when it was last heard, failingFor
+	// for how long the table had refused its calls.
+	storeAge   time.Duration
 	failingFor time.Duration
 	// takingUntil is until when another standby has the first try at the lease.
 	takingUntil time.Time
@@ -90,17 +92,15 @@
 	return now.Sub(v.heardAt) > patience+pause
 }
 
-// tableLost reports whether the scheduler is without the table, by its own word. A new
-// one is given some time.
+// tableLost reports whether the scheduler is without the table, by its own word, which
+// must be recent. A new one is given some time.
 func (v leaderView) tableLost(now time.Time) bool {
 	settled := now.Sub(v.since) > settleTime
-	return settled && (now.Sub(v.storeAt) > staleTable || v.failingFor > failingTable)
+	return settled && !v.silent(now, 0) && (v.storeAge > staleTable || v.failingFor > failingTable)
 }
 
 // tableWavers reports whether the scheduler may have lost the table.
-func (v leaderView) tableWavers(now time.Time) bool {
-	return now.Sub(v.storeAt) > waveringTable || v.failingFor > 0
-}
+func (v leaderView) tableWavers() bool { return v.storeAge > waveringTable || v.failingFor > 0 }
 
 // turnPause is how long a standby of this rank waits.
 func turnPause(rank int) time.Duration {
