--- a/process/cell/probe_test.go
+++ b/process/cell/probe_test.go
@@ -90,3 +90,28 @@
 		assert.Equal(t, got.Reason, "id: a names a job of another team or queue")
 	}
 }
+
+// Progress near the end tells little: members of a gang stay at 98 percent and more
+// for as long as they took to come there, as workers that are slower than usual do.
+func TestNearTheEndPatienceGrows(t *testing.T) {
+	c, s, now := gangOfTwo(t)
+	list := func(at time.Time, percents ...int) {
+		var l Listing
+		l.AskedAt, l.Born = at, 1
+		for i, percent := range percents {
+			l.Running = append(l.Running, ListedRun{RunKey: s.tasks[i].current.RunKey, Percent: percent})
+		}
+		c.Listed(at, "w0", l)
+		c.Tick(at)
+	}
+	list(now.Add(time.Second), 10, 10)
+	list(now.Add(2*time.Second), 40, 40)
+	list(now.Add(3*time.Second), 70, 70)
+	list(now.Add(4*time.Second), 99, 100)
+	for passed := 5 * time.Second; passed < 8*time.Second; passed += 500 * time.Millisecond {
+		list(now.Add(passed), 99, 100)
+		assert.Equal(t, len(c.Take().Stops), 0, "after %s", passed)
+	}
+	list(now.Add(14*time.Second), 99, 100)
+	assert.Assert(t, len(c.Take().Stops) > 0, "stands still for good")
+}
--- a/process/cell/progress.go
+++ b/process/cell/progress.go
@@ -161,19 +161,31 @@
 // doubles each time that the task was stopped for it: some tasks show no progress.
 const maxStuck = 5
 
+// nearDone is the percentage from which progress tells little: it is worked out from
+// what is usual, so slower workers stay there for a while, and members of a gang that
+// have done their part wait there for the others.
+const nearDone = 98
+
+// patience is how long the run may stand still. Near its end that is as long as it
+// took to come there, or was expected to.
+func (r *Run) patience() time.Duration {
+	estimate := r.task.step.spec.Estimate
+	limit := (stuckAfter + estimate/stuckPart) << r.task.stuck
+	if r.percent >= nearDone {
+		limit = max(limit, estimate, r.movedAt.Sub(r.listedAt))
+	}
+	return limit
+}
+
 // waitsForOthers reports whether a member of a gang has done its own part and others
 // have not.
 func (r *Run) waitsForOthers() bool {
-	if r.percent < ownPartDone {
+	if r.percent < nearDone {
 		return false
 	}
-	return slices.ContainsFunc(r.task.step.tasks, func(t *task) bool { return t.current.percent < ownPartDone })
+	return slices.ContainsFunc(r.task.step.tasks, func(t *task) bool { return t.current.percent < nearDone })
 }
 
-// ownPartDone is the percentage from which a member of a gang only waits for the
-// others.
-const ownPartDone = 98
-
 // gangBegan returns when the last member of the gang was first listed, which is when
 // its tasks can begin; ok is false while members are missing.
 func (s *step) gangBegan() (began time.Time, ok bool) {
@@ -235,7 +247,6 @@
 	if span, ok := r.predicted(now); ok && !s.spec.Gang {
 		c.sampleSpeed(now, r, span)
 	}
-	limit := (stuckAfter + s.spec.Estimate/stuckPart) << r.task.stuck
 	since := r.movedAt
 	if s.spec.Gang {
 		began, ok := s.gangBegan()
@@ -244,7 +255,7 @@
 		}
 		since = maxTime(since, began)
 	}
-	if now.Sub(since) < limit {
+	if now.Sub(since) < r.patience() {
 		return
 	}
 	c.note(Note{Kind: NoteRunStuck, Task: r.Task, Run: r.Number, Worker: w.ID, Age: now.Sub(since), Reason: s.progress()})
