--- a/process/cell/batch.go
+++ b/process/cell/batch.go
@@ -138,6 +138,8 @@
 	job.dirty, job.inFlight, job.waiters = false, true, nil
 	bytes := b.addSpec(e)
 	if job.retired {
+		// A write of the job's first row may have been done late, after the row was removed.
+		b.Writes = append(b.Writes, platform.Write{Key: specPrefix + job.ID, Delete: true})
 		if job.stateVersion != 0 {
 			b.remove(statePrefix+job.ID, job.stateVersion)
 		}
@@ -155,16 +157,21 @@
 	return bytes
 }
 
-// addSpec puts or removes the row of what never changes.
+// addSpec puts or removes the row of what never changes. It has no condition of its
+// own, which would take the place of another row: written again it is the same, and the
+// state row tells whether the job is over.
 func (b *Batch) addSpec(e *batchJob) int {
 	job := e.job
+	key := specPrefix + job.ID
 	switch {
-	case e.over && job.specVersion != 0:
+	case e.over && !e.retired && job.specVersion != 0:
 		e.removedSpec = true
-		b.remove(specPrefix+job.ID, job.specVersion)
+		b.Writes = append(b.Writes, platform.Write{Key: key, Delete: true})
 	case !e.over && job.specVersion == 0 && !job.specGone:
 		e.wroteSpec = true
-		return b.put(specPrefix+job.ID, 0, encode(job.JobSpec))
+		value := encode(job.JobSpec)
+		b.Writes = append(b.Writes, platform.Write{Key: key, Value: value})
+		return len(value)
 	}
 	return 0
 }
--- a/process/cell/shell_test.go
+++ b/process/cell/shell_test.go
@@ -46,6 +46,10 @@
 		w.version++
 		version := w.version
 		w.apply(b, version)
+		if lost := w.lostAnswer(); lost > 0 {
+			// The answer is lost, and an earlier try of the same write is done late as well.
+			w.after(time.Duration(1+w.rand.IntN(6))*time.Second, func() { w.applyLate(c, b) })
+		}
 		w.after(worldStore/2+w.lostAnswer(), func() {
 			if w.cell != c {
 				return
@@ -67,6 +71,20 @@
 	return 0
 }
 
+// applyLate does a write again, if all of its conditions still hold.
+func (w *world) applyLate(c *Cell, b *Batch) {
+	if w.cell != c {
+		return
+	}
+	for _, cond := range b.Conditions {
+		if w.table[cond.Key].Version != cond.Version {
+			return
+		}
+	}
+	w.version++
+	w.apply(b, w.version)
+}
+
 func (w *world) apply(b *Batch, version uint64) {
 	for _, cond := range b.Conditions {
 		if have := w.table[cond.Key].Version; have != cond.Version {
