--- a/process/cluster/leadership.go
+++ b/process/cluster/leadership.go
@@ -70,8 +70,10 @@
 	// returned ends, by tableReturns, when the table answers again; then it is replaced.
 	returned     context.Context
 	tableReturns context.CancelFunc
-	// writes are the batches under way and when each was sent first.
-	writes map[*cell.Batch]time.Time
+	// lastWrite is how long the last write took; writes are the batches under way and
+	// when each was sent first.
+	lastWrite time.Duration
+	writes    map[*cell.Batch]time.Time
 }
 
 // newLeadership loads the cell's rows; the lease row must be this entry's at version
@@ -207,12 +209,12 @@
 			return
 		case <-ticker.C:
 		}
-		failing := r.storeFailing()
+		refusing := r.refusingFor()
 		lanes := lanesOf(len(r.node.liveMembers()))
 		r.change(func(now time.Time, c *cell.Cell) {
-			c.Troubled(refusedFor(failing))
+			c.Troubled(refusing)
 			c.SetLanes(lanes)
-			if failing > forgetUnwritten {
+			if refusing > 0 {
 				c.Forget(now.Add(-forgetUnwritten))
 			}
 			c.Tick(now)
--- a/process/cluster/record.go
+++ b/process/cluster/record.go
@@ -91,6 +91,7 @@
 	took := time.Since(began)
 	r.storeMu.Lock()
 	delete(r.writes, batch)
+	r.lastWrite = took
 	others := len(r.writes)
 	r.storeMu.Unlock()
 	if !ok {
@@ -102,6 +103,7 @@
 	r.node.metrics.recordTime.Update(took.Seconds())
 	r.change(func(now time.Time, c *cell.Cell) {
 		c.SlowTable(took > slowWrite)
+		c.Troubled(r.refusingFor())
 		c.BatchRecorded(now, batch, version)
 		for _, w := range r.workers {
 			signal(w.acks)
@@ -303,13 +305,36 @@
 	return time.Since(r.failingSince)
 }
 
-// refusedFor is for how long new work is to be refused since the table fails; 0 while
-// it fails for a moment only.
-func refusedFor(failing time.Duration) time.Duration {
-	if failing <= troubledAfter {
+// hangAfter is how long a write may be without answer while the table isn't known as
+// slow; hangFactor times the last write's time is the bound when it is.
+const (
+	hangAfter  = 400 * time.Millisecond
+	hangFactor = 3
+)
+
+// storeHanging is for how long a write has been without answer, if that is longer than
+// usual; else 0.
+func (r *leadership) storeHanging() time.Duration {
+	r.storeMu.Lock()
+	defer r.storeMu.Unlock()
+	var oldest time.Duration
+	for _, began := range r.writes {
+		oldest = max(oldest, time.Since(began))
+	}
+	if oldest <= max(hangAfter, hangFactor*r.lastWrite) {
 		return 0
 	}
-	return failing
+	return oldest
+}
+
+// refusingFor is for how long the table has failed or not answered, so that new work is
+// to be refused; 0 if it does so for a moment only.
+func (r *leadership) refusingFor() time.Duration {
+	failing := r.storeFailing()
+	if failing <= troubledAfter {
+		failing = 0
+	}
+	return max(failing, r.storeHanging())
 }
 
 // storeAge is how long ago the last call that the table answered was sent.
--- a/process/cluster/takeover_test.go
+++ b/process/cluster/takeover_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"testing"
 	"time"
 
@@ -174,3 +175,43 @@
 		}
 	})
 }
+
+// A table that falls silent for all is noticed before its calls time out: new jobs are
+// refused at once, truly as not run, and none of them is known afterwards.
+func TestSilentTableIsNoticedSoon(t *testing.T) {
+	inWorld(t, 4, func(w *world) {
+		leader := w.awaitLeader(2*time.Second, "")
+		time.Sleep(time.Second)
+		w.submitAll(w.other(leader), "before", 3)
+		w.tableAway(true, true)
+		go w.other(leader).Do(context.Background(), testJob("first", 1))
+		time.Sleep(700 * time.Millisecond)
+		for i := range 5 {
+			began := time.Now()
+			reply := w.other(leader).Do(context.Background(), testJob("refused", 1))
+			assert.Equal(t, reply.Result, ResultUnavailable, "%d: %+v", i, reply)
+			assert.Assert(t, time.Since(began) < 100*time.Millisecond && reply.RetryAfter > 0)
+			time.Sleep(200 * time.Millisecond)
+		}
+		w.tableAway(false, true)
+		time.Sleep(3 * time.Second)
+		reply := w.other(leader).Do(context.Background(), Call{Op: OpState, Queue: "q", Team: "crew", ID: "refused"})
+		assert.Equal(t, reply.Result, ResultNoJob)
+	})
+}
+
+// A slow table is still one that answers: jobs are accepted once it is known how slow.
+func TestSlowTableTakesJobs(t *testing.T) {
+	inWorld(t, 4, func(w *world) {
+		leader := w.awaitLeader(2*time.Second, "")
+		time.Sleep(time.Second)
+		w.mu.Lock()
+		w.slow = 600 * time.Millisecond
+		w.mu.Unlock()
+		w.submitAll(w.other(leader), "first", 1)
+		for i := range 8 {
+			reply := w.other(leader).Do(context.Background(), testJob(fmt.Sprintf("slow%d", i), 1))
+			assert.Equal(t, reply.Result, ResultOK, "%d: %+v", i, reply)
+		}
+	})
+}
