--- a/process/cell/admit.go
+++ b/process/cell/admit.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math"
+	"slices"
 	"time"
 )
 
@@ -204,7 +205,8 @@
 
 // unplaceableStep returns the first step of which no known worker could hold a task.
 func (c *Cell) unplaceableStep(job *Job) (int, bool) {
-	if len(c.workers) == 0 {
+	if !slices.ContainsFunc(c.workerOrder, func(w *Worker) bool { return w.listed }) {
+		// The directory hasn't been read yet.
 		return 0, true
 	}
 	upstream := c.upstreamOf(job)
--- a/process/cell/batch.go
+++ b/process/cell/batch.go
@@ -104,6 +104,18 @@
 	c.dirty = left
 }
 
+// Backlogged reports whether more changed jobs wait for their record than one batch
+// holds.
+func (c *Cell) Backlogged() bool {
+	waiting := 0
+	for _, job := range c.dirty {
+		if !job.inFlight {
+			waiting++
+		}
+	}
+	return waiting > maxBatchEntries/(2*maxRowsPerJob)
+}
+
 // awaited reports whether somebody waits for the job's record: a caller, or a run
 // that is to be started.
 func (j *Job) awaited() bool {
--- a/process/cell/probe_test.go
+++ b/process/cell/probe_test.go
@@ -115,3 +115,19 @@
 	list(now.Add(14*time.Second), 99, 100)
 	assert.Assert(t, len(c.Take().Stops) > 0, "stands still for good")
 }
+
+// A new scheduler that knows workers only from records, without their size, refuses
+// nothing as too large before it has read the directory.
+func TestNothingIsTooLargeBeforeTheDirectory(t *testing.T) {
+	c, _, now := gangOfTwo(t)
+	c.touch(c.jobs["gang"])
+	next, err := Load(Settings{}, rowsOf(t, c, now))
+	assert.NilError(t, err)
+	next.SetCatalog(c.catalog)
+	spec := JobSpec{ID: "new", Team: "team", Upstream: "desk", Steps: []StepSpec{{Count: 1, Need: resource.Amount{MilliCPU: 1000}}}}
+	assert.Equal(t, next.Submit(now, spec, func(Recorded) {}).Verdict, Recording)
+
+	next.SetWorkers(now, []WorkerInfo{{ID: "w0", Upstream: "desk", Capacity: resource.Amount{MilliCPU: 8000, MemoryMB: 8000}}})
+	spec.ID, spec.Steps = "large", []StepSpec{{Count: 1, Need: resource.Amount{MilliCPU: 9000}}}
+	assert.Equal(t, next.Submit(now, spec, func(Recorded) {}).Verdict, Refused)
+}
--- a/process/cluster/forward.go
+++ b/process/cluster/forward.go
@@ -15,6 +15,10 @@
 	forwardTimeout = 2 * time.Second
 	// retrySoon is the time to come back after which there is a scheduler again.
 	retrySoon = time.Second
+	// successorExpected is how long after a scheduler was last heard another one is still
+	// to be expected at any moment, successorPatience how long a call waits for it.
+	successorExpected = 1500 * time.Millisecond
+	successorPatience = 600 * time.Millisecond
 	// loadPatience is how long a call waits while the cell is read.
 	loadPatience = 250 * time.Millisecond
 )
@@ -27,30 +31,61 @@
 	return Reply{Result: ResultUnavailable, Reason: reason, RetryAfter: cell.OutageWait(lasted)}
 }
 
-// Do answers a call: here, if this entry is the scheduler, else there.
+// Do answers a call: here, if this entry is the scheduler, else there. If the
+// scheduler is lost with the call, the call is made again at the next one, which is
+// there in a moment: jobs and their cancelling are known by the job's id, so a call may
+// be made twice.
 func (n *Node) Do(ctx context.Context, call Call) Reply {
-	n.awaitLoaded(ctx)
-	n.mu.Lock()
-	r, view := n.leadership, n.view
-	n.mu.Unlock()
-	if r != nil && !r.over() {
-		return r.do(ctx, call)
+	for {
+		n.awaitLoaded(ctx)
+		n.mu.Lock()
+		r, view, changed := n.leadership, n.view, n.changed
+		n.mu.Unlock()
+		if r != nil && !r.over() {
+			return r.do(ctx, call)
+		}
+		reply, lost := n.forward(ctx, view, call)
+		if !lost || !awaitSuccessor(ctx, view, changed) {
+			return reply
+		}
+	}
+}
+
+// awaitSuccessor waits until another scheduler may be known, if that is to be expected
+// soon, and reports whether it may.
+func awaitSuccessor(ctx context.Context, lost leaderView, changed <-chan struct{}) bool {
+	if time.Since(maxTime(lost.heardAt, lost.since)) > successorExpected {
+		return false
+	}
+	ctx, cancel := context.WithTimeout(ctx, successorPatience)
+	defer cancel()
+	select {
+	case <-changed:
+		return true
+	case <-ctx.Done():
+		return false
 	}
+}
+
+// forward passes a call on to the scheduler. lost is set if the scheduler seems to be
+// gone.
+func (n *Node) forward(ctx context.Context, view leaderView, call Call) (reply Reply, lost bool) {
 	if view.Holder == "" || view.Holder == n.config.Name {
-		return unavailable("no scheduler is known", 0)
+		return unavailable("no scheduler is known", 0), true
 	}
 	if silent := time.Since(view.heardAt); view.refused || silent > silentAfter {
-		return unavailable("the scheduler is silent", silent)
+		return unavailable("the scheduler is silent", silent), true
 	}
 	ctx, cancel := context.WithTimeout(ctx, forwardTimeout)
 	defer cancel()
 	defer context.AfterFunc(view.ctx, cancel)()
-	var reply Reply
 	err := n.config.Peers.Call(ctx, view.Address, methodCall, call, &reply)
 	if err == nil {
-		return reply
+		return reply, false
 	}
-	return forwardFailed(call, err)
+	var remote *peer.RemoteError
+	lost = errors.Is(err, peer.ErrNotSent) || errors.As(err, &remote) || view.ctx.Err() != nil
+	return forwardFailed(call, err), lost
 }
 
 // forwardFailed is the answer to a call that the scheduler didn't answer.
--- a/process/cluster/node.go
+++ b/process/cluster/node.go
@@ -73,6 +73,8 @@
 	// the scheduler.
 	contactAt time.Time
 	view      leaderView
+	// changed is closed, and replaced, when view is replaced.
+	changed chan struct{}
 	// suspected is set when another entry doesn't hear the scheduler.
 	suspected  bool
 	leadership *leadership
@@ -108,7 +110,7 @@
 
 // NewNode returns a node that isn't running.
 func NewNode(c Config) *Node {
-	n := &Node{config: c, log: c.Log, metrics: newNodeMetrics(), heard: make(map[string]heardMember), startedAt: time.Now()}
+	n := &Node{config: c, log: c.Log, metrics: newNodeMetrics(), heard: make(map[string]heardMember), startedAt: time.Now(), changed: make(chan struct{})}
 	n.turn = make(chan struct{}, 1)
 	n.turn <- struct{}{}
 	return n
--- a/process/cluster/record.go
+++ b/process/cluster/record.go
@@ -25,6 +25,9 @@
 	// the table does its writes one after the other.
 	usualWrite = 25 * time.Millisecond
 	maxWrites  = 2
+	// maxBacklogWrites is the same while more waits than one write holds and the table is
+	// quick.
+	maxBacklogWrites = 4
 	// slowWrite is the time from which the table counts as slow.
 	slowWrite = 100 * time.Millisecond
 	// probeEvery is the pause between looks at the lease row while nothing is
@@ -47,7 +50,7 @@
 			return
 		case <-r.record:
 		}
-		for r.mayWrite() {
+		for r.mayWrite(r.backlogged()) {
 			r.mu.Lock()
 			batch := r.cell.TakeBatch(time.Now())
 			r.mu.Unlock()
@@ -67,11 +70,21 @@
 	}
 }
 
+// backlogged reports whether more waits than one write holds.
+func (r *leadership) backlogged() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.cell.Backlogged()
+}
+
 // mayWrite reports whether another write may be sent now. If one is under way, the
 // loop looks again once that has taken its usual time.
-func (r *leadership) mayWrite() bool {
+func (r *leadership) mayWrite(backlogged bool) bool {
 	r.storeMu.Lock()
 	defer r.storeMu.Unlock()
+	if backlogged && len(r.writes) < maxBacklogWrites && r.lastWrite < slowWrite && r.failingSince.IsZero() {
+		return true
+	}
 	oldest := time.Duration(0)
 	for _, began := range r.writes {
 		oldest = max(oldest, time.Since(began))
--- a/process/cluster/standby.go
+++ b/process/cluster/standby.go
@@ -121,7 +121,7 @@
 	rank, _ := rankOf(n.config.Name, n.view)
 	mine := n.view.fence == told.Fence
 	if mine {
-		n.setView(leaderView{members: n.view.members})
+		n.setView(noView(n.view.members))
 	}
 	n.mu.Unlock()
 	if mine {
--- a/process/cluster/take.go
+++ b/process/cluster/take.go
@@ -185,7 +185,7 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	if n.view.fence == r.fence {
-		n.setView(leaderView{members: n.membersLocked()})
+		n.setView(noView(n.membersLocked()))
 	}
 	n.log.Log(events.SchedulerEnded, r.fence)
 }
--- a/process/cluster/takeover_test.go
+++ b/process/cluster/takeover_test.go
@@ -215,3 +215,55 @@
 		}
 	})
 }
+
+// Calls under way to a scheduler whose machine is gone are made again at the next one
+// by the entry that has them: their callers hear the outcome, not that it is unknown.
+func TestCallsOutliveTheScheduler(t *testing.T) {
+	inWorld(t, 8, func(w *world) {
+		leader := w.awaitLeader(2*time.Second, "")
+		time.Sleep(time.Second)
+		other := w.other(leader)
+		w.mu.Lock()
+		for name := range w.nodes {
+			w.cut[name+">"+leader], w.cut[leader+">"+name] = true, true
+		}
+		w.refuse[leader] = true
+		w.mu.Unlock()
+		replies := make(chan Reply)
+		for i := range 5 {
+			go func() { replies <- other.Do(context.Background(), testJob(fmt.Sprintf("way%d", i), 1)) }()
+			time.Sleep(50 * time.Millisecond)
+		}
+		for range 5 {
+			reply := <-replies
+			assert.Equal(t, reply.Result, ResultOK, "%+v", reply)
+		}
+		w.awaitCompleted(other, []string{"way0", "way1", "way2", "way3", "way4"}, 20*time.Second)
+	})
+}
+
+// A wave of jobs at once, many times what one write holds, is recorded in a few writes
+// side by side.
+func TestWaveIsRecordedSideBySide(t *testing.T) {
+	inWorld(t, 3, func(w *world) {
+		w.mu.Lock()
+		w.slow = 20 * time.Millisecond
+		w.mu.Unlock()
+		leader := w.awaitLeader(2*time.Second, "")
+		time.Sleep(time.Second)
+		other := w.other(leader)
+		const wave = 2000
+		began := time.Now()
+		replies := make(chan Reply, wave)
+		for i := range wave {
+			job := testJob(fmt.Sprintf("wave%d", i), 1)
+			job.Spec.Policy.Target = time.Hour
+			go func() { replies <- other.Do(context.Background(), job) }()
+		}
+		for range wave {
+			assert.Equal(t, (<-replies).Result, ResultOK)
+		}
+		// One after the other writes of at most a hundred entries take twice that.
+		assert.Assert(t, time.Since(began) < wave/100*w.slow/2, "%s", time.Since(began))
+	})
+}
--- a/process/cluster/view.go
+++ b/process/cluster/view.go
@@ -56,8 +56,13 @@
 		n.view.cancel()
 	}
 	n.view = v
+	close(n.changed)
+	n.changed = make(chan struct{})
 }
 
+// noView is what is known while there is no scheduler.
+func noView(members []Member) leaderView { return leaderView{since: time.Now(), members: members} }
+
 // knownMembers are the entries that were known last.
 func (n *Node) knownMembers() []Member {
 	n.mu.Lock()
