--- a/process/cell/hot_test.go
+++ b/process/cell/hot_test.go
@@ -43,6 +43,28 @@
 	}
 }
 
+// checkOthers holds the work of all but the hot team to its objectives, and returns how
+// many jobs of that were in time.
+func (w *world) checkOthers(hot []*fakeJob) int {
+	w.t.Helper()
+	refused, inTime := 0, 0
+	for _, j := range hot {
+		if j.rejected {
+			refused++
+		}
+		if !j.done.IsZero() && j.done.Sub(j.sent) <= j.objective {
+			inTime++
+		}
+	}
+	w.t.Logf("of %d hot jobs %d refused, %d in time", len(hot), refused, inTime)
+	assert.Equal(w.t, len(w.violations), 0, "%v", w.violations)
+	for _, kind := range []string{"roster", "provision", "quote"} {
+		share, _ := w.share(kind)
+		assert.Assert(w.t, share >= 0.9, "%s: %.3f in time", kind, share)
+	}
+	return inTime
+}
+
 // A team hands in far more than its weight while about a tenth of the room is left
 // beside the others' work, gangs among it that wait for whole workers: it gets what is
 // left, at once, and the others don't notice.
@@ -53,21 +75,7 @@
 	jobs := w.hotTeam(kinds[2], 25, 24*time.Second)
 	w.run(60 * time.Second)
 	w.report()
-	inTime, refused := 0, 0
-	for _, j := range *jobs {
-		if j.rejected {
-			refused++
-		}
-		if !j.done.IsZero() && j.done.Sub(j.sent) <= j.objective {
-			inTime++
-		}
-	}
-	t.Logf("of %d hot jobs %d in time, %d refused", len(*jobs), inTime, refused)
-	assert.Equal(t, len(w.violations), 0, "%v", w.violations)
-	for _, kind := range []string{"roster", "provision", "quote"} {
-		inTime, _ := w.share(kind)
-		assert.Assert(t, inTime >= 0.9, "%s: %.3f in time", kind, inTime)
-	}
+	inTime := w.checkOthers(*jobs)
 	assert.Assert(t, float64(inTime) >= 0.9*float64(len(*jobs)), "%d of %d hot jobs in time", inTime, len(*jobs))
 }
 
@@ -79,22 +87,7 @@
 	jobs := w.hotTeam(kinds[2], 400, 20*time.Second)
 	w.run(50 * time.Second)
 	w.report()
-	accepted, inTime := 0, 0
-	for _, j := range *jobs {
-		if j.rejected {
-			continue
-		}
-		accepted++
-		if !j.done.IsZero() && j.done.Sub(j.sent) <= j.objective {
-			inTime++
-		}
-	}
-	t.Logf("of %d hot jobs %d accepted, %d in time", len(*jobs), accepted, inTime)
-	assert.Equal(t, len(w.violations), 0, "%v", w.violations)
-	for _, kind := range []string{"roster", "provision", "quote"} {
-		inTime, _ := w.share(kind)
-		assert.Assert(t, inTime >= 0.9, "%s: %.3f in time", kind, inTime)
-	}
+	w.checkOthers(*jobs)
 }
 
 // A job that was refused and comes back is as old as it is, and doesn't use up its
--- /dev/null
+++ b/process/cell/list.go
@@ -0,0 +1,178 @@
+package cell
+
+import "time"
+
+// Listing is a worker's answer to a look at it.
+type Listing struct {
+	// AskedAt is when the call was sent.
+	AskedAt time.Time
+	Born    int64
+	Running []ListedRun
+	Ends    []End
+	// More is set if the worker holds back further ends.
+	More bool
+}
+
+// ListedRun is a run that a worker lists.
+type ListedRun struct {
+	RunKey
+	Saved   string
+	Percent int
+	// Tail is the tail of the response times of a task with a target.
+	Tail time.Duration
+}
+
+// EndKind is how a run ended.
+type EndKind string
+
+// The ways in which a run ends.
+const (
+	// EndDone is success.
+	EndDone EndKind = "done"
+	// EndFailed is a failure of the task or its worker.
+	EndFailed EndKind = "failed"
+	// EndStopped follows an order to stop.
+	EndStopped EndKind = "stopped"
+	// EndLapsed follows the end of the worker's lease.
+	EndLapsed EndKind = "lapsed"
+	// EndBroken follows the end of another member of the gang.
+	EndBroken EndKind = "broken"
+	// EndAlone follows a wait for the other members of the gang.
+	EndAlone EndKind = "alone"
+	// EndVanished is this scheduler's conclusion that a run is not there.
+	EndVanished EndKind = "vanished"
+)
+
+// End is a run that ended, as a worker lists it.
+type End struct {
+	// Seq numbers the ends of one life of a worker.
+	Seq int64
+	RunKey
+	Kind  EndKind
+	Saved string
+}
+
+// Listed takes in a worker's list: ends first, then what runs, then what is
+// missing there and so never was or is gone.
+func (c *Cell) Listed(now time.Time, id string, l Listing) {
+	w := c.workers[id]
+	if w == nil {
+		return
+	}
+	c.noteAnswer(now, w, l.Born)
+	for _, end := range l.Ends {
+		c.takeEnd(now, w, end)
+	}
+	if w.lastEnd > w.acked {
+		w.pendingAcks = append(w.pendingAcks, pendingAck{end: w.lastEnd, seq: c.seq})
+		c.releaseAcks(w)
+	}
+	running := make(map[RunKey]bool, len(l.Running))
+	clear(w.unknownRuns)
+	for _, listed := range l.Running {
+		running[listed.RunKey] = true
+		c.seeRunning(now, w, listed)
+	}
+	if l.More {
+		return
+	}
+	for _, r := range sortedRuns(w) {
+		if !running[r.RunKey] && r.surelyMissing(l.AskedAt) {
+			c.endRun(now, r, EndVanished, "")
+		}
+	}
+}
+
+// noteAnswer notes that the worker answers, and forgets what an earlier life said.
+func (c *Cell) noteAnswer(now time.Time, w *Worker, born int64) {
+	if !w.silentSince.IsZero() {
+		c.note(Note{Kind: NoteWorkerBack, Worker: w.ID})
+	}
+	w.silentSince = time.Time{}
+	w.lapsed = false
+	if !w.adopted {
+		w.adopted = true
+		c.note(Note{Kind: NoteWorkerAdopted, Worker: w.ID, Runs: len(w.runs)})
+	}
+	if w.life == born {
+		return
+	}
+	if w.life != 0 {
+		c.note(Note{Kind: NoteWorkerReborn, Worker: w.ID, Runs: len(w.runs)})
+		c.health.Reset(now, w.ID)
+		w.probe = false
+	}
+	w.life = born
+	w.lastEnd, w.acked, w.pendingAcks = 0, 0, nil
+	w.speed = speedRecord{}
+}
+
+// surelyMissing reports whether a list asked for at askedAt that doesn't show r
+// proves that r isn't there and never will be.
+func (r *Run) surelyMissing(askedAt time.Time) bool {
+	switch r.state {
+	case runAdopted, runListed:
+		return true
+	case runStarted:
+		return askedAt.After(r.answeredAt)
+	default:
+		return !r.stop.answeredAt.IsZero() && askedAt.After(r.stop.answeredAt)
+	}
+}
+
+// seeRunning takes in one row of what runs.
+func (c *Cell) seeRunning(now time.Time, w *Worker, listed ListedRun) {
+	r := w.runs[listed.RunKey]
+	if r == nil {
+		w.unknownRuns[listed.RunKey] = now
+		c.actions.Stops = append(c.actions.Stops, StopOrder{Worker: w.ID, RunKey: listed.RunKey})
+		c.note(Note{Kind: NoteUnknownRun, Worker: w.ID, Task: listed.Task, Run: listed.Number})
+		return
+	}
+	if r.state != runListed {
+		r.state = runListed
+		r.listedAt, r.movedAt = now, now
+		r.task.step.occ.job.started = true
+	}
+	r.seenAt = now
+	r.tail = listed.Tail
+	if listed.Percent != r.percent {
+		r.percent, r.movedAt = listed.Percent, now
+	}
+	if listed.Saved != "" {
+		r.saved = listed.Saved
+	}
+}
+
+// takeEnd takes in one end that w lists.
+func (c *Cell) takeEnd(now time.Time, w *Worker, end End) {
+	if end.Seq <= w.lastEnd {
+		return
+	}
+	w.lastEnd = end.Seq
+	if r := w.runs[end.RunKey]; r != nil {
+		c.endRun(now, r, end.Kind, end.Saved)
+		return
+	}
+	c.takeLateEnd(now, end)
+}
+
+// releaseAcks advances what may be acknowledged to w.
+func (c *Cell) releaseAcks(w *Worker) {
+	horizon := c.recordedUpTo()
+	n := 0
+	for ; n < len(w.pendingAcks) && w.pendingAcks[n].seq <= horizon; n++ {
+		w.acked = w.pendingAcks[n].end
+	}
+	w.pendingAcks = w.pendingAcks[n:]
+}
+
+// Acked returns the number of the last end of a worker that may be acknowledged,
+// and whether more wait for their records.
+func (c *Cell) Acked(id string) (number int64, waiting bool) {
+	w := c.workers[id]
+	if w == nil {
+		return 0, false
+	}
+	return w.acked, len(w.pendingAcks) > 0
+}
--- a/process/cluster/record.go
+++ b/process/cluster/record.go
@@ -145,7 +145,7 @@
 			r.storeAnswered(sent)
 			return r.resolve(batch)
 		}
-		r.storeFailed(err)
+		r.storeFailed(sent, err)
 		sleep(r.ctx, tableRetry)
 	}
 	return 0, false
@@ -173,9 +173,10 @@
 // took effect. If it didn't, somebody else writes the cell's rows.
 func (r *leadership) resolve(batch *cell.Batch) (version uint64, ok bool) {
 	for !r.over() {
+		sent := time.Now()
 		version, mine, err := r.readBack(batch)
 		if err != nil {
-			r.storeFailed(err)
+			r.storeFailed(sent, err)
 			sleep(r.ctx, tableRetry)
 			continue
 		}
@@ -230,129 +231,3 @@
 	}
 	return row, ok, err
 }
-
-// probeLoop looks at the lease row while nothing is written, so that a scheduler
-// that was replaced learns it soon, and while the table doesn't answer, one look
-// beside the other.
-func (r *leadership) probeLoop() {
-	for !r.over() {
-		if r.storeFailing() > 0 {
-			sleep(r.ctx, lostProbeEvery)
-			r.tasks.Go(func() { r.probe(lostProbeTimeout) })
-			continue
-		}
-		sleep(r.ctx, probeEvery)
-		if !r.over() && r.probeDue() {
-			r.probe(tableTimeout)
-		}
-	}
-}
-
-// probe looks at the lease row.
-func (r *leadership) probe(timeout time.Duration) {
-	row, ok, err := r.getWithin(leaseKey, timeout)
-	switch {
-	case err != nil:
-		r.storeFailed(err)
-	case !ok || row.Version != r.fence:
-		r.stepDown("the lease row was taken over")
-	}
-}
-
-func (r *leadership) probeDue() bool {
-	r.storeMu.Lock()
-	defer r.storeMu.Unlock()
-	return time.Since(r.storeAt) >= probeEvery
-}
-
-// stepDown ends a leadership that another entry has taken over.
-func (r *leadership) stepDown(reason string) {
-	if r.over() {
-		return
-	}
-	r.node.log.Log(events.SchedulerReplaced, r.fence, reason)
-	r.end()
-}
-
-func (r *leadership) storeAnswered(sent time.Time) {
-	r.storeMu.Lock()
-	if sent.After(r.storeAt) {
-		r.storeAt = sent
-	}
-	failing := r.failingSince
-	r.failingSince = time.Time{}
-	if !failing.IsZero() {
-		r.tableReturns()
-		r.returned, r.tableReturns = context.WithCancel(context.Background())
-	}
-	r.storeMu.Unlock()
-	if !failing.IsZero() {
-		r.node.log.Log(events.TableBack, time.Since(failing).String())
-	}
-}
-
-func (r *leadership) storeFailed(err error) {
-	if r.over() {
-		return
-	}
-	r.node.metrics.tableFailures.Inc()
-	r.storeMu.Lock()
-	first := r.failingSince.IsZero()
-	if first {
-		r.failingSince = time.Now()
-	}
-	age := time.Since(r.storeAt)
-	r.storeMu.Unlock()
-	if first {
-		r.node.log.Log(events.TableLost, age.String(), err)
-	}
-}
-
-// storeFailing is for how long calls to the table have failed; 0 while they succeed.
-func (r *leadership) storeFailing() time.Duration {
-	r.storeMu.Lock()
-	defer r.storeMu.Unlock()
-	if r.failingSince.IsZero() {
-		return 0
-	}
-	return time.Since(r.failingSince)
-}
-
-// hangAfter is how long a write may be without answer while the table isn't known as
-// slow; hangFactor times the last write's time is the bound when it is.
-const (
-	hangAfter  = 400 * time.Millisecond
-	hangFactor = 3
-)
-
-// storeHanging is for how long a write has been without answer, if that is longer than
-// usual; else 0.
-func (r *leadership) storeHanging() time.Duration {
-	r.storeMu.Lock()
-	defer r.storeMu.Unlock()
-	var oldest time.Duration
-	for _, began := range r.writes {
-		oldest = max(oldest, time.Since(began))
-	}
-	if oldest <= max(hangAfter, hangFactor*r.lastWrite) {
-		return 0
-	}
-	return oldest
-}
-
-// refusingFor is for how long the table has failed or not answered, so that new work is
-// to be refused; 0 if it does so for a moment only.
-func (r *leadership) refusingFor() time.Duration {
-	failing := r.storeFailing()
-	if failing <= troubledAfter {
-		failing = 0
-	}
-	return max(failing, r.storeHanging())
-}
-
-// storeAge is how long ago the last call that the table answered was sent.
-func (r *leadership) storeAge() time.Duration {
-	r.storeMu.Lock()
-	defer r.storeMu.Unlock()
-	return time.Since(r.storeAt)
-}
--- a/process/cluster/takeover_test.go
+++ b/process/cluster/takeover_test.go
@@ -267,3 +267,25 @@
 		assert.Assert(t, time.Since(began) < wave/100*w.slow/2, "%s", time.Since(began))
 	})
 }
+
+// The loss of the table and its return are noted once each, although calls from before
+// the return fail after it.
+func TestReturnOfTheTableIsNotedOnce(t *testing.T) {
+	inWorld(t, 3, func(w *world) {
+		leader := w.awaitLeader(2*time.Second, "")
+		time.Sleep(time.Second)
+		w.mu.Lock()
+		n := w.nodes[leader]
+		w.mu.Unlock()
+		w.tableAway(true, true)
+		go w.other(leader).Do(context.Background(), testJob("first", 1))
+		time.Sleep(3 * time.Second)
+		assert.Assert(t, n.leadership.storeFailing() > 0)
+		w.tableAway(false, true)
+		time.Sleep(300 * time.Millisecond)
+		for range 40 {
+			assert.Equal(t, n.leadership.storeFailing(), time.Duration(0))
+			time.Sleep(50 * time.Millisecond)
+		}
+	})
+}
