--- a/process/cell/admit.go
+++ b/process/cell/admit.go
@@ -203,33 +203,53 @@
 	return min(max(whole, minRetryAfter), maxRetryAfter)
 }
 
-// unplaceableStep returns the first step of which no known worker could hold a task.
+// unplaceableStep returns the first step for which there is no room, whatever ends.
 func (c *Cell) unplaceableStep(job *Job) (int, bool) {
 	if !slices.ContainsFunc(c.workerOrder, func(w *Worker) bool { return w.listed }) {
 		// The directory hasn't been read yet.
 		return 0, true
 	}
-	upstream := c.upstreamOf(job)
-	limit, bounded := c.capOf(job.Team)
 	for i := range job.Steps {
-		s := &job.Steps[i]
-		charge := s.charge()
-		if bounded && !(withinBound(charge.MilliCPU, limit.MilliCPU) && withinBound(charge.MemoryMB, limit.MemoryMB) &&
-			withinBound(charge.Accelerators, limit.Accelerators)) {
+		if !c.withinOwnCap(job.Team, &job.Steps[i]) || !c.fitsWorkers(job, &job.Steps[i]) {
 			return i, false
 		}
-		fits := false
-		for _, w := range c.workerOrder {
-			if w.Upstream == upstream && s.labelFits(w) && s.Need.Fits(w.Capacity) {
-				fits = true
-				break
-			}
+	}
+	return 0, true
+}
+
+// withinOwnCap reports whether the team may run a task of the step, or the whole step
+// if its tasks run only together, while it runs nothing else.
+func (c *Cell) withinOwnCap(team string, s *StepSpec) bool {
+	limit, bounded := c.capOf(team)
+	if !bounded {
+		return true
+	}
+	charge := s.charge()
+	if s.Gang {
+		charge = charge.Times(int64(s.Count))
+	}
+	return withinBound(charge.MilliCPU, limit.MilliCPU) && withinBound(charge.MemoryMB, limit.MemoryMB) &&
+		withinBound(charge.Accelerators, limit.Accelerators)
+}
+
+// fitsWorkers reports whether the known workers, empty, have room for a task of the
+// step, or for all at once if they run only together.
+func (c *Cell) fitsWorkers(job *Job, s *StepSpec) bool {
+	upstream := c.upstreamOf(job)
+	wanted := 1
+	if s.Gang {
+		wanted = s.Count
+	}
+	shape := &step{spec: s, tasks: make([]*task, s.Count)}
+	for _, w := range c.workerOrder {
+		if w.Upstream == upstream && s.labelFits(w) {
+			wanted -= shape.slotsIn(w.Capacity)
 		}
-		if !fits {
-			return i, false
+		if wanted <= 0 {
+			return true
 		}
 	}
-	return 0, true
+	return false
 }
 
 // expectedWait estimates when the job's turn comes: the work of live jobs that come
--- a/process/cell/probe_test.go
+++ b/process/cell/probe_test.go
@@ -1,6 +1,7 @@
 package cell
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -131,3 +132,33 @@
 	spec.ID, spec.Steps = "large", []StepSpec{{Count: 1, Need: resource.Amount{MilliCPU: 9000}}}
 	assert.Equal(t, next.Submit(now, spec, func(Recorded) {}).Verdict, Refused)
 }
+
+// A gang that is more than its team may run at all, or than all workers hold, is
+// refused when it is handed in; it would wait for ever.
+func TestGangsThatCanNeverRunAreRefused(t *testing.T) {
+	now := time.Unix(1_700_000_000, 0)
+	teams := []*catalog.Team{{Name: "small", Weight: 10, Cap: resource.Amount{MilliCPU: 5000}}, {Name: "large", Weight: 10}}
+	c := New(Settings{KeepEnded: time.Minute}, catalog.New(1, nil, teams, nil, catalog.Limits{}))
+	c.SetWorkers(now, []WorkerInfo{
+		{ID: "w0", Upstream: "desk", Capacity: resource.Amount{MilliCPU: 8000, MemoryMB: 8000}},
+		{ID: "w1", Upstream: "desk", Capacity: resource.Amount{MilliCPU: 8000, MemoryMB: 8000}},
+	})
+	for i, try := range []struct {
+		team  string
+		count int
+		gang  bool
+		want  Verdict
+	}{
+		{"small", 3, true, Refused},
+		{"small", 2, true, Recording},
+		{"small", 3, false, Recording},
+		{"large", 9, true, Refused},
+		{"large", 8, true, Recording},
+		{"large", 9, false, Recording},
+	} {
+		spec := JobSpec{ID: fmt.Sprintf("job%d", i), Team: try.team, Upstream: "desk", Policy: catalog.Policy{Target: time.Hour}, Steps: []StepSpec{
+			{Count: try.count, Gang: try.gang, Need: resource.Amount{MilliCPU: 2000, MemoryMB: 1000}},
+		}}
+		assert.Equal(t, c.Submit(now, spec, func(Recorded) {}).Verdict, try.want, "%+v", try)
+	}
+}
--- a/process/cluster/forward.go
+++ b/process/cluster/forward.go
@@ -34,8 +34,9 @@
 // Do answers a call: here, if this entry is the scheduler, else there. If the
 // scheduler is lost with the call, the call is made again at the next one, which is
 // there in a moment: jobs and their cancelling are known by the job's id, so a call may
-// be made twice.
+// be made twice. An outcome that isn't known stays so until a scheduler tells it.
 func (n *Node) Do(ctx context.Context, call Call) Reply {
+	var unknown *Reply
 	for {
 		n.awaitLoaded(ctx)
 		n.mu.Lock()
@@ -45,7 +46,16 @@
 			return r.do(ctx, call)
 		}
 		reply, lost := n.forward(ctx, view, call)
-		if !lost || !awaitSuccessor(ctx, view, changed) {
+		if !lost {
+			return reply
+		}
+		if reply.Result == ResultUnknown {
+			unknown = &reply
+		}
+		if !awaitSuccessor(ctx, view, changed) {
+			if unknown != nil {
+				return *unknown
+			}
 			return reply
 		}
 	}
--- a/process/cluster/takeover_test.go
+++ b/process/cluster/takeover_test.go
@@ -4,9 +4,12 @@
 	"context"
 	"fmt"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"github.com/kingcuplatch/kingcuplatch/conn/peer"
 )
 
 // manyEntries is the number of entries of a large user.
@@ -289,3 +292,34 @@
 		}
 	})
 }
+
+// stubPeers answers calls to other entries by address.
+type stubPeers map[string]func() error
+
+func (s stubPeers) Call(_ context.Context, address, _ string, _, _ any) error { return s[address]() }
+
+// A call whose outcome at one scheduler isn't known stays so if the next one can't be
+// asked: that it wasn't run may only be said by a scheduler that would know it.
+func TestUnknownOutcomeStaysUnknown(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		peers := stubPeers{}
+		n := NewNode(Config{Name: "n0", Peers: peers})
+		know := func(fence uint64, address string) {
+			n.mu.Lock()
+			defer n.mu.Unlock()
+			n.setView(newView(fence, leaseRow{Holder: address, Address: address}, nil))
+		}
+		know(1, "s1")
+		peers["s1"] = func() error {
+			know(2, "s2")
+			return peer.ErrUnknown
+		}
+		peers["s2"] = func() error { return peer.ErrNotSent }
+		reply := n.Do(context.Background(), testJob("a", 1))
+		assert.Equal(t, reply.Result, ResultUnknown, "%+v", reply)
+
+		know(3, "s2")
+		reply = n.Do(context.Background(), testJob("a", 1))
+		assert.Equal(t, reply.Result, ResultUnavailable, "%+v", reply)
+	})
+}
