--- a/process/cell/batch.go
+++ b/process/cell/batch.go
@@ -104,16 +104,16 @@
 	c.dirty = left
 }
 
-// Backlogged reports whether more changed jobs wait for their record than one batch
-// holds.
-func (c *Cell) Backlogged() bool {
+// BatchesWaiting is how many whole batches the changed jobs that wait for their record
+// make.
+func (c *Cell) BatchesWaiting() int {
 	waiting := 0
 	for _, job := range c.dirty {
 		if !job.inFlight {
 			waiting++
 		}
 	}
-	return waiting > maxBatchEntries/(2*maxRowsPerJob)
+	return waiting * 2 * maxRowsPerJob / maxBatchEntries
 }
 
 // awaited reports whether somebody waits for the job's record: a caller, or a run
--- a/process/cluster/calls.go
+++ b/process/cluster/calls.go
@@ -1,6 +1,7 @@
 package cluster
 
 import (
+	"context"
 	"time"
 
 	"github.com/kingcuplatch/kingcuplatch/process/cell"
@@ -84,6 +85,16 @@
 	ID   string `json:"id,omitempty"`
 	// Spec is the job of a submission.
 	Spec *cell.JobSpec `json:"spec,omitempty"`
+	// WithinMS is how long the caller waits, in milliseconds; 0 if that isn't known.
+	WithinMS int64 `json:"within_ms,omitempty"`
+}
+
+// timed returns the call with how long its caller waits.
+func (c Call) timed(ctx context.Context) Call {
+	if deadline, ok := ctx.Deadline(); ok {
+		c.WithinMS = max(1, time.Until(deadline).Milliseconds())
+	}
+	return c
 }
 
 // Result is how a call ended.
--- a/process/cluster/forward.go
+++ b/process/cluster/forward.go
@@ -43,9 +43,9 @@
 		r, view, changed := n.leadership, n.view, n.changed
 		n.mu.Unlock()
 		if r != nil && !r.over() {
-			return r.do(ctx, call)
+			return r.do(ctx, call.timed(ctx))
 		}
-		reply, lost := n.forward(ctx, view, call)
+		reply, lost := n.forward(ctx, view, call.timed(ctx))
 		if !lost {
 			return reply
 		}
@@ -142,6 +142,9 @@
 	if call.Spec == nil {
 		return Reply{Result: ResultInvalid, Reason: "the job is missing"}
 	}
+	if expected := r.expectedRecord(call.ID); call.WithinMS > 0 && expected > time.Duration(call.WithinMS)*time.Millisecond {
+		return unavailable("the table is slow", expected)
+	}
 	recorded := make(chan cell.Recorded, 1)
 	var admission cell.Admission
 	r.change(func(now time.Time, c *cell.Cell) {
--- a/process/cluster/record.go
+++ b/process/cluster/record.go
@@ -74,7 +74,7 @@
 func (r *leadership) backlogged() bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.cell.Backlogged()
+	return r.cell.BatchesWaiting() > 0
 }
 
 // mayWrite reports whether another write may be sent now. If one is under way, the
--- a/process/cluster/table.go
+++ b/process/cluster/table.go
@@ -124,6 +124,24 @@
 	return oldest
 }
 
+// expectedRecord is how long a new job waits for its record while the table is slow: a
+// write of its own after those of the jobs that wait; 0 while the table is quick, and
+// for a job that is known, since it may be recorded already.
+func (r *leadership) expectedRecord(id string) time.Duration {
+	r.storeMu.Lock()
+	last := r.lastWrite
+	r.storeMu.Unlock()
+	if last <= slowWrite {
+		return 0
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if _, known := r.cell.Job(id); known {
+		return 0
+	}
+	return last * time.Duration(1+r.cell.BatchesWaiting())
+}
+
 // refusingFor is for how long the table has failed or not answered, so that new work is
 // to be refused; 0 if it does so for a moment only.
 func (r *leadership) refusingFor() time.Duration {
--- a/process/cluster/takeover_test.go
+++ b/process/cluster/takeover_test.go
@@ -323,3 +323,39 @@
 		assert.Equal(t, reply.Result, ResultUnavailable, "%+v", reply)
 	})
 }
+
+// While the table is slow, a job whose caller would be gone before it is recorded is
+// refused at once, as not run.
+func TestCallersWithoutTimeArentHeld(t *testing.T) {
+	inWorld(t, 4, func(w *world) {
+		leader := w.awaitLeader(2*time.Second, "")
+		time.Sleep(time.Second)
+		other := w.other(leader)
+		w.mu.Lock()
+		w.slow = 600 * time.Millisecond
+		w.mu.Unlock()
+		w.submitAll(other, "first", 1)
+		within := func(id string, left time.Duration) (Reply, time.Duration) {
+			ctx, cancel := context.WithTimeout(context.Background(), left)
+			defer cancel()
+			began := time.Now()
+			return other.Do(ctx, testJob(id, 1)), time.Since(began)
+		}
+		reply, took := within("hasty", 400*time.Millisecond)
+		assert.Equal(t, reply.Result, ResultUnavailable, "%+v", reply)
+		assert.Assert(t, took < 50*time.Millisecond && reply.RetryAfter > 0)
+		// A try of a job that is being recorded isn't refused: the job may run.
+		go within("patient", 3*time.Second)
+		time.Sleep(50 * time.Millisecond)
+		reply, _ = within("patient", 400*time.Millisecond)
+		assert.Equal(t, reply.Result, ResultUnknown, "%+v", reply)
+		reply, _ = within("patient", 3*time.Second)
+		assert.Equal(t, reply.Result, ResultOK, "%+v", reply)
+		w.mu.Lock()
+		w.slow = 10 * time.Millisecond
+		w.mu.Unlock()
+		time.Sleep(2 * time.Second)
+		reply = other.Do(context.Background(), Call{Op: OpState, Queue: "q", Team: "crew", ID: "hasty"})
+		assert.Equal(t, reply.Result, ResultNoJob)
+	})
+}
