--- a/process/cluster/fakes_test.go
+++ b/process/cluster/fakes_test.go
@@ -83,10 +83,41 @@
 	return rows[:min(limit, len(rows))], nil
 }
 
+// commitInLane does a write when its turn comes, and answers if the caller still waits.
+func (t *nodeTable) commitInLane(ctx context.Context, lane chan struct{}, txn platform.Txn) (uint64, error) {
+	type outcome struct {
+		version uint64
+		err     error
+	}
+	done := make(chan outcome, 1)
+	go func() {
+		lane <- struct{}{}
+		defer func() { <-lane }()
+		t.w.mu.Lock()
+		slow := t.w.slow
+		t.w.mu.Unlock()
+		time.Sleep(slow)
+		t.w.mu.Lock()
+		defer t.w.mu.Unlock()
+		version, err := t.w.apply(txn)
+		done <- outcome{version, err}
+	}()
+	select {
+	case o := <-done:
+		return o.version, o.err
+	case <-ctx.Done():
+		return 0, errors.Join(platform.ErrUnknown, ctx.Err())
+	}
+}
+
 func (t *nodeTable) Commit(ctx context.Context, txn platform.Txn) (uint64, error) {
 	t.w.mu.Lock()
 	t.w.commits++
+	lane := t.w.lane
 	t.w.mu.Unlock()
+	if lane != nil {
+		return t.commitInLane(ctx, lane, txn)
+	}
 	if err := t.reach(ctx); err != nil {
 		return 0, err
 	}
--- a/process/cluster/record.go
+++ b/process/cluster/record.go
@@ -25,9 +25,12 @@
 	// the table does its writes one after the other.
 	usualWrite = 25 * time.Millisecond
 	maxWrites  = 2
-	// maxBacklogWrites is the same while more waits than one write holds and the table is
-	// quick.
+	// maxBacklogWrites is the same while more waits than one write holds and none is
+	// under way for longer than usual.
 	maxBacklogWrites = 4
+	// maxTableTimeout bounds the time of a write's later tries, which doubles: a table that
+	// is slow for all writes in line must not get each of them again and again.
+	maxTableTimeout = 4 * tableTimeout
 	// slowWrite is the time from which the table counts as slow.
 	slowWrite = 100 * time.Millisecond
 	// probeEvery is the pause between looks at the lease row while nothing is
@@ -82,13 +85,13 @@
 func (r *leadership) mayWrite(backlogged bool) bool {
 	r.storeMu.Lock()
 	defer r.storeMu.Unlock()
-	if backlogged && len(r.writes) < maxBacklogWrites && r.lastWrite < slowWrite && r.failingSince.IsZero() {
-		return true
-	}
 	oldest := time.Duration(0)
 	for _, began := range r.writes {
 		oldest = max(oldest, time.Since(began))
 	}
+	if backlogged && len(r.writes) < maxBacklogWrites && oldest <= usualWrite && r.lastWrite < slowWrite && r.failingSince.IsZero() {
+		return true
+	}
 	if len(r.writes) == 0 || (oldest > usualWrite && len(r.writes) < maxWrites) {
 		return true
 	}
@@ -131,9 +134,11 @@
 		Conditions: append([]platform.Condition{{Key: leaseKey, Version: r.fence}}, batch.Conditions...),
 		Writes:     batch.Writes,
 	}
+	timeout := tableTimeout
 	for !r.over() {
 		sent := time.Now()
-		ctx, cancel := r.tableCall(sent)
+		ctx, cancel := r.tableCall(sent, timeout)
+		timeout = min(2*timeout, maxTableTimeout)
 		version, err := r.node.config.Table.Commit(ctx, txn)
 		cancel()
 		if err == nil {
@@ -153,8 +158,8 @@
 
 // tableCall is the context of a write sent now. When the table returns after it was
 // lost, calls from before are given up: their answers may be lost for good.
-func (r *leadership) tableCall(sent time.Time) (context.Context, context.CancelFunc) {
-	ctx, cancel := context.WithTimeout(r.ctx, tableTimeout)
+func (r *leadership) tableCall(sent time.Time, timeout time.Duration) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithTimeout(r.ctx, timeout)
 	r.storeMu.Lock()
 	returned := r.returned
 	r.storeMu.Unlock()
--- a/process/cluster/takeover_test.go
+++ b/process/cluster/takeover_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -359,3 +360,43 @@
 		assert.Equal(t, reply.Result, ResultNoJob)
 	})
 }
+
+// The table becomes slow, doing writes one by one, in the midst of a flood of jobs: it
+// gets no more writes than it can answer in time, and jobs are accepted all the while.
+func TestTableSlowsDownInAFlood(t *testing.T) {
+	inWorld(t, 3, func(w *world) {
+		w.mu.Lock()
+		w.slow, w.lane = 8*time.Millisecond, make(chan struct{}, 1)
+		w.mu.Unlock()
+		leader := w.awaitLeader(2*time.Second, "")
+		time.Sleep(time.Second)
+		other := w.other(leader)
+		var accepted atomic.Int64
+		flood := func(name string, length time.Duration) {
+			for i := range int(length / (2 * time.Millisecond)) {
+				job := testJob(fmt.Sprintf("%s%d", name, i), 1)
+				job.Spec.Policy.Target = time.Hour
+				go func() {
+					if other.Do(context.Background(), job).Result == ResultOK {
+						accepted.Add(1)
+					}
+				}()
+				time.Sleep(2 * time.Millisecond)
+			}
+		}
+		flood("quick", time.Second)
+		w.mu.Lock()
+		w.slow = 400 * time.Millisecond
+		w.mu.Unlock()
+		for part := range 3 {
+			before := accepted.Load()
+			flood(fmt.Sprintf("slow%d-", part), 2*time.Second)
+			// Half of what five writes of 24 jobs hold.
+			assert.Assert(t, accepted.Load()-before >= 60, "part %d: %d accepted", part, accepted.Load()-before)
+		}
+		w.mu.Lock()
+		w.slow = 8 * time.Millisecond
+		w.mu.Unlock()
+		time.Sleep(5 * time.Second)
+	})
+}
--- a/process/cluster/world_test.go
+++ b/process/cluster/world_test.go
@@ -32,6 +32,9 @@
 	silent map[string]bool
 	// slow is how long every call of the table takes.
 	slow time.Duration
+	// lane, if not nil, lets writes be done one after the other, whether somebody still
+	// waits for them or not.
+	lane chan struct{}
 	// scanTakes is added to each reading of a range.
 	scanTakes time.Duration
 	// loseAnswers loses the answers of so many writes, which are done lateBy after.
