Plan over known workers, and let no wide step starve on a few of them

Change: a step keeps the list of workers that advice allowed and looks at these only; reservations are marks on workers; the end of a worker's last run is cached; searches of the whole fleet come with an advice call, and for a gang at most each 100 ms. A gang reserves the workers for which it asks for tickets, also once its result is late; it asks about others when enough capacity stands free there; workers on which it stalled don't count.

--- a/process/cell/advice.go
+++ b/process/cell/advice.go
@@ -31,61 +31,13 @@
 	// gangCapacityFactor limits the exploration of workers for a gang: it ends once the
 	// workers known to be allowed could, when empty, run this many times the gang's tasks.
 	gangCapacityFactor = 2.5
+	// exploreInterval is the minimum time between two searches of a gang for workers on
+	// which no advice is known, since each one goes over the whole fleet.
+	exploreInterval = 100 * time.Millisecond
 	// SlowAdvice is the base duration of a call from which it counts as slow.
 	SlowAdvice = 40 * time.Millisecond
 )
 
-// adviceState holds the advice for a step: on which workers the advisory service allows
-// it to run, with a ticket for each of them. Only queues whose policy has Advice need it.
-type adviceState struct {
-	// calls counts the calls in progress.
-	calls int
-	// byWorker holds the reply for each worker, by worker id.
-	byWorker map[string]workerAdvice
-	// ticketsExpireAt is when the last ticket received expires.
-	ticketsExpireAt time.Time
-	retryAt         time.Time
-}
-
-// workerAdvice is the advisory service's reply for one incarnation of a worker.
-type workerAdvice struct {
-	allowed     bool
-	incarnation int64
-	ticket      string
-	until       time.Time
-}
-
-// Ticket is the permission to run a step on a worker.
-type Ticket struct {
-	Worker string
-	Text   string
-}
-
-// hasTicket reports whether the step holds a valid ticket for w or needs none.
-func (c *Cell) hasTicket(now time.Time, s *step, w *Worker) bool {
-	if s.occ.job.Policy.Advice == nil {
-		return true
-	}
-	v, ok := s.advice.byWorker[w.ID]
-	return ok && v.allowed && v.incarnation == w.incarnation && v.until.After(now.Add(2*ticketMargin))
-}
-
-// allows reports whether the step needs no advice or the service has allowed it to run
-// on w, whether or not the ticket is still valid.
-func (a *adviceState) allows(s *step, w *Worker) bool {
-	if s.occ.job.Policy.Advice == nil {
-		return true
-	}
-	v, ok := a.byWorker[w.ID]
-	return ok && v.allowed && v.incarnation == w.incarnation
-}
-
-// refused reports whether the service refused w for the step.
-func (a *adviceState) refused(w *Worker) bool {
-	v, ok := a.byWorker[w.ID]
-	return ok && !v.allowed && v.incarnation == w.incarnation
-}
-
 // requestTaskAdvice requests advice on workers for the step's waiting tasks: first on
 // those with free capacity, then on those expected to have some while the tickets are
 // valid. The fixed cost of a call is far higher than the cost per worker, so each call
@@ -94,31 +46,72 @@
 	if !c.canRequestAdvice(r.now, s) {
 		return
 	}
-	horizon := r.now.Add(s.occ.job.Policy.Advice.Valid / 2)
+	wanted := max(missing, c.minCallCapacity(s))
+	slots := c.untriedWithFree(r, s)
+	if len(slots) == 0 {
+		return
+	}
+	if len(slots) < maxWorkersPerCall {
+		slots = append(slots, c.untriedWithFreeLater(r, s)...)
+	}
+	c.requestAdvice(s, slots, wanted, maxWorkersPerCall)
+}
+
+// untriedWithFree lists the workers with free capacity for s and neither a ticket nor a
+// refusal, those first that are known to be allowed, then those with least left over.
+func (c *Cell) untriedWithFree(r *round, s *step) []workerSlots {
+	upstream := c.upstreamOf(s.occ.job)
 	var slots []workerSlots
-	anyFree := false
-	for _, w := range c.eligibleWorkers(r, s) {
-		if s.advice.refused(w) || c.hasTicket(r.now, s, w) || r.reservations.blocks(r.now, w, s) {
+	for _, rw := range r.withFreeCPU(s.spec.Need) {
+		w := rw.Worker
+		if !fits(&s.spec.Need, &w.freeCapacity) || !c.lacksTicket(r, s, w, upstream) {
 			continue
 		}
-		bound := s.perWorkerBound() - s.runsOn(w)
-		if n := min(s.slotsIn(w.free()), bound); n > 0 {
-			anyFree = true
-			slots = append(slots, workerSlots{w, n})
-		} else if min(s.slotsIn(w.expectedFree(r.now, horizon)), bound) > 0 {
-			slots = append(slots, workerSlots{w, 0})
+		if n := min(s.slotsIn(w.free()), s.perWorkerBound()-s.runsOn(w)); n > 0 {
+			slots = append(slots, workerSlots{worker: w, tasks: n, allowed: s.advice.allows(s, w), leftover: leftover(w, s.spec.Need)})
 		}
 	}
-	if !anyFree {
-		return
-	}
-	need := s.spec.Need
 	slices.SortStableFunc(slots, func(a, b workerSlots) int {
-		return cmp.Or(
-			cmp.Compare(min(b.tasks, 1), min(a.tasks, 1)), s.compareAllowed(a.worker, b.worker),
-			cmp.Compare(leftover(a.worker, need), leftover(b.worker, need)))
+		return cmp.Or(compareBool(b.allowed, a.allowed), cmp.Compare(a.leftover, b.leftover))
 	})
-	c.requestAdvice(s, slots, max(missing, c.minCallCapacity(s)), maxWorkersPerCall)
+	return slots
+}
+
+// untriedWithFreeLater lists the workers without free capacity for s that are expected to
+// have some while the tickets are valid, in the order in which they are expected to be
+// empty.
+func (c *Cell) untriedWithFreeLater(r *round, s *step) []workerSlots {
+	upstream := c.upstreamOf(s.occ.job)
+	horizon := r.now.Add(s.occ.job.Policy.Advice.Valid / 2)
+	var slots []workerSlots
+	for _, w := range r.byLastEnd() {
+		if len(slots) == maxWorkersPerCall {
+			break
+		}
+		if fits(&s.spec.Need, &w.freeCapacity) || !c.lacksTicket(r, s, w, upstream) {
+			continue
+		}
+		if min(s.slotsIn(w.expectedFree(horizon)), s.perWorkerBound()-s.runsOn(w)) > 0 {
+			slots = append(slots, workerSlots{worker: w})
+		}
+	}
+	return slots
+}
+
+// lacksTicket reports whether s may run on w as far as is known but has no ticket for it.
+func (c *Cell) lacksTicket(r *round, s *step, w *Worker, upstream string) bool {
+	return s.eligible(upstream, w) && !s.advice.refused(w) && !c.hasTicket(r.now, s, w) && !r.reservedFromStep(w, s)
+}
+
+// compareBool orders false before true.
+func compareBool(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case b:
+		return -1
+	}
+	return 1
 }
 
 // minCallCapacity returns the smallest capacity, in tasks, to request in one call: the
@@ -162,28 +155,16 @@
 func (c *Cell) SetAdviceLimits(l AdviceLimits) { c.adviceLimits = l }
 
 // expectedFree returns the capacity of w that is expected to be free at the given time.
-func (w *Worker) expectedFree(now, by time.Time) resource.Amount {
+func (w *Worker) expectedFree(by time.Time) resource.Amount {
 	free := w.free()
 	for _, r := range w.runs {
-		if !r.endEstimate(now).After(by) {
+		if !r.endEstimate().After(by) {
 			free = free.Add(r.need)
 		}
 	}
 	return free
 }
 
-// compareAllowed orders workers that are known to be allowed before others.
-func (s *step) compareAllowed(a, b *Worker) int {
-	aAllowed, bAllowed := s.advice.allows(s, a), s.advice.allows(s, b)
-	switch {
-	case aAllowed == bAllowed:
-		return 0
-	case aAllowed:
-		return -1
-	}
-	return 1
-}
-
 // requestAdvice requests advice on as many of the candidates as are expected to yield
 // capacity for wanted tasks, but on at most maxWorkers.
 func (c *Cell) requestAdvice(s *step, candidates []workerSlots, wanted, maxWorkers int) {
@@ -191,7 +172,7 @@
 	expected := 0.0
 	n := 0
 	for ; n < len(candidates) && n < maxWorkers && expected < adviceMargin*float64(wanted)+1; n++ {
-		if s.advice.allows(s, candidates[n].worker) {
+		if candidates[n].allowed {
 			expected += float64(candidates[n].tasks)
 		} else {
 			expected += share * float64(candidates[n].tasks)
@@ -258,21 +239,15 @@
 		return
 	}
 	c.updateAllowedShare(request.Queue, len(tickets), len(request.Workers))
-	if s.advice.byWorker == nil {
-		s.advice.byWorker = make(map[string]workerAdvice)
-	}
 	for _, id := range request.Workers {
 		if w := c.workers[id]; w != nil {
-			s.advice.byWorker[id] = workerAdvice{incarnation: w.incarnation}
+			s.advice.setRefused(w)
 		}
 	}
 	until := answered.Add(job.Policy.Advice.Valid)
-	if len(tickets) > 0 {
-		s.advice.ticketsExpireAt = until
-	}
 	for _, ticket := range tickets {
 		if w := c.workers[ticket.Worker]; w != nil {
-			s.advice.byWorker[ticket.Worker] = workerAdvice{allowed: true, incarnation: w.incarnation, ticket: ticket.Text, until: until}
+			s.advice.setAllowed(w, ticket.Text, until)
 		}
 	}
 }
--- a/process/cell/cell.go
+++ b/process/cell/cell.go
@@ -75,6 +75,8 @@
 	// cordoned holds the workers that get no new work because their machines are about to
 	// go down.
 	cordoned map[string]bool
+	// rounds counts the calls of Plan.
+	rounds uint64
 	// explainedAt is when explain last looked for a waiting step.
 	explainedAt time.Time
 }
--- a/process/cell/ends.go
+++ b/process/cell/ends.go
@@ -40,6 +40,7 @@
 func (c *Cell) dropRun(r *Run) {
 	w := r.worker
 	delete(w.runs, r.RunKey)
+	w.runsChanged()
 	w.addUsed(r.need.Times(-1))
 	c.usage[r.team] = c.usage[r.team].Sub(r.task.step.spec.charge())
 	r.task.step.occ.job.liveRuns--
--- a/process/cell/gang.go
+++ b/process/cell/gang.go
@@ -8,10 +8,11 @@
 	"github.com/kingcuplatch/kingcuplatch/process/resource"
 )
 
-// reservations are the workers kept free for gang steps that found too little capacity.
+// reservations are the workers of a round kept free for gang steps that found too little
+// capacity.
 type reservations struct {
-	byWorker map[*Worker]*step
-	steps    int
+	workers int
+	steps   int
 }
 
 // Bounds of reservations.
@@ -24,47 +25,57 @@
 	workersPerReservingStep = 16
 )
 
-// full reports whether no more steps may reserve workers.
-func (rs *reservations) full(r *round) bool {
-	return rs.steps >= max(minReservingSteps, len(r.ready)/workersPerReservingStep)
+// reservation is the step for which a worker is reserved in a round.
+type reservation struct {
+	round uint64
+	step  *step
+}
+
+// reservationsFull reports whether no more steps may reserve workers.
+func (r *round) reservationsFull() bool {
+	return r.reservations.steps >= max(minReservingSteps, len(r.ready)/workersPerReservingStep)
 }
 
 // reservedForOther reports whether w is reserved for a step other than s.
-func (rs *reservations) reservedForOther(w *Worker, s *step) bool {
-	owner := rs.byWorker[w]
-	return owner != nil && owner != s
+func (r *round) reservedForOther(w *Worker, s *step) bool {
+	return w.reserved.round == r.number && w.reserved.step != s
 }
 
-// blocks reports whether a reservation of w for another step keeps s from it. A task that
-// ends before the last of the worker's runs may still be placed there, since the
+// reservedFromStep reports whether a reservation of w for another step keeps s from it. A
+// task that ends before the last of the worker's runs may still be placed there, since the
 // reserving step has to wait for that run anyway.
-func (rs *reservations) blocks(now time.Time, w *Worker, s *step) bool {
-	if !rs.reservedForOther(w, s) {
-		return false
-	}
-	return !s.endsWithin(w.lastEndEstimate(now).Sub(now))
+func (r *round) reservedFromStep(w *Worker, s *step) bool {
+	return r.reservedForOther(w, s) && !s.endsWithin(w.lastEndEstimate(r.now).Sub(r.now))
 }
 
 // endsWithin reports whether a task of s is expected to end within d.
 func (s *step) endsWithin(d time.Duration) bool { return s.spec.Estimate <= d }
 
-// lastEndEstimate returns when the last run on w is expected to end.
+// lastEndEstimate returns when the last run on w is expected to end, but not before now.
 func (w *Worker) lastEndEstimate(now time.Time) time.Time {
-	last := now
+	if !w.lastRunEndKnown {
+		w.lastRunEnd, w.lastRunEndKnown = w.computeLastRunEnd(), true
+	}
+	return maxTime(w.lastRunEnd, now)
+}
+
+func (w *Worker) computeLastRunEnd() time.Time {
+	var last time.Time
 	for _, r := range w.runs {
-		if end := r.endEstimate(now); end.After(last) {
-			last = end
-		}
+		last = maxTime(last, r.endEstimate())
 	}
 	return last
 }
 
+// runsChanged drops what is cached about the runs on w.
+func (w *Worker) runsChanged() { w.lastRunEndKnown = false }
+
 // minRateSample is the progress of a run, in percent, from which its rate is used.
 const minRateSample = 10
 
 // endEstimate returns when the run is expected to end: by its own rate once it is known,
 // otherwise by its step's estimate.
-func (r *Run) endEstimate(now time.Time) time.Time {
+func (r *Run) endEstimate() time.Time {
 	if r.percent < minRateSample || r.listedAt.IsZero() {
 		return r.plannedAt.Add(r.task.step.spec.Estimate)
 	}
@@ -81,7 +92,9 @@
 	if s.deferred(r.now) || !c.withinCap(job.Team, total) {
 		return
 	}
-	if c.cannotGetTicket(r, s) && (u.tier != guaranteed || r.reservations.full(r)) {
+	// Work beyond its team's share must not keep capacity idle.
+	mayReserve := u.tier != overShare && !r.reservationsFull()
+	if c.cannotGetTicket(r, s) && !mayReserve {
 		return
 	}
 	if chosen := chooseSlots(c.gangSlots(r, s), len(s.tasks), s.spec.SameRack); chosen != nil {
@@ -90,10 +103,11 @@
 		return
 	}
 	r.recordMiss(u, len(s.tasks))
-	if u.tier <= late {
-		r.reservations.reserve(c, r, s)
+	f := c.forecastGang(r, s)
+	if mayReserve {
+		r.reserve(s, f)
 	}
-	c.requestGangAdvice(r, s)
+	c.requestGangAdvice(r, s, f)
 }
 
 func (s *step) deferred(now time.Time) bool {
@@ -104,25 +118,39 @@
 type workerSlots struct {
 	worker *Worker
 	tasks  int
+	// allowed is set if advice is known to allow the step there.
+	allowed bool
+	// leftover is the part of the worker's capacity that one task would leave free.
+	leftover float64
+	// penalty is that of gangPenalty.
+	penalty int
 }
 
 // gangSlots lists the workers that can take tasks of s now, those with most slots first.
 func (c *Cell) gangSlots(r *round, s *step) []workerSlots {
 	var slots []workerSlots
 	for _, w := range c.startableWorkers(r, s) {
-		if r.reservations.reservedForOther(w, s) {
+		if r.reservedForOther(w, s) {
 			continue
 		}
 		if n := s.slotsIn(w.free()); n > 0 {
-			slots = append(slots, workerSlots{w, n})
+			slots = append(slots, workerSlots{worker: w, tasks: n, penalty: c.gangPenalty(w, s)})
 		}
 	}
-	slices.SortStableFunc(slots, func(a, b workerSlots) int {
-		return cmp.Or(cmp.Compare(c.gangPenalty(a.worker, s), c.gangPenalty(b.worker, s)), cmp.Compare(b.tasks, a.tasks))
-	})
+	slices.SortStableFunc(slots, compareSound)
 	return slots
 }
 
+// compareSound orders workers without penalty before others, then as compareFree does.
+func compareSound(a, b workerSlots) int {
+	return cmp.Or(cmp.Compare(a.penalty, b.penalty), compareFree(a, b))
+}
+
+// compareFree orders workers by slots, then by free processors, most first.
+func compareFree(a, b workerSlots) int {
+	return cmp.Or(cmp.Compare(b.tasks, a.tasks), cmp.Compare(b.worker.freeCapacity.MilliCPU, a.worker.freeCapacity.MilliCPU))
+}
+
 // gangPenalty returns 1 for workers that are slow or on which the gang failed, else 0:
 // the slowest member determines the duration of the gang.
 func (c *Cell) gangPenalty(w *Worker, s *step) int {
@@ -160,7 +188,7 @@
 	var chosen []workerSlots
 	for _, s := range slots {
 		n := min(s.tasks, left)
-		chosen = append(chosen, workerSlots{s.worker, n})
+		chosen = append(chosen, workerSlots{worker: s.worker, tasks: n})
 		left -= n
 		if left == 0 {
 			return chosen
@@ -196,27 +224,31 @@
 	c.notePlaced(now, s, placed)
 }
 
-// reserve reserves as many workers as the tasks of s need: those that are known to be
-// allowed, in the order in which they are expected to be empty.
-func (rs *reservations) reserve(c *Cell, r *round, s *step) {
-	if rs.full(r) {
-		return
+// reserve reserves workers for s. If the whole step is expected to fit by the time of the
+// next advice, it reserves the workers with most slots by then, for which tickets are
+// requested. Otherwise it reserves as many as the tasks need when the workers are empty, in
+// the order in which that is expected.
+func (r *round) reserve(s *step, f gangForecast) {
+	slots := f.soon
+	if f.expected < len(s.tasks) {
+		slots = slices.Clone(f.empty)
+		slices.SortStableFunc(slots, func(a, b workerSlots) int {
+			return a.worker.lastEndEstimate(r.now).Compare(b.worker.lastEndEstimate(r.now))
+		})
 	}
-	upstream := c.upstreamOf(s.occ.job)
 	left := len(s.tasks)
-	for _, w := range r.byLastEnd() {
-		if left <= 0 || (len(rs.byWorker)+1)*maxReservedDivisor > len(r.ready) {
+	for _, slot := range slots {
+		if left <= 0 || (r.reservations.workers+1)*maxReservedDivisor > len(r.ready) {
 			break
 		}
-		if rs.byWorker[w] != nil || !s.eligible(upstream, w) || !s.advice.allows(s, w) {
+		if slot.worker.reserved.round == r.number {
 			continue
 		}
-		if n := s.slotsIn(w.Capacity); n > 0 {
-			rs.byWorker[w] = s
-			left -= n
-		}
+		slot.worker.reserved = reservation{round: r.number, step: s}
+		r.reservations.workers++
+		left -= slot.tasks
 	}
 	if left < len(s.tasks) {
-		rs.steps++
+		r.reservations.steps++
 	}
 }
--- a/process/cell/gangadvice.go
+++ b/process/cell/gangadvice.go
@@ -1,48 +1,105 @@
 package cell
 
 import (
-	"cmp"
 	"slices"
+	"time"
 )
 
-// requestGangAdvice requests advice on workers before they have free capacity: the reply
-// for a worker doesn't change, only its ticket expires. Tickets are renewed once the
-// whole step is expected to fit by the time of the reply.
-func (c *Cell) requestGangAdvice(r *round, s *step) {
-	if !c.canRequestAdvice(r.now, s) {
-		return
-	}
-	var known, unknown []workerSlots
-	allowed, expected := 0, 0
-	replyAt := r.now.Add(s.occ.job.Policy.Advice.CallTime(typicalAdviceWorkers))
-	for _, w := range c.eligibleWorkers(r, s) {
+// gangForecast is what a gang that found too little capacity can expect of the workers
+// that advice is known to allow and that aren't reserved for other steps.
+type gangForecast struct {
+	// soon holds the workers with capacity expected at the time of the next advice, those
+	// without penalty and with most slots first. expected is the sum of their slots,
+	// sound the part of it on workers without penalty.
+	soon     []workerSlots
+	expected int
+	sound    int
+	// empty holds all of the workers with their slots when empty; whenEmpty is the sum over
+	// those without penalty.
+	empty     []workerSlots
+	whenEmpty int
+}
+
+// forecastGang returns the forecast for s.
+func (c *Cell) forecastGang(r *round, s *step) gangForecast {
+	var f gangForecast
+	soon := s.adviceExpectedAt(r.now)
+	for _, w := range c.allowedWorkers(r, s) {
 		capacity := s.slotsIn(w.Capacity)
-		if capacity == 0 || s.advice.refused(w) || r.reservations.reservedForOther(w, s) {
+		if capacity == 0 || r.reservedForOther(w, s) {
 			continue
 		}
-		slot := workerSlots{w, s.slotsIn(w.expectedFree(r.now, replyAt))}
-		if s.advice.allows(s, w) {
-			allowed += capacity
-			expected += slot.tasks
-			if slot.tasks > 0 {
-				known = append(known, slot)
+		penalty := c.gangPenalty(w, s)
+		f.empty = append(f.empty, workerSlots{worker: w, tasks: capacity})
+		if penalty == 0 {
+			f.whenEmpty += capacity
+		}
+		if n := s.slotsIn(w.expectedFree(soon)); n > 0 {
+			f.soon = append(f.soon, workerSlots{worker: w, tasks: n, allowed: true, penalty: penalty})
+			f.expected += n
+			if penalty == 0 {
+				f.sound += n
 			}
-			continue
 		}
-		unknown = append(unknown, workerSlots{w, max(slot.tasks, 1)})
 	}
-	byFree := func(a, b workerSlots) int {
-		return cmp.Or(cmp.Compare(b.tasks, a.tasks), cmp.Compare(b.worker.free().MilliCPU, a.worker.free().MilliCPU))
+	slices.SortStableFunc(f.soon, compareSound)
+	return f
+}
+
+// adviceExpectedAt returns when the reply to advice requested now is expected.
+func (s *step) adviceExpectedAt(now time.Time) time.Time {
+	advice := s.occ.job.Policy.Advice
+	if advice == nil {
+		return now
+	}
+	return now.Add(advice.CallTime(typicalAdviceWorkers))
+}
+
+// requestGangAdvice requests advice on workers before they have free capacity: the reply
+// for a worker doesn't change, only its ticket expires. Tickets are renewed once the
+// whole step is expected to fit by the time of the reply.
+func (c *Cell) requestGangAdvice(r *round, s *step, f gangForecast) {
+	if !c.canRequestAdvice(r.now, s) {
+		return
 	}
-	slices.SortStableFunc(known, byFree)
-	slices.SortStableFunc(unknown, byFree)
 	wanted := len(s.tasks)
+	if f.sound >= wanted {
+		c.requestAdvice(s, f.soon, wanted, maxWorkersPerGangCall)
+		return
+	}
+	if s.advice.exploreAt.After(r.now) {
+		return
+	}
+	s.advice.exploreAt = r.now.Add(exploreInterval)
+	unknown, free := c.unknownWorkers(r, s)
+	// Known workers may stay busy for long. Others are worth a call while too few are known,
+	// or if enough of those with free capacity can be expected to be allowed.
+	fewKnown := f.whenEmpty < int(gangCapacityFactor*float64(wanted))
+	missing := float64(wanted - f.sound)
 	switch {
-	case expected >= wanted:
-		c.requestAdvice(s, known, wanted, maxWorkersPerGangCall)
-	case allowed < int(gangCapacityFactor*float64(wanted)) && len(unknown) > 0:
-		c.exploreWorkers(s, append(known, unknown...))
+	case len(unknown) > 0 && (fewKnown || c.allowedShare(s.occ.job.Queue)*float64(free) >= missing):
+		c.exploreWorkers(s, append(f.soon, unknown...))
+	case f.expected >= wanted:
+		c.requestAdvice(s, f.soon, wanted, maxWorkersPerGangCall)
+	}
+}
+
+// unknownWorkers lists the workers that can run tasks of s but on which no advice is known,
+// those with most slots at the time of the next advice first, and the sum of these slots.
+func (c *Cell) unknownWorkers(r *round, s *step) (unknown []workerSlots, free int) {
+	upstream := c.upstreamOf(s.occ.job)
+	soon := s.adviceExpectedAt(r.now)
+	for _, rw := range r.ready {
+		w := rw.Worker
+		if !s.eligible(upstream, w) || s.advice.known(w) || r.reservedForOther(w, s) || s.slotsIn(w.Capacity) == 0 {
+			continue
+		}
+		n := s.slotsIn(w.expectedFree(soon))
+		free += n
+		unknown = append(unknown, workerSlots{worker: w, tasks: max(n, 1)})
 	}
+	slices.SortStableFunc(unknown, compareFree)
+	return unknown, free
 }
 
 // exploreWorkers requests advice on as many workers as are expected to include enough
--- a/process/cell/load.go
+++ b/process/cell/load.go
@@ -126,6 +126,7 @@
 		r.pace = unknownPace
 	}
 	w.runs[r.RunKey] = r
+	w.runsChanged()
 	w.addUsed(r.need)
 	c.usage[r.team] = c.usage[r.team].Add(t.step.spec.charge())
 	t.current = r
--- a/process/cell/place.go
+++ b/process/cell/place.go
@@ -83,7 +83,7 @@
 	r := c.addRun(t, w, runPlanned)
 	r.plannedAt = now
 	c.countFirstPlaced(now, t.step.occ.job)
-	if v, ok := t.step.advice.byWorker[w.ID]; ok {
+	if v, ok := t.step.advice.byWorker[w]; ok {
 		r.ticket, r.ticketUntil = v.ticket, v.until
 	}
 	if c.health.Quarantined(w.ID) {
@@ -204,7 +204,7 @@
 		r.state = runOutcomeUnknown
 		c.stopRun(now, r)
 	case StartTicketRejected:
-		delete(r.task.step.advice.byWorker, id)
+		delete(r.task.step.advice.byWorker, w)
 		c.withdraw(now, r, answer.String())
 	case StartUnhealthy:
 		w.pausedUntil = now.Add(unhealthyPause)
--- a/process/cell/round.go
+++ b/process/cell/round.go
@@ -11,7 +11,8 @@
 // round is the state of one planning pass: the workers that accept new work and the
 // decisions made so far.
 type round struct {
-	now time.Time
+	now    time.Time
+	number uint64
 	// ready holds the workers that accept new work, sorted by free processors at the
 	// start of the round, most first. Placing only reduces free capacity, so freeCPU
 	// stays an upper bound.
@@ -47,9 +48,11 @@
 
 // newRound starts a round with the workers that accept new work.
 func (c *Cell) newRound(now time.Time) *round {
-	r := &round{now: now, reservations: reservations{byWorker: make(map[*Worker]*step)}}
+	c.rounds++
+	r := &round{now: now, number: c.rounds, ready: make([]readyWorker, 0, len(c.workerOrder))}
 	for _, w := range c.workerOrder {
 		if c.acceptsWork(now, w) {
+			w.readyIn = r.number
 			r.ready = append(r.ready, readyWorker{w, w.freeCapacity.MilliCPU})
 			r.totalFreeCPU += w.freeCapacity.MilliCPU
 		}
@@ -58,19 +61,22 @@
 	return r
 }
 
+// accepts reports whether w accepts new work in this round.
+func (r *round) accepts(w *Worker) bool { return w.readyIn == r.number }
+
 // byLastEnd returns the workers that accept new work, sorted by the expected end of
 // their last run.
 func (r *round) byLastEnd() []*Worker {
 	if r.workersByEnd != nil {
 		return r.workersByEnd
 	}
-	ends := make(map[*Worker]time.Time, len(r.ready))
 	r.workersByEnd = make([]*Worker, 0, len(r.ready))
 	for _, w := range r.ready {
-		ends[w.Worker] = w.lastEndEstimate(r.now)
 		r.workersByEnd = append(r.workersByEnd, w.Worker)
 	}
-	slices.SortStableFunc(r.workersByEnd, func(a, b *Worker) int { return ends[a].Compare(ends[b]) })
+	slices.SortStableFunc(r.workersByEnd, func(a, b *Worker) int {
+		return a.lastEndEstimate(r.now).Compare(b.lastEndEstimate(r.now))
+	})
 	return r.workersByEnd
 }
 
@@ -111,30 +117,56 @@
 func (c *Cell) startableWorkers(r *round, s *step) []*Worker {
 	upstream := c.upstreamOf(s.occ.job)
 	var list []*Worker
-	for _, rw := range r.withFreeCPU(s.spec.Need) {
-		w := rw.Worker
-		if fits(&s.spec.Need, &w.freeCapacity) && s.eligible(upstream, w) && c.hasTicket(r.now, s, w) && !r.reservations.blocks(r.now, w, s) {
+	add := func(w *Worker) {
+		if fits(&s.spec.Need, &w.freeCapacity) && s.eligible(upstream, w) && c.hasTicket(r.now, s, w) && !r.reservedFromStep(w, s) {
 			list = append(list, w)
 		}
 	}
+	if s.occ.job.Policy.Advice == nil {
+		for _, rw := range r.withFreeCPU(s.spec.Need) {
+			add(rw.Worker)
+		}
+		return list
+	}
+	if !s.holdsTickets(r.now) {
+		return nil
+	}
+	for _, w := range s.advice.allowed {
+		if r.accepts(w) {
+			add(w)
+		}
+	}
 	return list
 }
 
-// eligibleWorkers returns the workers on which tasks of s may run, with or without free
-// capacity.
-func (c *Cell) eligibleWorkers(r *round, s *step) []*Worker {
+// allowedWorkers returns the workers that accept new work on which tasks of s may run as
+// far as is known, with or without free capacity and tickets.
+func (c *Cell) allowedWorkers(r *round, s *step) []*Worker {
 	upstream := c.upstreamOf(s.occ.job)
 	var list []*Worker
-	for _, rw := range r.ready {
-		if s.eligible(upstream, rw.Worker) {
-			list = append(list, rw.Worker)
+	if s.occ.job.Policy.Advice == nil {
+		for _, rw := range r.ready {
+			if s.eligible(upstream, rw.Worker) {
+				list = append(list, rw.Worker)
+			}
+		}
+		return list
+	}
+	for _, w := range s.advice.allowed {
+		if r.accepts(w) && s.eligible(upstream, w) && s.advice.allows(s, w) {
+			list = append(list, w)
 		}
 	}
 	return list
 }
 
+// holdsTickets reports whether some ticket of s may still be valid for a start.
+func (s *step) holdsTickets(now time.Time) bool {
+	return s.advice.ticketsExpireAt.After(now.Add(2 * ticketMargin))
+}
+
 // cannotGetTicket reports whether the step can't be started in this round because it has
 // no ticket and can't request one.
 func (c *Cell) cannotGetTicket(r *round, s *step) bool {
-	return s.occ.job.Policy.Advice != nil && !s.advice.ticketsExpireAt.After(r.now.Add(2*ticketMargin)) && !c.canRequestAdvice(r.now, s)
+	return s.occ.job.Policy.Advice != nil && !s.holdsTickets(r.now) && !c.canRequestAdvice(r.now, s)
 }
--- a/process/cell/worker.go
+++ b/process/cell/worker.go
@@ -119,6 +119,13 @@
 	speed       speedRecord
 	// probeDue is set while a quarantined worker may take one task.
 	probeDue bool
+	// readyIn is the number of the last round in which the worker accepted new work.
+	readyIn  uint64
+	reserved reservation
+	// lastRunEnd is the cached latest expected end of the worker's runs, valid while
+	// lastRunEndKnown is set.
+	lastRunEnd      time.Time
+	lastRunEndKnown bool
 }
 
 // pendingAck is an end that may be acknowledged once all changes up to seq are recorded.
--- a/process/health/health.go
+++ b/process/health/health.go
@@ -199,6 +199,9 @@
 // DueProbes returns the workers that are due for one unit of idempotent work each,
 // sorted by name. Each must be followed by a call to RecordProbe or AbortProbe.
 func (m *Monitor) DueProbes(now time.Time) []string {
+	if m.quarantined == 0 {
+		return nil
+	}
 	var due []string
 	for name, w := range m.workers {
 		if w.quarantined && !w.probing && !w.probeAt.After(now) {
