Judge a stalled run by listings, not by the time since the last one

Cause: a run counted as stalled when no progress had been noted for its timeout, also when the worker's replies came late and nothing had been listed since. A worker that was only slow to report had its running work stopped and started elsewhere. Change: the timeout runs up to the last listing that showed the run. TestWaitingGangMemberIsNotStalled expected a stop after ticks without any listing; it now expects none there, and the stop once a listing shows the same progress, which is stricter. Conclusion: no stop without evidence.

--- a/process/cell/faults_test.go
+++ b/process/cell/faults_test.go
@@ -108,6 +108,11 @@
 		now = now.Add(3 * time.Second)
 		c.Tick(now)
 	}
+	assert.Equal(t, len(c.TakeActions().Stops), 0, "without a listing nothing is known")
+	c.Listed(now, "w0", Listing{SentAt: now, Incarnation: 1, Running: []ListedRun{
+		{RunKey: keys[0], Percent: 99}, {RunKey: keys[1], Percent: 90},
+	}})
+	c.Tick(now)
 	stops := c.TakeActions().Stops
 	assert.Assert(t, len(stops) > 0)
 	assert.Equal(t, stops[0].RunKey, keys[1])
--- a/process/cell/progress.go
+++ b/process/cell/progress.go
@@ -257,7 +257,9 @@
 		}
 		since = maxTime(since, startedAt)
 	}
-	if now.Sub(since) < r.stallTimeout() {
+	// Only a listing shows that there is no progress. While the worker's replies are late,
+	// nothing is known.
+	if r.lastListedAt.Sub(since) < r.stallTimeout() {
 		return
 	}
 	c.note(Note{Kind: NoteRunStalled, Task: r.Task, Run: r.Number, Worker: w.ID, Age: now.Sub(since), Reason: s.progress()})
