Overload of the scheduler is not a failure

Heartbeats answered after 0.6 s were discarded, a late table answer counted as silence, and each new scheduler was replaced while it read the cell. Each of 97 entries sent 5 heartbeats a second, and the list of members was sorted and hashed for each. The list of members is kept for 50 ms. A heartbeat that a paused scheduler reads late no longer lets it extend leases of workers without the table: it counts from the last reply that its sender had received. Conclusion: small entries are still overloaded by the work itself.

--- a/process/cell/order.go
+++ b/process/cell/order.go
@@ -82,7 +82,7 @@
 // queuePosition returns the sort keys that the steps of an occurrence share.
 func (o *occurrence) queuePosition(now time.Time) waitingStep {
 	job := o.job
-	u := waitingStep{priority: job.Policy.Priority, latest: o.due.Add(job.objective() - o.criticalPath())}
+	u := waitingStep{tier: guaranteed, priority: job.Policy.Priority, latest: o.due.Add(job.objective() - o.criticalPath())}
 	switch {
 	case o.hasLongRunning():
 		// Long-running tasks serve users all the time, so they are due at once.
--- a/process/cluster/acquire.go
+++ b/process/cluster/acquire.go
@@ -147,7 +147,7 @@
 			continue
 		}
 		known := n.standbys[m.Name]
-		n.standbys[m.Name] = standby{Member: m, lastContact: known.lastContact, inheritedAt: time.Now()}
+		n.standbys[m.Name] = standby{Member: m, lastContact: known.lastContact, confirmedAt: known.confirmedAt, inheritedAt: time.Now()}
 	}
 }
 
--- a/process/cluster/calls.go
+++ b/process/cluster/calls.go
@@ -36,6 +36,8 @@
 	CatalogVersion int64 `json:"catalog"`
 	// MembersHash identifies the list of members that the standby has.
 	MembersHash uint64 `json:"members_hash,omitempty"`
+	// Stamp is that of the scheduler's last reply.
+	Stamp int64 `json:"stamp,omitempty"`
 }
 
 // heartbeatReply is the scheduler's answer to a heartbeat.
@@ -43,12 +45,17 @@
 	Fence          uint64 `json:"fence"`
 	CatalogVersion int64  `json:"catalog"`
 	TableAgeMS     int64  `json:"store_age_ms"`
+	// TableSilentMS is how long ago the last answer of the table reached the scheduler, in
+	// milliseconds.
+	TableSilentMS int64 `json:"table_silent_ms,omitempty"`
 	// FailingMS is how long the scheduler's calls to the table have failed, in
 	// milliseconds.
 	FailingMS int64 `json:"failing_ms,omitempty"`
 	// Members are sent if the standby's list differs.
 	Members []Member `json:"members,omitempty"`
 	Leaving bool     `json:"leaving,omitempty"`
+	// Stamp is the time of the reply on the scheduler's clock, in milliseconds.
+	Stamp int64 `json:"stamp,omitempty"`
 }
 
 // seenReply names the scheduler that an entry follows, with the ages, in milliseconds, of
--- a/process/cluster/forward.go
+++ b/process/cluster/forward.go
@@ -66,7 +66,7 @@
 // awaitSuccessor waits for a change of scheduler if one is expected soon, and reports
 // whether there was one.
 func awaitSuccessor(ctx context.Context, lost leaderView, changed <-chan struct{}) bool {
-	if time.Since(maxTime(lost.lastContact, lost.since)) > successorWindow {
+	if time.Since(maxTime(lost.lastHeard, lost.since)) > successorWindow {
 		return false
 	}
 	ctx, cancel := context.WithTimeout(ctx, successorWait)
@@ -84,7 +84,7 @@
 	if view.Holder == "" || view.Holder == n.config.Name {
 		return unavailable("no scheduler is known", 0), true
 	}
-	if unreachableFor := time.Since(view.lastContact); view.refused || unreachableFor > unreachableAfter {
+	if unreachableFor := time.Since(view.lastHeard); view.refused || unreachableFor > unreachableAfter+n.heartbeatInterval(view)-heartbeatPeriod {
 		return unavailable("the scheduler is silent", unreachableFor), true
 	}
 	ctx, cancel := context.WithTimeout(ctx, forwardTimeout)
--- /dev/null
+++ b/process/cluster/lag.go
@@ -0,0 +1,39 @@
+package cluster
+
+import (
+	"sync"
+	"time"
+)
+
+// lagTracker measures how late this process runs work that is ready, from the lateness of a
+// periodic sleep. An overloaded process reads answers late although they have arrived in
+// time; without an allowance for that it would count its peers as failed.
+type lagTracker struct {
+	mu  sync.Mutex
+	lag time.Duration
+}
+
+const (
+	// maxLag bounds the lag taken from one sample: a process that was paused is not
+	// overloaded.
+	maxLag = 500 * time.Millisecond
+	// lagDecayDivisor is what the lag loses with each sample, as a part of itself.
+	lagDecayDivisor = 4
+	// lagAllowance is the allowance as a multiple of the lag. An answer passes through
+	// about as many goroutines, each of which may wait that long.
+	lagAllowance = 4
+)
+
+// record adds a sample: how late a sleep ended.
+func (t *lagTracker) record(late time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.lag = max(min(late, maxLag), t.lag-t.lag/lagDecayDivisor)
+}
+
+// allowance returns by how much timeouts of calls are to be extended.
+func (t *lagTracker) allowance() time.Duration {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return lagAllowance * t.lag
+}
--- a/process/cluster/leadership.go
+++ b/process/cluster/leadership.go
@@ -70,6 +70,9 @@
 	// tableContact is when the last successful call to the table was sent. failingSince is
 	// zero while calls succeed.
 	tableContact time.Time
+	// tableHeard is when the last answer of the table arrived. Under load that is long after
+	// tableContact.
+	tableHeard   time.Time
 	failingSince time.Time
 	// tableRecovered is cancelled, through signalTableRecovered, when the table becomes
 	// available again, and is then replaced.
@@ -97,7 +100,7 @@
 	r := &leadership{
 		node: n, fence: fence, timings: n.timings(), began: since, cell: loaded,
 		planSignal: make(chan struct{}, 1), recordSignal: make(chan struct{}, 1),
-		workers: make(map[string]*workerLoop), tableContact: read, writes: make(map[*cell.Batch]time.Time),
+		workers: make(map[string]*workerLoop), tableContact: read, tableHeard: read, writes: make(map[*cell.Batch]time.Time),
 	}
 	r.advisers = newAdvisers(r)
 	r.ctx, r.cancel = context.WithCancel(context.Background())
--- a/process/cluster/node.go
+++ b/process/cluster/node.go
@@ -64,6 +64,7 @@
 	leaseLock  chan struct{}
 	leaseReads pacer
 	tableReach reachTracker
+	lag        lagTracker
 
 	mu        sync.Mutex
 	published Publication
@@ -83,7 +84,9 @@
 	// standbys are the entries that have sent a heartbeat or were inherited from a former
 	// scheduler's list, by name.
 	standbys map[string]standby
-	leaving  bool
+	// memberList caches the list of live entries.
+	memberList memberList
+	leaving    bool
 	// startedAt is when this incarnation started; yieldedAt is when it last yielded the
 	// lease to an entry with more cores.
 	startedAt time.Time
@@ -94,6 +97,10 @@
 type standby struct {
 	Member
 	lastContact time.Time
+	// confirmedAt is the time of the last reply of this scheduler that the standby is known
+	// to have received. A heartbeat may have waited in this process for long, so its
+	// arrival doesn't show that the standby still follows this scheduler.
+	confirmedAt time.Time
 	// inheritedAt is when the entry was inherited from a former scheduler's list.
 	inheritedAt time.Time
 }
@@ -101,6 +108,10 @@
 const (
 	// memberTimeout is how long a standby is considered live after its last heartbeat.
 	memberTimeout = time.Second
+	// confirmTimeout is how long a standby is considered to follow this scheduler after a
+	// reply that it is known to have received: somewhat longer than two heartbeat periods
+	// and the delay of a reply.
+	confirmTimeout = 1500 * time.Millisecond
 	// inheritedTimeout is how long an inherited standby is considered live without a
 	// heartbeat: somewhat longer than two heartbeat periods.
 	inheritedTimeout = 700 * time.Millisecond
@@ -234,7 +245,27 @@
 	return n.membersLocked()
 }
 
-func (n *Node) membersLocked() []Member {
+func (n *Node) membersLocked() []Member { return n.memberListLocked().members }
+
+// memberList is a list of live entries, which must not be modified, with its hash.
+type memberList struct {
+	members []Member
+	hash    uint64
+	at      time.Time
+}
+
+// memberListAge is how long the list of live entries is kept.
+const memberListAge = 50 * time.Millisecond
+
+func (n *Node) memberListLocked() memberList {
+	if now := time.Now(); now.Sub(n.memberList.at) > memberListAge {
+		members := n.computeMembers()
+		n.memberList = memberList{members: members, hash: hashMembers(members), at: now}
+	}
+	return n.memberList
+}
+
+func (n *Node) computeMembers() []Member {
 	members := []Member{n.member()}
 	for name, m := range n.standbys {
 		if m.live() && name != n.config.Name {
@@ -247,13 +278,13 @@
 	return members
 }
 
-// allStandbysReachable reports whether every known standby has sent a heartbeat within
-// memberTimeout.
+// allStandbysReachable reports whether every known standby is known to have followed this
+// scheduler within confirmTimeout.
 func (n *Node) allStandbysReachable() bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	for _, m := range n.standbys {
-		if time.Since(m.lastContact) >= memberTimeout {
+		if time.Since(m.confirmedAt) >= confirmTimeout {
 			return false
 		}
 	}
--- a/process/cluster/standby.go
+++ b/process/cluster/standby.go
@@ -17,7 +17,7 @@
 	defer cancel()
 	var reply heartbeatReply
 	sent := time.Now()
-	err := n.config.Peers.Call(ctx, view.Address, methodHeartbeat, heartbeat{Member: n.member(), CatalogVersion: n.catalogVersion(), MembersHash: hashMembers(view.members)}, &reply)
+	err := n.config.Peers.Call(ctx, view.Address, methodHeartbeat, heartbeat{Member: n.member(), CatalogVersion: n.catalogVersion(), MembersHash: view.membersHash, Stamp: view.stamp}, &reply)
 	n.mu.Lock()
 	if n.view.fence != view.fence {
 		n.mu.Unlock()
@@ -26,7 +26,7 @@
 	var remote *peer.RemoteError
 	if err != nil {
 		n.view.refused = (errors.Is(err, peer.ErrNotSent) || errors.As(err, &remote)) && sent.After(n.view.lastContact)
-		lost := !n.view.refused || time.Since(n.view.lastContact) > heartbeatPeriod
+		lost := !n.view.refused || time.Since(n.view.lastHeard) > heartbeatPeriod
 		n.mu.Unlock()
 		if lost {
 			// Counted, not logged: if the scheduler is lost, the entry that takes over logs
@@ -40,12 +40,14 @@
 			n.view.ctx, n.view.cancel = context.WithCancel(context.Background())
 		}
 		n.view.refused = false
-		n.view.tableAge = time.Duration(reply.TableAgeMS) * time.Millisecond
+		n.view.tableSilentFor = time.Duration(reply.TableSilentMS) * time.Millisecond
+		n.view.lastHeard = time.Now()
 		n.view.lastContact = maxTime(n.view.lastContact, sent)
-		n.view.tableContact = maxTime(n.view.tableContact, sent.Add(-n.view.tableAge))
+		n.view.stamp = max(n.view.stamp, reply.Stamp)
+		n.view.tableContact = maxTime(n.view.tableContact, sent.Add(-time.Duration(reply.TableAgeMS)*time.Millisecond))
 		n.view.failingFor = time.Duration(reply.FailingMS) * time.Millisecond
 		if len(reply.Members) > 0 {
-			n.view.members = reply.Members
+			n.view.setMembers(reply.Members)
 		}
 		n.view.leaving = reply.Leaving
 		n.configContact = maxTime(n.configContact, n.view.tableContact)
@@ -208,19 +210,20 @@
 	if n.loading != 0 {
 		// While the cell is being loaded, the standbys must not take over.
 		defer n.mu.Unlock()
-		n.standbys[b.Name] = standby{Member: b.Member, lastContact: time.Now()}
-		return heartbeatReply{Fence: n.loading}, nil
+		n.noteHeartbeat(b)
+		return heartbeatReply{Fence: n.loading, Stamp: n.clockMS()}, nil
 	}
 	if r == nil || r.over() {
 		n.mu.Unlock()
 		return nil, errNotScheduler
 	}
-	n.standbys[b.Name] = standby{Member: b.Member, lastContact: time.Now()}
+	n.noteHeartbeat(b)
 	reply := heartbeatReply{
-		Fence: r.fence, TableAgeMS: r.tableAge().Milliseconds(), FailingMS: r.tableFailingFor().Milliseconds(), Leaving: n.leaving,
+		Stamp: n.clockMS(),
+		Fence: r.fence, TableAgeMS: r.tableAge().Milliseconds(), TableSilentMS: r.tableSilentFor().Milliseconds(), FailingMS: r.tableFailingFor().Milliseconds(), Leaving: n.leaving,
 	}
-	if members := n.membersLocked(); hashMembers(members) != b.MembersHash {
-		reply.Members = members
+	if list := n.memberListLocked(); list.hash != b.MembersHash {
+		reply.Members = list.members
 	}
 	if n.published.Catalog != nil {
 		reply.CatalogVersion = n.published.Catalog.Version
@@ -232,6 +235,22 @@
 	return reply, nil
 }
 
+// noteHeartbeat records a standby's heartbeat. n.mu must be held.
+func (n *Node) noteHeartbeat(b heartbeat) {
+	known, ok := n.standbys[b.Name]
+	if !ok {
+		n.memberList = memberList{}
+	}
+	confirmed := known.confirmedAt
+	if b.Stamp > 0 {
+		confirmed = maxTime(confirmed, n.startedAt.Add(time.Duration(b.Stamp)*time.Millisecond))
+	}
+	n.standbys[b.Name] = standby{Member: b.Member, lastContact: time.Now(), confirmedAt: confirmed}
+}
+
+// clockMS returns the time since this entry started, in milliseconds, but at least 1.
+func (n *Node) clockMS() int64 { return max(1, time.Since(n.startedAt).Milliseconds()) }
+
 // serveSeen returns how recently this entry reached the scheduler. It also marks the
 // scheduler as suspected, so that this entry sends a heartbeat at once.
 func (n *Node) serveSeen(context.Context, json.RawMessage) (any, error) {
@@ -242,7 +261,7 @@
 		return seenReply{leaseRow: n.view.leaseRow, Fence: n.leadership.fence, TableAgeMS: n.leadership.tableAge().Milliseconds()}, nil
 	}
 	return seenReply{
-		leaseRow: n.view.leaseRow, Fence: n.view.fence, ContactAgeMS: time.Since(n.view.lastContact).Milliseconds(), TableAgeMS: time.Since(n.view.tableContact).Milliseconds(),
+		leaseRow: n.view.leaseRow, Fence: n.view.fence, ContactAgeMS: time.Since(n.view.lastHeard).Milliseconds(), TableAgeMS: time.Since(n.view.tableContact).Milliseconds(),
 		Refused: n.view.refused,
 	}, nil
 }
--- a/process/cluster/table.go
+++ b/process/cluster/table.go
@@ -54,6 +54,7 @@
 // tableAnswered records that the table answered a call sent at the given time.
 func (r *leadership) tableAnswered(sent time.Time) {
 	r.tableMu.Lock()
+	r.tableHeard = time.Now()
 	if sent.After(r.tableContact) {
 		r.tableContact = sent
 	}
@@ -153,6 +154,13 @@
 	return max(failing, r.tableStalledFor())
 }
 
+// tableSilentFor returns how long ago the last answer of the table arrived.
+func (r *leadership) tableSilentFor() time.Duration {
+	r.tableMu.Lock()
+	defer r.tableMu.Unlock()
+	return time.Since(r.tableHeard)
+}
+
 // tableAge returns how long ago the last call that the table answered was sent.
 func (r *leadership) tableAge() time.Duration {
 	r.tableMu.Lock()
--- a/process/cluster/view.go
+++ b/process/cluster/view.go
@@ -23,14 +23,20 @@
 	leaseRow
 	// since is when this scheduler became known.
 	since time.Time
-	// lastContact is when the last heartbeat that the scheduler answered was sent.
+	// lastHeard is when the last reply of the scheduler arrived, lastContact when the
+	// heartbeat that it answered was sent. An overloaded scheduler answers late, but its
+	// replies keep coming.
+	lastHeard time.Time
 	// tableContact is when the scheduler last reached the table, as it reported.
 	lastContact  time.Time
 	tableContact time.Time
-	// tableAge and failingFor are from the scheduler's last reply: the age of its last
-	// table contact, and how long its calls to the table had failed.
-	tableAge   time.Duration
-	failingFor time.Duration
+	// tableSilentFor and failingFor are from the scheduler's last reply: how long ago the
+	// last answer of the table had arrived, and how long its calls to the table had failed.
+	tableSilentFor time.Duration
+	failingFor     time.Duration
+	// recentTakeovers counts the changes of scheduler before this one that followed each other
+	// within takeoverWindow.
+	recentTakeovers int
 	// acquiringUntil is the time until which this entry does not try to acquire the lease,
 	// because another standby is writing the lease row.
 	acquiringUntil time.Time
@@ -38,7 +44,11 @@
 	// heartbeats with an error because the process there is not the scheduler.
 	refused bool
 	leaving bool
+	// stamp is that of the scheduler's last reply, which the next heartbeat returns.
+	stamp   int64
 	members []Member
+	// membersHash identifies members.
+	membersHash uint64
 	// ctx ends when the scheduler becomes unreachable or is replaced, which cancels the
 	// calls that wait for its answer.
 	ctx    context.Context
@@ -48,7 +58,8 @@
 // newView returns the view of a scheduler that has just become known.
 func newView(fence uint64, row leaseRow, members []Member) leaderView {
 	now := time.Now()
-	v := leaderView{fence: fence, leaseRow: row, since: now, lastContact: now, tableContact: now, members: members}
+	v := leaderView{fence: fence, leaseRow: row, since: now, lastHeard: now, lastContact: now, tableContact: now}
+	v.setMembers(members)
 	v.ctx, v.cancel = context.WithCancel(context.Background())
 	return v
 }
@@ -58,13 +69,25 @@
 	if n.view.cancel != nil {
 		n.view.cancel()
 	}
+	if n.view.fence != 0 && v.since.Sub(n.view.since) < takeoverWindow {
+		v.recentTakeovers = min(n.view.recentTakeovers+1, maxRecentTakeovers)
+	}
 	n.view = v
 	close(n.changed)
 	n.changed = make(chan struct{})
 }
 
 // noView returns the view while no scheduler is known.
-func noView(members []Member) leaderView { return leaderView{since: time.Now(), members: members} }
+func noView(members []Member) leaderView {
+	v := leaderView{since: time.Now()}
+	v.setMembers(members)
+	return v
+}
+
+// setMembers replaces the list of entries.
+func (v *leaderView) setMembers(members []Member) {
+	v.members, v.membersHash = members, hashMembers(members)
+}
 
 // knownMembers returns the last known list of entries.
 func (n *Node) knownMembers() []Member {
@@ -90,25 +113,38 @@
 	n.log.Log(events.SchedulerObserved, row.Holder, row.version)
 }
 
+// Bounds on changes of scheduler that follow each other. A new scheduler reads the cell and
+// polls all workers, and may answer late meanwhile. If that made the next standby take over,
+// the work would begin anew each time.
+const (
+	takeoverWindow     = 5 * time.Second
+	maxRecentTakeovers = 3
+)
+
 // unreachable reports whether the scheduler has been unreachable for long enough that a
 // standby with this takeover delay may act.
 func (v leaderView) unreachable(now time.Time, delay time.Duration) bool {
 	timeout := unreachableAfter
-	if v.refused || v.leaving {
+	switch {
+	case v.refused || v.leaving:
 		timeout = unreachableAfterRefusal
+	case now.Sub(v.since) < takeoverWindow:
+		timeout += time.Duration(v.recentTakeovers) * unreachableAfter
 	}
-	return now.Sub(v.lastContact) > timeout+delay
+	return now.Sub(v.lastHeard) > timeout+delay
 }
 
 // tableUnavailable reports whether the scheduler cannot reach the table, according to a
 // recent reply of its own. A new scheduler is exempt during warmUpTime.
 func (v leaderView) tableUnavailable(now time.Time) bool {
 	warmedUp := now.Sub(v.since) > warmUpTime
-	return warmedUp && !v.unreachable(now, 0) && (v.tableAge > tableStaleAfter || v.failingFor > tableFailingAfter)
+	return warmedUp && !v.unreachable(now, 0) && (v.tableSilentFor > tableStaleAfter || v.failingFor > tableFailingAfter)
 }
 
 // tableSuspect reports whether the scheduler may have lost contact with the table.
-func (v leaderView) tableSuspect() bool { return v.tableAge > tableSuspectAfter || v.failingFor > 0 }
+func (v leaderView) tableSuspect() bool {
+	return v.tableSilentFor > tableSuspectAfter || v.failingFor > 0
+}
 
 // takeoverDelay returns how long a standby of this rank waits before a takeover.
 func takeoverDelay(rank int) time.Duration {
--- a/process/cluster/worker.go
+++ b/process/cluster/worker.go
@@ -56,11 +56,11 @@
 // contact, as mayExtend allows.
 func (r *leadership) predecessorsBound() time.Time {
 	longest := time.Duration(float64(r.timings.Lease) / (1 - maxClockDrift))
-	return r.began.Add(extendWithoutTable + memberTimeout + longest + predecessorMargin)
+	return r.began.Add(extendWithoutTable + confirmTimeout + longest + predecessorMargin)
 }
 
 // mayExtend reports whether leases may be extended: either the table has answered
-// recently, or every other entry still sends heartbeats and so none has taken over.
+// recently, or every other entry still follows this scheduler and so none has taken over.
 func (r *leadership) mayExtend() bool {
 	return r.tableAge() < extendWithoutTable || r.node.allStandbysReachable()
 }
@@ -79,7 +79,7 @@
 	for ctx.Err() == nil {
 		call, target := r.nextPoll(w, unreachable)
 		sent := time.Now()
-		pollCtx, cancel := context.WithTimeout(ctx, call.Wait+pollTimeout)
+		pollCtx, cancel := context.WithTimeout(ctx, call.Wait+pollTimeout+r.node.lag.allowance())
 		reply, err := r.node.config.Workers.Poll(pollCtx, target, call)
 		cancel()
 		if ctx.Err() != nil {
@@ -176,7 +176,7 @@
 	r.mu.Unlock()
 	answer, err := cell.StartNotSent, error(nil)
 	if call.NotAfter != 0 {
-		ctx, cancel := context.WithTimeout(r.ctx, commandTimeout)
+		ctx, cancel := context.WithTimeout(r.ctx, commandTimeout+r.node.lag.allowance())
 		sent := time.Now()
 		answer, err = r.node.config.Workers.Start(ctx, target, call)
 		cancel()
@@ -220,7 +220,7 @@
 	if w == nil {
 		return
 	}
-	ctx, cancel := context.WithTimeout(r.ctx, commandTimeout)
+	ctx, cancel := context.WithTimeout(r.ctx, commandTimeout+r.node.lag.allowance())
 	defer cancel()
 	err := call(ctx, target)
 	switch {
