Keep forecasts of workers and their order between rounds

Change: a worker keeps its runs also in a list, and what was derived from their ends until a run changes; the order by free processors is mended instead of computed; the health monitor answers at once while no worker is quarantined. The code about a worker's runs is in runs.go. Conclusion: what remains grows with the waiting gangs.

--- a/process/cell/advice.go
+++ b/process/cell/advice.go
@@ -5,7 +5,6 @@
 	"slices"
 	"time"
 
-	"github.com/kingcuplatch/kingcuplatch/process/resource"
 	"github.com/kingcuplatch/kingcuplatch/version/catalog"
 )
 
@@ -154,17 +153,6 @@
 // SetAdviceLimits sets how many advice calls may be in progress.
 func (c *Cell) SetAdviceLimits(l AdviceLimits) { c.adviceLimits = l }
 
-// expectedFree returns the capacity of w that is expected to be free at the given time.
-func (w *Worker) expectedFree(by time.Time) resource.Amount {
-	free := w.free()
-	for _, r := range w.runs {
-		if !r.endEstimate().After(by) {
-			free = free.Add(r.need)
-		}
-	}
-	return free
-}
-
 // requestAdvice requests advice on as many of the candidates as are expected to yield
 // capacity for wanted tasks, but on at most maxWorkers.
 func (c *Cell) requestAdvice(s *step, candidates []workerSlots, wanted, maxWorkers int) {
--- a/process/cell/cell.go
+++ b/process/cell/cell.go
@@ -43,6 +43,9 @@
 	live        []*Job
 	workers     map[string]*Worker
 	workerOrder []*Worker
+	// byFree holds the same workers in the order of the last round, by free processors; nil
+	// if workers were added or removed since.
+	byFree []*Worker
 	// usage is the amount that each team has running or planned.
 	usage map[string]resource.Amount
 	teams map[string]*tokenBucket
--- a/process/cell/cordon.go
+++ b/process/cell/cordon.go
@@ -22,7 +22,7 @@
 		return load
 	}
 	here := make(map[*step]int)
-	for _, r := range w.runs {
+	for _, r := range w.runList {
 		s := r.task.step
 		if !s.spec.LongRunning {
 			load.Runs++
--- a/process/cell/ends.go
+++ b/process/cell/ends.go
@@ -38,10 +38,7 @@
 
 // dropRun removes a run from its worker and releases its capacity and its team's usage.
 func (c *Cell) dropRun(r *Run) {
-	w := r.worker
-	delete(w.runs, r.RunKey)
-	w.runsChanged()
-	w.addUsed(r.need.Times(-1))
+	r.worker.detach(r)
 	c.usage[r.team] = c.usage[r.team].Sub(r.task.step.spec.charge())
 	r.task.step.occ.job.liveRuns--
 }
--- a/process/cell/gang.go
+++ b/process/cell/gang.go
@@ -51,38 +51,6 @@
 // endsWithin reports whether a task of s is expected to end within d.
 func (s *step) endsWithin(d time.Duration) bool { return s.spec.Estimate <= d }
 
-// lastEndEstimate returns when the last run on w is expected to end, but not before now.
-func (w *Worker) lastEndEstimate(now time.Time) time.Time {
-	if !w.lastRunEndKnown {
-		w.lastRunEnd, w.lastRunEndKnown = w.computeLastRunEnd(), true
-	}
-	return maxTime(w.lastRunEnd, now)
-}
-
-func (w *Worker) computeLastRunEnd() time.Time {
-	var last time.Time
-	for _, r := range w.runs {
-		last = maxTime(last, r.endEstimate())
-	}
-	return last
-}
-
-// runsChanged drops what is cached about the runs on w.
-func (w *Worker) runsChanged() { w.lastRunEndKnown = false }
-
-// minRateSample is the progress of a run, in percent, from which its rate is used.
-const minRateSample = 10
-
-// endEstimate returns when the run is expected to end: by its own rate once it is known,
-// otherwise by its step's estimate.
-func (r *Run) endEstimate() time.Time {
-	if r.percent < minRateSample || r.listedAt.IsZero() {
-		return r.plannedAt.Add(r.task.step.spec.Estimate)
-	}
-	passed := r.progressAt.Sub(r.listedAt)
-	return r.progressAt.Add(passed * time.Duration(100-r.percent) / time.Duration(r.percent))
-}
-
 // planGang places all tasks of a step or none. Without enough free capacity it reserves
 // workers and requests advice ahead of time.
 func (c *Cell) planGang(r *round, u waitingStep) {
--- a/process/cell/list.go
+++ b/process/cell/list.go
@@ -137,7 +137,7 @@
 	}
 	r.lastListedAt = now
 	r.tailLatency = listed.TailLatency
-	w.runsChanged()
+	w.forecast = runForecast{}
 	if listed.Percent != r.percent {
 		r.percent, r.progressAt = listed.Percent, now
 	}
--- a/process/cell/load.go
+++ b/process/cell/load.go
@@ -110,6 +110,7 @@
 		w = &Worker{WorkerInfo: WorkerInfo{ID: id}, runs: make(map[RunKey]*Run), unknownRuns: make(map[RunKey]time.Time)}
 		c.workers[id] = w
 		c.workerOrder = append(c.workerOrder, w)
+		c.byFree = nil
 	}
 	return w
 }
@@ -125,9 +126,7 @@
 	if state == runAdopted {
 		r.pace = unknownPace
 	}
-	w.runs[r.RunKey] = r
-	w.runsChanged()
-	w.addUsed(r.need)
+	w.attach(r)
 	c.usage[r.team] = c.usage[r.team].Add(t.step.spec.charge())
 	t.current = r
 	job.liveRuns++
--- a/process/cell/pace.go
+++ b/process/cell/pace.go
@@ -25,7 +25,7 @@
 // if no run has a target.
 func (w *Worker) tailRatio() float64 {
 	worst := 0.0
-	for _, r := range w.runs {
+	for _, r := range w.runList {
 		if target := r.task.step.spec.Target; target > 0 && r.state == runListed {
 			worst = max(worst, float64(r.tailLatency)/float64(target))
 		}
@@ -37,7 +37,7 @@
 // other tasks are close to their targets, and speeds them up again afterwards.
 func (c *Cell) adjustBestEffortPace(now time.Time, w *Worker) {
 	tailRatio := -1.0
-	for _, r := range w.runs {
+	for _, r := range w.runList {
 		if !r.task.step.spec.BestEffort || r.state != runListed || r.stop.wanted || now.Sub(r.pacedAt) < paceInterval || !r.lastListedAt.After(r.pacedAt) {
 			continue
 		}
--- a/process/cell/place.go
+++ b/process/cell/place.go
@@ -144,7 +144,7 @@
 	if s.spec.MaxPerWorker == 0 {
 		return 0
 	}
-	for _, r := range w.runs {
+	for _, r := range w.runList {
 		if r.task.step == s {
 			n++
 		}
--- a/process/cell/progress.go
+++ b/process/cell/progress.go
@@ -34,12 +34,15 @@
 	log     float64
 	samples int
 	at      time.Time
+	// ratio is the exponential of log.
+	ratio float64
 }
 
 func (r *speedRecord) add(now time.Time, ratio float64) {
 	r.samples++
 	r.at = now
 	r.log += max(speedWeight, 1/float64(r.samples)) * (math.Log(ratio) - r.log)
+	r.ratio = math.Exp(r.log)
 }
 
 // recordOutcome updates a worker's failure rate and speed from the end of a run.
@@ -124,7 +127,7 @@
 	if w.speed.samples < minSpeedSamples {
 		return 1
 	}
-	return math.Exp(w.speed.log)
+	return w.speed.ratio
 }
 
 // healthy reports whether w is neither quarantined nor slow. A worker that is due for a
--- a/process/cell/round.go
+++ b/process/cell/round.go
@@ -50,17 +50,55 @@
 func (c *Cell) newRound(now time.Time) *round {
 	c.rounds++
 	r := &round{now: now, number: c.rounds, ready: make([]readyWorker, 0, len(c.workerOrder))}
-	for _, w := range c.workerOrder {
+	c.sortByFree()
+	for _, w := range c.byFree {
 		if c.acceptsWork(now, w) {
 			w.readyIn = r.number
 			r.ready = append(r.ready, readyWorker{w, w.freeCapacity.MilliCPU})
 			r.totalFreeCPU += w.freeCapacity.MilliCPU
 		}
 	}
-	slices.SortStableFunc(r.ready, func(a, b readyWorker) int { return cmp.Compare(b.freeCPU, a.freeCPU) })
 	return r
 }
 
+// maxMoves is the number of workers out of order up to which the order by free processors
+// is mended instead of computed anew.
+const maxMoves = 64
+
+// sortByFree sorts byFree by free processors, most first, then by id. Few workers change
+// between two rounds.
+func (c *Cell) sortByFree() {
+	if c.byFree == nil {
+		c.byFree = slices.Clone(c.workerOrder)
+	}
+	moves := 0
+	for i := 1; i < len(c.byFree); i++ {
+		if compareFreeCPU(c.byFree[i-1], c.byFree[i]) > 0 {
+			moves++
+		}
+	}
+	if moves > maxMoves {
+		slices.SortFunc(c.byFree, compareFreeCPU)
+		return
+	}
+	for i := 1; i < len(c.byFree); i++ {
+		w := c.byFree[i]
+		j := i
+		for ; j > 0 && compareFreeCPU(c.byFree[j-1], w) > 0; j-- {
+			c.byFree[j] = c.byFree[j-1]
+		}
+		c.byFree[j] = w
+	}
+}
+
+// compareFreeCPU orders workers by free processors, most first, then by id.
+func compareFreeCPU(a, b *Worker) int {
+	if a.freeCapacity.MilliCPU != b.freeCapacity.MilliCPU {
+		return cmp.Compare(b.freeCapacity.MilliCPU, a.freeCapacity.MilliCPU)
+	}
+	return compareStrings(a.ID, b.ID)
+}
+
 // accepts reports whether w accepts new work in this round.
 func (r *round) accepts(w *Worker) bool { return w.readyIn == r.number }
 
--- /dev/null
+++ b/process/cell/runs.go
@@ -0,0 +1,93 @@
+package cell
+
+import (
+	"slices"
+	"time"
+
+	"github.com/kingcuplatch/kingcuplatch/process/resource"
+)
+
+// runForecast caches what is derived from the expected ends of a worker's runs, since many
+// steps ask for it in each round.
+type runForecast struct {
+	// lastEnd is the latest expected end, if lastEndKnown is set.
+	lastEnd      time.Time
+	lastEndKnown bool
+	// free is the capacity expected to be free at freeAt, if that isn't zero.
+	free   resource.Amount
+	freeAt time.Time
+}
+
+// attach adds a run to the worker and allocates its capacity.
+func (w *Worker) attach(r *Run) {
+	w.runs[r.RunKey] = r
+	w.runList = append(w.runList, r)
+	w.addUsed(r.need)
+}
+
+// detach removes a run from the worker and releases its capacity.
+func (w *Worker) detach(r *Run) {
+	delete(w.runs, r.RunKey)
+	if i := slices.Index(w.runList, r); i >= 0 {
+		last := len(w.runList) - 1
+		w.runList[i], w.runList[last] = w.runList[last], nil
+		w.runList = w.runList[:last]
+	}
+	w.addUsed(r.need.Times(-1))
+}
+
+// lastEndEstimate returns when the last run on w is expected to end, but not before now.
+func (w *Worker) lastEndEstimate(now time.Time) time.Time {
+	if !w.forecast.lastEndKnown {
+		w.forecast.lastEnd, w.forecast.lastEndKnown = w.computeLastEnd(), true
+	}
+	return maxTime(w.forecast.lastEnd, now)
+}
+
+func (w *Worker) computeLastEnd() time.Time {
+	var last time.Time
+	for _, r := range w.runList {
+		last = maxTime(last, r.endEstimate())
+	}
+	return last
+}
+
+// expectedFree returns the capacity of w that is expected to be free at the given time.
+func (w *Worker) expectedFree(at time.Time) resource.Amount {
+	if w.forecast.freeAt.Equal(at) {
+		return w.forecast.free
+	}
+	free := w.free()
+	for _, r := range w.runList {
+		if !r.endEstimate().After(at) {
+			free = free.Add(r.need)
+		}
+	}
+	w.forecast.free, w.forecast.freeAt = free, at
+	return free
+}
+
+// minRateSample is the progress of a run, in percent, from which its rate is used.
+const minRateSample = 10
+
+// endEstimate returns when the run is expected to end: by its own rate once it is known,
+// otherwise by its step's estimate.
+func (r *Run) endEstimate() time.Time {
+	if r.percent < minRateSample || r.listedAt.IsZero() {
+		return r.plannedAt.Add(r.task.step.spec.Estimate)
+	}
+	passed := r.progressAt.Sub(r.listedAt)
+	return r.progressAt.Add(passed * time.Duration(100-r.percent) / time.Duration(r.percent))
+}
+
+// sortedRuns returns the runs of w in a fixed order.
+func sortedRuns(w *Worker) []*Run {
+	runs := slices.Clone(w.runList)
+	slices.SortFunc(runs, func(a, b *Run) int {
+		if a.Task != b.Task {
+			return compareStrings(a.Task, b.Task)
+		}
+		return a.Number - b.Number
+	})
+	return runs
+}
--- a/process/cell/worker.go
+++ b/process/cell/worker.go
@@ -106,6 +106,8 @@
 	// freeCapacity is Capacity less used.
 	freeCapacity resource.Amount
 	runs         map[RunKey]*Run
+	// runList holds the same runs in no particular order.
+	runList []*Run
 	// unknownRuns are running on the worker but unknown to this scheduler. Their resource
 	// needs are unknown too, so the worker gets no new work until they are gone.
 	unknownRuns map[RunKey]time.Time
@@ -122,10 +124,7 @@
 	// readyIn is the number of the last round in which the worker accepted new work.
 	readyIn  uint64
 	reserved reservation
-	// lastRunEnd is the cached latest expected end of the worker's runs, valid while
-	// lastRunEndKnown is set.
-	lastRunEnd      time.Time
-	lastRunEndKnown bool
+	forecast runForecast
 }
 
 // pendingAck is an end that may be acknowledged once all changes up to seq are recorded.
@@ -139,6 +138,7 @@
 
 // addUsed adds amount to the used capacity; a negative amount releases it.
 func (w *Worker) addUsed(amount resource.Amount) {
+	w.forecast = runForecast{}
 	w.used = w.used.Add(amount)
 	w.freeCapacity = w.Capacity.Sub(w.used)
 }
@@ -159,6 +159,7 @@
 			w = &Worker{runs: make(map[RunKey]*Run), unknownRuns: make(map[RunKey]time.Time)}
 			c.workers[info.ID] = w
 			c.workerOrder = append(c.workerOrder, w)
+			c.byFree = nil
 		}
 		if info.Draining && !w.Draining {
 			c.note(Note{Kind: NoteWorkerDraining, Worker: info.ID})
@@ -190,6 +191,7 @@
 	}
 	if len(gone) > 0 {
 		c.workerOrder = slices.DeleteFunc(c.workerOrder, func(w *Worker) bool { return c.workers[w.ID] != w })
+		c.byFree = nil
 	}
 	return gone
 }
@@ -228,18 +230,3 @@
 		c.endRun(now, r, EndVanished, "")
 	}
 }
-
-// sortedRuns returns the runs of w in a fixed order.
-func sortedRuns(w *Worker) []*Run {
-	runs := make([]*Run, 0, len(w.runs))
-	for _, r := range w.runs {
-		runs = append(runs, r)
-	}
-	slices.SortFunc(runs, func(a, b *Run) int {
-		if a.Task != b.Task {
-			return compareStrings(a.Task, b.Task)
-		}
-		return a.Number - b.Number
-	})
-	return runs
-}
--- a/process/health/health.go
+++ b/process/health/health.go
@@ -192,6 +192,9 @@
 
 // Quarantined reports whether the worker is quarantined.
 func (m *Monitor) Quarantined(worker string) bool {
+	if m.quarantined == 0 {
+		return false
+	}
 	w := m.workers[worker]
 	return w != nil && w.quarantined
 }
