--- a/process/cell/admit.go
+++ b/process/cell/admit.go
@@ -195,6 +195,9 @@
 	if job.Repeat > 0 {
 		return "", 0
 	}
+	if slack := job.objective() - job.fullCriticalPath(); c.decisionTime > slack {
+		return "the scheduler is overloaded", retryAfter(c.decisionTime)
+	}
 	wait, useful := c.expectedWait(now, job), deadlineFactor*job.objective()
 	if job.OverShare {
 		wait, useful = c.overShareWait(now, job.Queue), job.objective()
--- a/process/cell/cell.go
+++ b/process/cell/cell.go
@@ -73,6 +73,9 @@
 	// tableUnavailableFor is how long the table has been unavailable for writes; 0 if it is
 	// available.
 	tableUnavailableFor time.Duration
+	// decisionTime is how long a new job waits for the scheduler's own processor until its
+	// first start.
+	decisionTime time.Duration
 	// tableSlow is set while writes to the table are slow.
 	tableSlow bool
 	// cordoned holds the workers that get no new work because their machines are about to
@@ -190,6 +193,10 @@
 // that it is available.
 func (c *Cell) SetTableUnavailable(lasted time.Duration) { c.tableUnavailableFor = lasted }
 
+// SetDecisionTime sets how long a new job waits for the scheduler's own processor until its
+// first start.
+func (c *Cell) SetDecisionTime(d time.Duration) { c.decisionTime = d }
+
 // outageRetryDivisor divides the time that an outage has lasted to give the retry
 // delay. The time so far is the only indication of how long the outage will last,
 // and callers that retry every second exhaust their retries before a longer one ends.
--- a/process/cluster/leadership.go
+++ b/process/cluster/leadership.go
@@ -219,9 +219,11 @@
 		}
 		refusing := r.refusingFor()
 		limits := adviceLimits(len(r.node.liveMembers()))
+		decisionTime := r.node.lag.decisionTime()
 		r.change(func(now time.Time, c *cell.Cell) {
 			c.SetTableUnavailable(refusing)
 			c.SetAdviceLimits(limits)
+			c.SetDecisionTime(decisionTime)
 			if refusing > 0 {
 				c.RefuseUnrecorded(now.Add(-refuseUnrecordedAfter))
 			}
--- a/process/cluster/node.go
+++ b/process/cluster/node.go
@@ -76,6 +76,7 @@
 	// directly or through the scheduler.
 	configContact time.Time
 	view          leaderView
+	takeovers     takeoverCount
 	// changed is closed and replaced whenever view is replaced.
 	changed chan struct{}
 	// suspected is set when another entry that cannot reach the scheduler queries this one.
--- a/process/cluster/overload_test.go
+++ b/process/cluster/overload_test.go
@@ -86,14 +86,17 @@
 func TestTakeoversInSuccessionWaitLonger(t *testing.T) {
 	n := NewNode(Config{Name: "standby", Log: events.New(io.Discard, "standby")})
 	n.setView(newView(1, leaseRow{Holder: "a"}, nil))
-	n.view.since = n.view.since.Add(-time.Minute)
+	n.takeovers.at = n.takeovers.at.Add(-time.Minute)
 	for fence := uint64(2); fence <= 6; fence++ {
 		n.follow(leaseState{leaseRow: leaseRow{Holder: "b"}, version: fence})
 		patience := time.Duration(min(fence-1, 1+maxRecentTakeovers)) * unreachableAfter
 		now := time.Now()
 		assert.Assert(t, !n.view.unreachable(now.Add(patience-10*time.Millisecond), 0), "fence %d", fence)
 		assert.Assert(t, n.view.unreachable(now.Add(patience+10*time.Millisecond), 0), "fence %d", fence)
+		// An entry that was the scheduler itself in between knows none for a moment.
+		n.setView(noView(nil))
 	}
+	n.follow(leaseState{leaseRow: leaseRow{Holder: "c"}, version: 7})
 	n.view.refused = true
 	assert.Assert(t, n.view.unreachable(time.Now().Add(unreachableAfterRefusal+10*time.Millisecond), 0), "a process that is gone is replaced at once")
 }
--- a/process/cluster/view.go
+++ b/process/cluster/view.go
@@ -34,8 +34,7 @@
 	// last answer of the table had arrived, and how long its calls to the table had failed.
 	tableSilentFor time.Duration
 	failingFor     time.Duration
-	// recentTakeovers counts the changes of scheduler before this one that followed each other
-	// within takeoverWindow.
+	// recentTakeovers is the number of takeovers that followed each other up to this one.
 	recentTakeovers int
 	// acquiringUntil is the time until which this entry does not try to acquire the lease,
 	// because another standby is writing the lease row.
@@ -69,8 +68,9 @@
 	if n.view.cancel != nil {
 		n.view.cancel()
 	}
-	if n.view.fence != 0 && v.since.Sub(n.view.since) < takeoverWindow {
-		v.recentTakeovers = min(n.view.recentTakeovers+1, maxRecentTakeovers)
+	if v.fence > n.takeovers.fence {
+		n.takeovers.count(v)
+		v.recentTakeovers = n.takeovers.recent
 	}
 	n.view = v
 	close(n.changed)
@@ -113,6 +113,23 @@
 	n.log.Log(events.SchedulerObserved, row.Holder, row.version)
 }
 
+// takeoverCount counts the changes of scheduler that follow each other within
+// takeoverWindow, also while this entry is the scheduler or knows none.
+type takeoverCount struct {
+	fence  uint64
+	at     time.Time
+	recent int
+}
+
+func (t *takeoverCount) count(v leaderView) {
+	if t.fence != 0 && v.since.Sub(t.at) < takeoverWindow {
+		t.recent = min(t.recent+1, maxRecentTakeovers)
+	} else {
+		t.recent = 0
+	}
+	t.fence, t.at = v.fence, v.since
+}
+
 // Bounds on changes of scheduler that follow each other. A new scheduler reads the cell and
 // polls all workers, and may answer late meanwhile. If that made the next standby take over,
 // the work would begin anew each time.
