--- a/process/cluster/leadership.go
+++ b/process/cluster/leadership.go
@@ -15,7 +15,7 @@
 	// planPause batches events that arrive close together into one plan. The pause is at
 	// least planRestFactor times the duration of the last plan, which leaves most of the
 	// processor to client calls.
-	planPause      = 4 * time.Millisecond
+	planPause      = 8 * time.Millisecond
 	planRestFactor = 3
 	// tickPeriod is the interval of time-driven work.
 	tickPeriod = 200 * time.Millisecond
