One malformed row or unexpected error sets one job or worker aside

Cause: a row that can't be decoded made Load fail, and one with a negative count made it panic; the lease was released or the process ended, and the next entry read the same rows. A panic in a plan, a listing or a tick ended the process. The lag of the process is a metric now. Conclusion: panics outside of these three places still end the process.

--- a/process/cell/batch.go
+++ b/process/cell/batch.go
@@ -48,7 +48,7 @@
 // markDirty marks a job as changed and queues it for recording.
 func (c *Cell) markDirty(job *Job) {
 	c.seq++
-	if job.dirty {
+	if job.dirty || job.setAside {
 		return
 	}
 	job.dirty = true
@@ -95,6 +95,9 @@
 			left = append(left, c.dirty[i:]...)
 			break
 		}
+		if job.setAside {
+			continue
+		}
 		if job.inFlight || (c.tableSlow && job.defersToPlacement(now)) || !wanted(job) {
 			left = append(left, job)
 			continue
--- a/process/cell/cell.go
+++ b/process/cell/cell.go
@@ -273,6 +273,7 @@
 }
 
 func (c *Cell) tickWorker(now time.Time, w *Worker) {
+	defer c.excludeOnPanic(now, w)
 	c.adjustBestEffortPace(now, w)
 	for _, r := range sortedRuns(w) {
 		if r.task.done && r.task.step.spec.Gang && now.Sub(r.plannedAt) > r.task.step.spec.Estimate+gangStopGrace && r.listedTooLong(now) {
--- a/process/cell/faults_test.go
+++ b/process/cell/faults_test.go
@@ -203,8 +203,7 @@
 	end := End{Seq: 1, RunKey: key, Kind: EndFailed}
 	c.Listed(now, "w0", Listing{SentAt: now, Incarnation: 1, Ends: []End{end}})
 	rows := rowsOf(t, c, now)
-	next, err := Load(Settings{}, rows)
-	assert.NilError(t, err)
+	next := Load(Settings{}, rows)
 	next.SetCatalog(c.catalog)
 	next.SetWorkers(now, []WorkerInfo{{ID: "w0", Upstream: "desk", Capacity: resource.Amount{MilliCPU: 8000, MemoryMB: 8000}}})
 	next.Listed(now, "w0", Listing{SentAt: now, Incarnation: 1, Ends: []End{end}})
@@ -228,8 +227,7 @@
 func TestRunsOnUnlistedWorkersAreReported(t *testing.T) {
 	c, _, now := gangOfTwo(t)
 	c.markDirty(c.jobs["gang"])
-	next, err := Load(Settings{}, rowsOf(t, c, now))
-	assert.NilError(t, err)
+	next := Load(Settings{}, rowsOf(t, c, now))
 	next.SetCatalog(c.catalog)
 	assert.DeepEqual(t, next.Unlisted(), []string{"w0"})
 	next.WorkerLeaseExpired(now, "w0")
--- a/process/cell/list.go
+++ b/process/cell/list.go
@@ -59,6 +59,7 @@
 	if w == nil {
 		return
 	}
+	defer c.excludeOnPanic(now, w)
 	c.recordReply(now, w, l.Incarnation)
 	for _, end := range l.Ends {
 		c.handleEnd(now, w, end)
--- a/process/cell/load.go
+++ b/process/cell/load.go
@@ -9,33 +9,46 @@
 	"github.com/kingcuplatch/kingcuplatch/process/platform"
 )
 
-// Load returns a cell with the jobs stored in rows. If a row can't be decoded, the
-// error names it.
-func Load(settings Settings, rows []platform.Row) (*Cell, error) {
+// Load returns a cell with the jobs stored in rows. A job with a row that can't be decoded is
+// set aside and noted; its rows stay as they are.
+func Load(settings Settings, rows []platform.Row) *Cell {
 	c := New(settings, nil)
 	states := make(map[string]platform.Row)
 	for _, row := range rows {
 		switch {
 		case strings.HasPrefix(row.Key, specPrefix):
-			var spec JobSpec
-			if err := json.Unmarshal(row.Value, &spec); err != nil {
-				return nil, fmt.Errorf("row %s: %w", row.Key, err)
-			}
-			job := newJob(spec)
-			job.accepted = true
-			job.specVersion = row.Version
-			c.jobs[job.ID] = job
-			c.live = append(c.live, job)
+			c.loadSpec(strings.TrimPrefix(row.Key, specPrefix), row)
 		case strings.HasPrefix(row.Key, statePrefix):
 			states[strings.TrimPrefix(row.Key, statePrefix)] = row
 		}
 	}
 	for id, row := range states {
 		if err := c.loadState(id, row); err != nil {
-			return nil, fmt.Errorf("row %s: %w", row.Key, err)
+			c.setAsideRow(id, row, err)
 		}
 	}
-	return c, nil
+	return c
+}
+
+// loadSpec adds the job of a spec row.
+func (c *Cell) loadSpec(id string, row platform.Row) {
+	var spec JobSpec
+	err := json.Unmarshal(row.Value, &spec)
+	if err == nil && spec.ID != id {
+		err = fmt.Errorf("id: the row is of job %q", spec.ID)
+	}
+	if err == nil {
+		err = spec.Check()
+	}
+	if err != nil {
+		c.setAsideRow(id, row, err)
+		return
+	}
+	job := newJob(spec)
+	job.accepted = true
+	job.specVersion = row.Version
+	c.jobs[id] = job
+	c.live = append(c.live, job)
 }
 
 // loadState restores the progress of a job, or an ended job that has no spec row.
@@ -45,6 +58,9 @@
 		return err
 	}
 	job := c.jobs[id]
+	if job != nil && job.setAside {
+		return nil
+	}
 	if job == nil {
 		job = &Job{JobSpec: JobSpec{ID: id, Queue: state.Queue, Team: state.Team}, specRemoved: true, accepted: true}
 		c.jobs[id] = job
--- a/process/cell/notes.go
+++ b/process/cell/notes.go
@@ -27,6 +27,8 @@
 	NoteWorkerReleased
 	NoteRunStalled
 	NoteStepWaiting
+	NoteJobSetAside
+	NoteWorkerSetAside
 )
 
 // Note is a log record of one decision with its inputs. Fields that don't apply are
--- a/process/cell/place.go
+++ b/process/cell/place.go
@@ -28,12 +28,18 @@
 		if r.misses >= maxMisses {
 			return
 		}
-		if u.step.spec.Gang {
-			c.planGang(r, u)
-			continue
-		}
-		c.planTasks(r, u)
+		c.planStep(r, u)
+	}
+}
+
+// planStep places a step, or sets its job aside if that panics.
+func (c *Cell) planStep(r *round, u waitingStep) {
+	defer c.setAsideOnPanic(u.step.occ.job)
+	if u.step.spec.Gang {
+		c.planGang(r, u)
+		return
 	}
+	c.planTasks(r, u)
 }
 
 // planTasks places the waiting tasks of a step one by one.
--- a/process/cell/probe_test.go
+++ b/process/cell/probe_test.go
@@ -122,8 +122,7 @@
 func TestNoJobIsTooLargeBeforeDirectoryIsRead(t *testing.T) {
 	c, _, now := gangOfTwo(t)
 	c.markDirty(c.jobs["gang"])
-	next, err := Load(Settings{}, rowsOf(t, c, now))
-	assert.NilError(t, err)
+	next := Load(Settings{}, rowsOf(t, c, now))
 	next.SetCatalog(c.catalog)
 	spec := JobSpec{ID: "new", Team: "team", Upstream: "desk", Steps: []StepSpec{{Count: 1, Need: resource.Amount{MilliCPU: 1000}}}}
 	assert.Equal(t, next.Submit(now, spec, func(Recorded) {}).Verdict, Recording)
--- a/process/cell/simulation_test.go
+++ b/process/cell/simulation_test.go
@@ -9,8 +9,6 @@
 	"testing"
 	"time"
 
-	"gotest.tools/v3/assert"
-
 	"github.com/kingcuplatch/kingcuplatch/process/platform"
 	"github.com/kingcuplatch/kingcuplatch/process/resource"
 	"github.com/kingcuplatch/kingcuplatch/version/catalog"
@@ -276,8 +274,7 @@
 		rows = append(rows, row)
 	}
 	slices.SortFunc(rows, func(a, b platform.Row) int { return compareStrings(a.Key, b.Key) })
-	loaded, err := Load(Settings{KeepEnded: 5 * time.Minute}, rows)
-	assert.NilError(w.t, err)
+	loaded := Load(Settings{KeepEnded: 5 * time.Minute}, rows)
 	loaded.SetCatalog(w.catalog)
 	w.cell = loaded
 	w.fence++
--- a/process/cluster/forward.go
+++ b/process/cluster/forward.go
@@ -127,6 +127,9 @@
 
 // do answers a call as the scheduler.
 func (r *leadership) do(ctx context.Context, call Call) Reply {
+	if r.isSetAside(call.ID) {
+		return unavailable("the job is set aside after an error", 0)
+	}
 	switch call.Op {
 	case OpSubmit:
 		return r.submit(ctx, call)
@@ -139,6 +142,12 @@
 	}
 }
 
+func (r *leadership) isSetAside(id string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.cell.IsSetAside(id)
+}
+
 func (r *leadership) submit(ctx context.Context, call Call) Reply {
 	if call.Spec == nil {
 		return Reply{Result: ResultInvalid, Reason: "the job is missing"}
--- a/process/cluster/lag.go
+++ b/process/cluster/lag.go
@@ -47,9 +47,12 @@
 	return lagAllowance * t.lag
 }
 
-// decisionTime returns how long a job waits for this process alone until its first start.
-func (t *lagTracker) decisionTime() time.Duration {
+// average returns the moving average of the lag.
+func (t *lagTracker) average() time.Duration {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return decisionHops * t.mean
+	return t.mean
 }
+
+// decisionTime returns how long a job waits for this process alone until its first start.
+func (t *lagTracker) decisionTime() time.Duration { return decisionHops * t.average() }
--- a/process/cluster/leadership.go
+++ b/process/cluster/leadership.go
@@ -92,10 +92,7 @@
 		return nil, err
 	}
 	read := time.Now()
-	loaded, err := cell.Load(cell.Settings{KeepEnded: n.timings().KeepEnded}, rows)
-	if err != nil {
-		return nil, err
-	}
+	loaded := cell.Load(cell.Settings{KeepEnded: n.timings().KeepEnded}, rows)
 	loaded.SetCatalog(n.catalog())
 	r := &leadership{
 		node: n, fence: fence, timings: n.timings(), began: since, cell: loaded,
--- a/process/cluster/log.go
+++ b/process/cluster/log.go
@@ -18,6 +18,8 @@
 		log.Log(events.JobEnded, n.Job, n.Team, n.State, n.Age.String())
 	case cell.NoteJobCancelled:
 		log.Log(events.JobCancelled, n.Job, n.Team, n.Age.String())
+	case cell.NoteJobSetAside:
+		log.Log(events.JobSetAside, n.Job, n.Team, n.Reason)
 	case cell.NotePlaced, cell.NoteRunWithdrawn, cell.NoteStartFailed, cell.NoteRunEnded, cell.NoteRunStalled, cell.NoteRunUnknown, cell.NoteStepWaiting:
 		logRun(log, n)
 	default:
@@ -62,6 +64,8 @@
 		log.Log(events.CellWorkerMissing, n.Worker)
 	case cell.NoteWorkerQuarantined:
 		log.Log(events.CellWorkerQuarantined, n.Worker, n.Reason)
+	case cell.NoteWorkerSetAside:
+		log.Log(events.CellWorkerSetAside, n.Worker, n.Reason)
 	case cell.NoteWorkerReleased:
 		log.Log(events.CellWorkerReleased, n.Worker)
 	}
--- a/process/cluster/metrics.go
+++ b/process/cluster/metrics.go
@@ -20,6 +20,7 @@
 	commandFailures *metrics.Counter
 	stalled         *metrics.Counter
 	unreachable     *metrics.Counter
+	setAside        *metrics.Counter
 
 	tableFailures     *metrics.Counter
 	heartbeatFailures *metrics.Counter
@@ -33,8 +34,9 @@
 	planTime   *metrics.Histogram
 }
 
-func newNodeMetrics() *nodeMetrics {
+func newNodeMetrics(lag *lagTracker) *nodeMetrics {
 	set := metrics.NewSet()
+	set.NewGauge("kingcuplatch_cell_lag_seconds", func() float64 { return lag.average().Seconds() })
 	return &nodeMetrics{
 		set:               set,
 		accepted:          set.NewCounter("kingcuplatch_cell_jobs_accepted_total"),
@@ -46,6 +48,7 @@
 		commandFailures:   set.NewCounter("kingcuplatch_cell_order_failures_total"),
 		stalled:           set.NewCounter("kingcuplatch_cell_runs_stuck_total"),
 		unreachable:       set.NewCounter("kingcuplatch_cell_workers_silent_total"),
+		setAside:          set.NewCounter("kingcuplatch_cell_set_aside_total"),
 		tableFailures:     set.NewCounter("kingcuplatch_cell_table_failures_total"),
 		heartbeatFailures: set.NewCounter("kingcuplatch_cell_heartbeat_failures_total"),
 		adviceFailures:    set.NewCounter("kingcuplatch_cell_advice_failures_total"),
@@ -81,6 +84,8 @@
 		m.stalled.Inc()
 	case cell.NoteWorkerUnreachable:
 		m.unreachable.Inc()
+	case cell.NoteJobSetAside, cell.NoteWorkerSetAside:
+		m.setAside.Inc()
 	}
 }
 
--- a/process/cluster/node.go
+++ b/process/cluster/node.go
@@ -125,7 +125,8 @@
 
 // NewNode returns a node that is not running yet.
 func NewNode(c Config) *Node {
-	n := &Node{config: c, log: c.Log, metrics: newNodeMetrics(), standbys: make(map[string]standby), startedAt: time.Now(), changed: make(chan struct{})}
+	n := &Node{config: c, log: c.Log, standbys: make(map[string]standby), startedAt: time.Now(), changed: make(chan struct{})}
+	n.metrics = newNodeMetrics(&n.lag)
 	n.leaseLock = make(chan struct{}, 1)
 	n.leaseLock <- struct{}{}
 	return n
--- a/process/events/catalogue.go
+++ b/process/events/catalogue.go
@@ -57,6 +57,8 @@
 	JobCancelled = &Event{7104, logrus.InfoLevel, "job cancelled", []string{"job", "team", "age"}, nothing}
 	CallRefused  = &Event{7105, logrus.InfoLevel, "call rejected or failed", []string{"job", "queue", "team", "operation", "status", "reason", "catalog", "took"}, nothing}
 
+	JobSetAside = &Event{7106, logrus.ErrorLevel, "job set aside, nothing of it is started or recorded", []string{"job", "team", "reason"}, "Report it with the job's rows; other jobs are not affected."}
+
 	RunPlaced              = &Event{7201, logrus.InfoLevel, "runs of a step placed, one worker per run; task and run are those of the first", []string{"task", "run", "runs", "workers", "age"}, nothing}
 	RunWithdrawn           = &Event{7202, logrus.InfoLevel, "run withdrawn, its worker does not have it", []string{"task", "run", "worker", "reason"}, nothing}
 	StartFailed            = &Event{7203, logrus.WarnLevel, "start command rejected or not answered", []string{"task", "run", "worker", "answer", "age"}, nothing}
@@ -73,6 +75,7 @@
 	CellWorkerDraining     = &Event{7306, logrus.InfoLevel, "worker draining, no new work", []string{"worker"}, nothing}
 	CellWorkerMissing      = &Event{7307, logrus.InfoLevel, "worker no longer in the directory", []string{"worker"}, nothing}
 	CellWorkerQuarantined  = &Event{7308, logrus.WarnLevel, "worker quarantined", []string{"worker", "reason"}, "It is probed and released when it recovers; replace it if it is not released."}
+	CellWorkerSetAside     = &Event{7310, logrus.ErrorLevel, "reply of a worker could not be handled", []string{"worker", "reason"}, "Report it; the worker gets no new work for a minute."}
 	UpkeepStarted          = &Event{7401, logrus.InfoLevel, "upkeep of a machine started", []string{"machine", "wave"}, nothing}
 	WaveCompleted          = &Event{7402, logrus.InfoLevel, "upkeep wave completed", []string{"wave", "machines"}, nothing}
 	UpkeepFailed           = &Event{7403, logrus.WarnLevel, "step of an upkeep wave failed", []string{"error"}, "Retried; check the platform's machine service if it persists."}
@@ -89,8 +92,8 @@
 	CoordinatorFailed,
 	SchedulerObserved, CellLeaseAcquired, SchedulerStarted, SchedulerReplaced, SchedulerStopped, TableUnreachable, TableRecovered,
 	SettingsReloaded, FeedFailed, FeedRecovered, RowIgnored, WriteSlow,
-	JobAccepted, JobRefused, JobEnded, JobCancelled, CallRefused,
+	JobAccepted, JobRefused, JobEnded, JobCancelled, CallRefused, JobSetAside,
 	RunPlaced, RunWithdrawn, StartFailed, RunEnded, RunStalled, RunUnknown, AdviceFailed, StepWaiting,
 	CellWorkerAdopted, CellWorkerUnreachable, CellWorkerReachable, CellWorkerLeaseExpired, CellWorkerRestarted, CellWorkerDraining, CellWorkerMissing,
-	CellWorkerQuarantined, CellWorkerReleased, UpkeepStarted, WaveCompleted, UpkeepFailed,
+	CellWorkerQuarantined, CellWorkerReleased, CellWorkerSetAside, UpkeepStarted, WaveCompleted, UpkeepFailed,
 }
