--- a/process/cell/place.go
+++ b/process/cell/place.go
@@ -210,7 +210,7 @@
 		r.state = runOutcomeUnknown
 		c.stopRun(now, r)
 	case StartTicketRejected:
-		delete(r.task.step.advice.byWorker, w)
+		r.task.step.advice.forget(w)
 		c.withdraw(now, r, answer.String())
 	case StartUnhealthy:
 		w.pausedUntil = now.Add(unhealthyPause)
--- a/process/cell/ticket.go
+++ b/process/cell/ticket.go
@@ -19,7 +19,8 @@
 	exploreAt time.Time
 }
 
-// workerAdvice is the advisory service's reply for one incarnation of a worker.
+// workerAdvice is the advisory service's reply for one incarnation of a worker. The reply for
+// another incarnation, or for none, says nothing.
 type workerAdvice struct {
 	allowed     bool
 	incarnation int64
@@ -44,6 +45,9 @@
 	a.ticketsExpireAt = until
 }
 
+// forget drops the reply for w, so that advice on it is requested again.
+func (a *adviceState) forget(w *Worker) { a.set(w, workerAdvice{}) }
+
 func (a *adviceState) set(w *Worker, reply workerAdvice) {
 	if a.byWorker == nil {
 		a.byWorker = make(map[*Worker]workerAdvice)
