--- a/process/cell/grown_test.go
+++ b/process/cell/grown_test.go
@@ -36,9 +36,6 @@
 	w.run(40 * time.Second)
 	w.logResults()
 	assert.Equal(t, len(w.violations), 0, "%v", w.violations)
-	for _, kind := range []string{"roster", "provision", "quote"} {
-		inTime, _ := w.onTimeShare(kind)
-		assert.Assert(t, inTime >= 0.85, "%s: %.3f in time", kind, inTime)
-		assert.Equal(t, w.completedShare(kind), 1.0, kind)
-	}
+	w.checkAllInTime(0.85)
+	w.checkCompleted()
 }
--- a/process/cell/large_test.go
+++ b/process/cell/large_test.go
@@ -40,7 +40,5 @@
 	assert.Equal(t, len(w.violations), 0, "%v", w.violations)
 	quotes, _ := w.onTimeShare("quote")
 	assert.Assert(t, quotes >= 0.9, "%.3f in time", quotes)
-	for _, kind := range []string{"roster", "provision", "quote"} {
-		assert.Equal(t, w.completedShare(kind), 1.0, kind)
-	}
+	w.checkCompleted()
 }
--- a/process/cell/objectives_test.go
+++ b/process/cell/objectives_test.go
@@ -9,13 +9,34 @@
 
 // logResults logs the results of each kind of job.
 func (w *simulation) logResults() {
-	for _, kind := range []string{"roster", "provision", "quote"} {
+	for _, kind := range fakeKindNames {
 		inTime, n := w.onTimeShare(kind)
 		w.t.Logf("%-10s %4d jobs, in time %.3f, accepted ones completed %.3f", kind, n, inTime, w.completedShare(kind))
 	}
 	w.t.Logf("%d advice requests", w.adviceCalls)
 }
 
+// fakeKindNames are the kinds of fakeQueues.
+var fakeKindNames = []string{"roster", "provision", "quote"}
+
+// checkAllInTime checks that at least the given share of the jobs of each kind met their
+// objective.
+func (w *simulation) checkAllInTime(share float64) {
+	w.t.Helper()
+	for _, kind := range fakeKindNames {
+		inTime, _ := w.onTimeShare(kind)
+		assert.Assert(w.t, inTime >= share, "%s: %.3f in time", kind, inTime)
+	}
+}
+
+// checkCompleted checks that all accepted jobs are completed.
+func (w *simulation) checkCompleted() {
+	w.t.Helper()
+	for _, kind := range fakeKindNames {
+		assert.Equal(w.t, w.completedShare(kind), 1.0, kind)
+	}
+}
+
 // Steady load of about 80% of the fleet's capacity, without faults: 90% of the jobs of
 // each kind must be in time, and all accepted jobs must complete.
 func TestSteadyLoadMeetsObjectives(t *testing.T) {
@@ -25,11 +46,8 @@
 	w.run(60 * time.Second)
 	w.logResults()
 	assert.Equal(t, len(w.violations), 0, "%v", w.violations)
-	for _, kind := range []string{"roster", "provision", "quote"} {
-		inTime, _ := w.onTimeShare(kind)
-		assert.Assert(t, inTime >= 0.9, "%s: %.3f in time", kind, inTime)
-		assert.Equal(t, w.completedShare(kind), 1.0, kind)
-	}
+	w.checkAllInTime(0.9)
+	w.checkCompleted()
 }
 
 // Short jobs arrive at 2.2 times their rate while the workers are full. They must be
@@ -79,7 +97,5 @@
 		}
 	}
 	assert.Assert(t, float64(late) <= 0.2*float64(n), "%d of %d late after the overload", late, n)
-	for _, kind := range []string{"roster", "provision", "quote"} {
-		assert.Equal(t, w.completedShare(kind), 1.0, kind)
-	}
+	w.checkCompleted()
 }
