--- a/process/cluster/advisers.go
+++ b/process/cluster/advisers.go
@@ -105,6 +105,7 @@
 	defer cancel()
 	n := a.leadership.node
 	began := time.Now()
+	var took time.Duration
 	var tickets []cell.Ticket
 	var err error
 	if m.Name == n.config.Name {
@@ -112,7 +113,7 @@
 	} else {
 		var reply adviseReply
 		err = n.config.Peers.Call(ctx, m.Address, methodAdvise, adviseCall{Step: request.Step, Workers: request.Workers}, &reply)
-		tickets = reply.Tickets
+		tickets, took = reply.Tickets, time.Duration(reply.TookMS)*time.Millisecond
 	}
 	n.metrics.adviceTime.UpdateDuration(began)
 	if err != nil && a.leadership.ctx.Err() == nil {
@@ -122,7 +123,19 @@
 		a.queue.failed(time.Now(), m)
 		a.mu.Unlock()
 	}
-	a.leadership.change(func(now time.Time, c *cell.Cell) { c.Advised(now, now, request, tickets, err != nil) })
+	a.leadership.change(func(now time.Time, c *cell.Cell) {
+		c.Advised(now, adviceAnsweredAt(now, began, took), request, tickets, err != nil)
+	})
+}
+
+// adviceAnsweredAt returns the earliest time at which the advisory service can have replied,
+// from which its tickets are valid: the call of another entry, which took this long, can't
+// have begun before the request to that entry. This entry may read the reply much later.
+func adviceAnsweredAt(now, began time.Time, took time.Duration) time.Time {
+	if answered := began.Add(took); took > 0 && answered.Before(now) {
+		return answered
+	}
+	return now
 }
 
 // serveAdvise calls the advisory service on behalf of the scheduler.
@@ -131,9 +144,10 @@
 	if err := json.Unmarshal(params, &call); err != nil {
 		return nil, err
 	}
+	began := time.Now()
 	tickets, err := n.config.Advisor.Advise(ctx, call.Step, call.Workers)
 	if err != nil {
 		return nil, err
 	}
-	return adviseReply{Tickets: tickets}, nil
+	return adviseReply{Tickets: tickets, TookMS: time.Since(began).Milliseconds()}, nil
 }
--- a/process/cluster/advisers_test.go
+++ b/process/cluster/advisers_test.go
@@ -56,3 +56,13 @@
 	again, _ := q.choose(now.Add(adviserBackoff), members, slowRequest)
 	assert.Equal(t, again.Name, first.Name)
 }
+
+// A scheduler that lags reads a reply long after it was sent. The validity of its tickets must
+// count from the reply, or starts are sent with tickets that have expired.
+func TestTicketsAgeWhileReplyIsUnread(t *testing.T) {
+	began := time.Unix(1_700_000_000, 0)
+	now := began.Add(3 * time.Second)
+	assert.Equal(t, adviceAnsweredAt(now, began, 600*time.Millisecond), began.Add(600*time.Millisecond))
+	assert.Equal(t, adviceAnsweredAt(now, began, 4*time.Second), now, "a clock that runs fast doesn't make a reply of the future")
+	assert.Equal(t, adviceAnsweredAt(now, began, 0), now, "an entry that doesn't say how long the call took")
+}
--- a/process/cluster/calls.go
+++ b/process/cluster/calls.go
@@ -144,4 +144,6 @@
 // adviseReply is the answer to an adviseCall.
 type adviseReply struct {
 	Tickets []cell.Ticket `json:"good"`
+	// TookMS is how long the call to the advisory service took, in milliseconds.
+	TookMS int64 `json:"took_ms,omitempty"`
 }
