--- a/process/cluster/elect.go
+++ b/process/cluster/elect.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"hash/fnv"
-	"runtime"
 	"time"
 )
 
@@ -12,19 +11,6 @@
 const (
 	// electionPeriod is the interval between checks of the scheduler's state.
 	electionPeriod = 50 * time.Millisecond
-	// heartbeatPeriod is the interval between heartbeats to the scheduler, and between
-	// reads of the lease row while no scheduler is known.
-	heartbeatPeriod = 200 * time.Millisecond
-	// heartbeatTimeout bounds a heartbeat. It is far longer than unreachableAfter, since
-	// late replies show that an overloaded scheduler is alive.
-	heartbeatTimeout = 2 * time.Second
-	// frequentStandbys is the number of standbys, first by rank, that send a heartbeat each
-	// heartbeatPeriod. The period of the others grows by heartbeatPeriodPerEntry for each
-	// entry, up to maxHeartbeatPeriod, so that the scheduler's work doesn't grow with the
-	// number of entries.
-	frequentStandbys        = 8
-	heartbeatPeriodPerEntry = 5 * time.Millisecond
-	maxHeartbeatPeriod      = 500 * time.Millisecond
 	// unreachableAfter is how long after the last contact a scheduler is considered
 	// unreachable.
 	unreachableAfter = 500 * time.Millisecond
@@ -95,44 +81,6 @@
 	}
 }
 
-// heartbeatLoop sends heartbeats to the scheduler while that is another entry. It is
-// separate from elect, which may block on the table.
-func (n *Node) heartbeatLoop(ctx context.Context) {
-	var period pacer
-	for ; ctx.Err() == nil; n.sleepPeriod(ctx) {
-		view, immediate := n.heartbeatTarget()
-		if view.fence != 0 && (immediate || period.due(n.heartbeatInterval(view))) {
-			go n.sendHeartbeat(ctx, view)
-		}
-	}
-}
-
-// sleepPeriod waits for electionPeriod and records how late that ends, including a turn in
-// the queue of runnable goroutines. A goroutine that a timer wakes goes before those that
-// wait there, unlike one that reads an answer.
-func (n *Node) sleepPeriod(ctx context.Context) {
-	began := time.Now()
-	sleep(ctx, electionPeriod)
-	runtime.Gosched()
-	if ctx.Err() == nil {
-		n.lag.record(time.Since(began) - electionPeriod)
-	}
-}
-
-// heartbeatTarget returns the view of the scheduler to send heartbeats to, or the zero
-// view if there is none. immediate is set if another entry suspects the scheduler and this
-// entry has had no recent contact with it.
-func (n *Node) heartbeatTarget() (view leaderView, immediate bool) {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	if n.view.Holder == "" || (n.leadership != nil && !n.leadership.over()) {
-		return leaderView{}, false
-	}
-	immediate = n.suspected && time.Since(n.view.lastHeard) > electionPeriod
-	n.suspected = false
-	return n.view, immediate
-}
-
 func (n *Node) electOnce(ctx context.Context) {
 	<-n.leaseLock
 	defer func() { n.leaseLock <- struct{}{} }()
@@ -202,15 +150,6 @@
 	n.follow(row)
 }
 
-// heartbeatInterval returns the interval between this entry's heartbeats.
-func (n *Node) heartbeatInterval(view leaderView) time.Duration {
-	rank, known := rankOf(n.config.Name, view)
-	if !known || rank < frequentStandbys {
-		return heartbeatPeriod
-	}
-	return min(max(heartbeatPeriod, time.Duration(len(view.members))*heartbeatPeriodPerEntry), maxHeartbeatPeriod)
-}
-
 // unrankedDelay returns how long this entry waits if it knows no other entry.
 func (n *Node) unrankedDelay() time.Duration {
 	return min(maxUnrankedDelay, time.Duration(float64(unrankedDelay)/max(n.config.Cores, 0.01)))
--- /dev/null
+++ b/process/cluster/heartbeat.go
@@ -0,0 +1,175 @@
+package cluster
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"runtime"
+	"time"
+
+	"github.com/kingcuplatch/kingcuplatch/conn/peer"
+)
+
+// Timings of heartbeats.
+const (
+	// heartbeatPeriod is the interval between heartbeats to the scheduler, and between
+	// reads of the lease row while no scheduler is known.
+	heartbeatPeriod = 200 * time.Millisecond
+	// heartbeatTimeout bounds a heartbeat. It is far longer than unreachableAfter, since
+	// late replies show that an overloaded scheduler is alive.
+	heartbeatTimeout = 2 * time.Second
+	// frequentStandbys is the number of standbys, first by rank, that send a heartbeat each
+	// heartbeatPeriod. The period of the others grows by heartbeatPeriodPerEntry for each
+	// entry, up to maxHeartbeatPeriod, so that the scheduler's work doesn't grow with the
+	// number of entries.
+	frequentStandbys        = 8
+	heartbeatPeriodPerEntry = 5 * time.Millisecond
+	maxHeartbeatPeriod      = 500 * time.Millisecond
+)
+
+// heartbeatLoop sends heartbeats to the scheduler while that is another entry. It is
+// separate from elect, which may block on the table.
+func (n *Node) heartbeatLoop(ctx context.Context) {
+	var period pacer
+	for ; ctx.Err() == nil; n.sleepPeriod(ctx) {
+		view, immediate := n.heartbeatTarget()
+		if view.fence != 0 && (immediate || period.due(n.heartbeatInterval(view))) {
+			go n.sendHeartbeat(ctx, view)
+		}
+	}
+}
+
+// sleepPeriod waits for electionPeriod and records how late that ends, including a turn in
+// the queue of runnable goroutines. A goroutine that a timer wakes goes before those that
+// wait there, unlike one that reads an answer.
+func (n *Node) sleepPeriod(ctx context.Context) {
+	began := time.Now()
+	sleep(ctx, electionPeriod)
+	runtime.Gosched()
+	if ctx.Err() == nil {
+		n.lag.record(time.Since(began) - electionPeriod)
+	}
+}
+
+// heartbeatTarget returns the view of the scheduler to send heartbeats to, or the zero
+// view if there is none. immediate is set if another entry suspects the scheduler and this
+// entry has had no recent contact with it.
+func (n *Node) heartbeatTarget() (view leaderView, immediate bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.view.Holder == "" || (n.leadership != nil && !n.leadership.over()) {
+		return leaderView{}, false
+	}
+	immediate = n.suspected && time.Since(n.view.lastHeard) > electionPeriod
+	n.suspected = false
+	return n.view, immediate
+}
+
+// heartbeatInterval returns the interval between this entry's heartbeats.
+func (n *Node) heartbeatInterval(view leaderView) time.Duration {
+	rank, known := rankOf(n.config.Name, view)
+	if !known || rank < frequentStandbys {
+		return heartbeatPeriod
+	}
+	return min(max(heartbeatPeriod, time.Duration(len(view.members))*heartbeatPeriodPerEntry), maxHeartbeatPeriod)
+}
+
+// sendHeartbeat sends a heartbeat to the scheduler and applies the reply to the view.
+func (n *Node) sendHeartbeat(ctx context.Context, view leaderView) {
+	ctx, cancel := context.WithTimeout(ctx, heartbeatTimeout)
+	defer cancel()
+	var reply heartbeatReply
+	sent := time.Now()
+	err := n.config.Peers.Call(ctx, view.Address, methodHeartbeat, heartbeat{Member: n.member(), CatalogVersion: n.catalogVersion(), MembersHash: view.membersHash, Stamp: view.stamp}, &reply)
+	n.mu.Lock()
+	if n.view.fence != view.fence {
+		n.mu.Unlock()
+		return
+	}
+	var remote *peer.RemoteError
+	if err != nil {
+		n.view.refused = (errors.Is(err, peer.ErrNotSent) || errors.As(err, &remote)) && sent.After(n.view.lastContact)
+		lost := !n.view.refused || time.Since(n.view.lastHeard) > heartbeatPeriod
+		n.mu.Unlock()
+		if lost {
+			// Counted, not logged: if the scheduler is lost, the entry that takes over logs
+			// KCL-7002 for it.
+			n.metrics.heartbeatFailures.Inc()
+		}
+		return
+	}
+	if reply.Fence == view.fence {
+		if n.view.ctx.Err() != nil {
+			n.view.ctx, n.view.cancel = context.WithCancel(context.Background())
+		}
+		n.view.refused = false
+		n.view.tableSilentFor = time.Duration(reply.TableSilentMS) * time.Millisecond
+		n.view.lastHeard = time.Now()
+		n.view.lastContact = maxTime(n.view.lastContact, sent)
+		n.view.stamp = max(n.view.stamp, reply.Stamp)
+		n.view.tableContact = maxTime(n.view.tableContact, sent.Add(-time.Duration(reply.TableAgeMS)*time.Millisecond))
+		n.view.failingFor = time.Duration(reply.FailingMS) * time.Millisecond
+		if len(reply.Members) > 0 {
+			n.view.setMembers(reply.Members)
+		}
+		n.view.leaving = reply.Leaving
+		n.configContact = maxTime(n.configContact, n.view.tableContact)
+	}
+	behind := n.published.Catalog == nil || n.published.Catalog.Version < reply.CatalogVersion
+	n.mu.Unlock()
+	if behind && reply.CatalogVersion > 0 {
+		n.fetchCatalog(ctx, view.Address)
+	}
+}
+
+// serveHeartbeat answers a standby's heartbeat.
+func (n *Node) serveHeartbeat(_ context.Context, params json.RawMessage) (any, error) {
+	var b heartbeat
+	if err := json.Unmarshal(params, &b); err != nil {
+		return nil, err
+	}
+	n.mu.Lock()
+	r := n.leadership
+	if n.loading != 0 {
+		// While the cell is being loaded, the standbys must not take over.
+		defer n.mu.Unlock()
+		n.noteHeartbeat(b)
+		return heartbeatReply{Fence: n.loading, Stamp: n.clockMS()}, nil
+	}
+	if r == nil || r.over() {
+		n.mu.Unlock()
+		return nil, errNotScheduler
+	}
+	n.noteHeartbeat(b)
+	reply := heartbeatReply{
+		Stamp: n.clockMS(),
+		Fence: r.fence, TableAgeMS: r.tableAge().Milliseconds(), TableSilentMS: r.tableSilentFor().Milliseconds(), FailingMS: r.tableFailingFor().Milliseconds(), Leaving: n.leaving,
+	}
+	if list := n.memberListLocked(); list.hash != b.MembersHash {
+		reply.Members = list.members
+	}
+	if n.published.Catalog != nil {
+		reply.CatalogVersion = n.published.Catalog.Version
+	}
+	n.mu.Unlock()
+	if b.CatalogVersion > reply.CatalogVersion {
+		go n.fetchCatalog(context.Background(), b.Address)
+	}
+	return reply, nil
+}
+
+// noteHeartbeat records a standby's heartbeat. n.mu must be held.
+func (n *Node) noteHeartbeat(b heartbeat) {
+	known, ok := n.standbys[b.Name]
+	if !ok {
+		n.memberList = memberList{}
+	}
+	confirmed := known.confirmedAt
+	if b.Stamp > 0 {
+		confirmed = maxTime(confirmed, n.startedAt.Add(time.Duration(b.Stamp)*time.Millisecond))
+	}
+	n.standbys[b.Name] = standby{Member: b.Member, lastContact: time.Now(), confirmedAt: confirmed}
+}
+
+// clockMS returns the time since this entry started, in milliseconds, but at least 1.
+func (n *Node) clockMS() int64 { return max(1, time.Since(n.startedAt).Milliseconds()) }
--- a/process/cluster/standby.go
+++ b/process/cluster/standby.go
@@ -3,66 +3,12 @@
 import (
 	"context"
 	"encoding/json"
-	"errors"
 	"sync"
 	"time"
 
-	"github.com/kingcuplatch/kingcuplatch/conn/peer"
 	"github.com/kingcuplatch/kingcuplatch/process/events"
 )
 
-// sendHeartbeat sends a heartbeat to the scheduler and applies the reply to the view.
-func (n *Node) sendHeartbeat(ctx context.Context, view leaderView) {
-	ctx, cancel := context.WithTimeout(ctx, heartbeatTimeout)
-	defer cancel()
-	var reply heartbeatReply
-	sent := time.Now()
-	err := n.config.Peers.Call(ctx, view.Address, methodHeartbeat, heartbeat{Member: n.member(), CatalogVersion: n.catalogVersion(), MembersHash: view.membersHash, Stamp: view.stamp}, &reply)
-	n.mu.Lock()
-	if n.view.fence != view.fence {
-		n.mu.Unlock()
-		return
-	}
-	var remote *peer.RemoteError
-	if err != nil {
-		n.view.refused = (errors.Is(err, peer.ErrNotSent) || errors.As(err, &remote)) && sent.After(n.view.lastContact)
-		lost := !n.view.refused || time.Since(n.view.lastHeard) > heartbeatPeriod
-		n.mu.Unlock()
-		if lost {
-			// Counted, not logged: if the scheduler is lost, the entry that takes over logs
-			// KCL-7002 for it.
-			n.metrics.heartbeatFailures.Inc()
-		}
-		return
-	}
-	if reply.Fence == view.fence {
-		if n.view.ctx.Err() != nil {
-			n.view.ctx, n.view.cancel = context.WithCancel(context.Background())
-		}
-		n.view.refused = false
-		n.view.tableSilentFor = time.Duration(reply.TableSilentMS) * time.Millisecond
-		n.view.lastHeard = time.Now()
-		n.view.lastContact = maxTime(n.view.lastContact, sent)
-		n.view.stamp = max(n.view.stamp, reply.Stamp)
-		n.view.tableContact = maxTime(n.view.tableContact, sent.Add(-time.Duration(reply.TableAgeMS)*time.Millisecond))
-		n.view.failingFor = time.Duration(reply.FailingMS) * time.Millisecond
-		if len(reply.Members) > 0 {
-			n.view.setMembers(reply.Members)
-		}
-		n.view.leaving = reply.Leaving
-		n.configContact = maxTime(n.configContact, n.view.tableContact)
-	}
-	behind := n.published.Catalog == nil || n.published.Catalog.Version < reply.CatalogVersion
-	n.mu.Unlock()
-	if behind && reply.CatalogVersion > 0 {
-		n.fetchCatalog(ctx, view.Address)
-	}
-}
-
-func (n *Node) member() Member {
-	return Member{Name: n.config.Name, Address: n.config.Address, Cores: n.config.Cores}
-}
-
 func (n *Node) catalogVersion() int64 {
 	if c := n.catalog(); c != nil {
 		return c.Version
@@ -199,58 +145,6 @@
 	}
 }
 
-// serveHeartbeat answers a standby's heartbeat.
-func (n *Node) serveHeartbeat(_ context.Context, params json.RawMessage) (any, error) {
-	var b heartbeat
-	if err := json.Unmarshal(params, &b); err != nil {
-		return nil, err
-	}
-	n.mu.Lock()
-	r := n.leadership
-	if n.loading != 0 {
-		// While the cell is being loaded, the standbys must not take over.
-		defer n.mu.Unlock()
-		n.noteHeartbeat(b)
-		return heartbeatReply{Fence: n.loading, Stamp: n.clockMS()}, nil
-	}
-	if r == nil || r.over() {
-		n.mu.Unlock()
-		return nil, errNotScheduler
-	}
-	n.noteHeartbeat(b)
-	reply := heartbeatReply{
-		Stamp: n.clockMS(),
-		Fence: r.fence, TableAgeMS: r.tableAge().Milliseconds(), TableSilentMS: r.tableSilentFor().Milliseconds(), FailingMS: r.tableFailingFor().Milliseconds(), Leaving: n.leaving,
-	}
-	if list := n.memberListLocked(); list.hash != b.MembersHash {
-		reply.Members = list.members
-	}
-	if n.published.Catalog != nil {
-		reply.CatalogVersion = n.published.Catalog.Version
-	}
-	n.mu.Unlock()
-	if b.CatalogVersion > reply.CatalogVersion {
-		go n.fetchCatalog(context.Background(), b.Address)
-	}
-	return reply, nil
-}
-
-// noteHeartbeat records a standby's heartbeat. n.mu must be held.
-func (n *Node) noteHeartbeat(b heartbeat) {
-	known, ok := n.standbys[b.Name]
-	if !ok {
-		n.memberList = memberList{}
-	}
-	confirmed := known.confirmedAt
-	if b.Stamp > 0 {
-		confirmed = maxTime(confirmed, n.startedAt.Add(time.Duration(b.Stamp)*time.Millisecond))
-	}
-	n.standbys[b.Name] = standby{Member: b.Member, lastContact: time.Now(), confirmedAt: confirmed}
-}
-
-// clockMS returns the time since this entry started, in milliseconds, but at least 1.
-func (n *Node) clockMS() int64 { return max(1, time.Since(n.startedAt).Milliseconds()) }
-
 // serveSeen returns how recently this entry reached the scheduler. It also marks the
 // scheduler as suspected, so that this entry sends a heartbeat at once.
 func (n *Node) serveSeen(context.Context, json.RawMessage) (any, error) {
