--- /dev/null
+++ b/process/cell/wait.go
@@ -0,0 +1,78 @@
+package cell
+
+import "time"
+
+// expectedWait estimates the queueing time of the job: the remaining work of live
+// jobs that are placed before it, divided by the processors of all workers.
+func (c *Cell) expectedWait(now time.Time, job *Job) time.Duration {
+	capacity := c.capacity(now, c.upstreamOf(job))
+	if capacity <= 0 {
+		return 0
+	}
+	due := job.FirstSeen.Add(job.objective())
+	var ahead float64
+	for _, other := range c.live {
+		if !other.outcome.Ended() && other.comesBefore(now, job, due) {
+			ahead += other.remainingWork()
+		}
+	}
+	return time.Duration(ahead / capacity * float64(time.Second))
+}
+
+// comesBefore reports whether j's work is placed before that of a new job with the
+// given due time.
+func (j *Job) comesBefore(now time.Time, job *Job, due time.Time) bool {
+	switch {
+	case j.tooLate(now) || (j.OverShare && !job.OverShare):
+		return false
+	case j.OverShare != job.OverShare:
+		return true
+	case j.Policy.Priority != job.Policy.Priority:
+		return j.Policy.Priority < job.Policy.Priority
+	default:
+		return j.Repeat > 0 || !j.FirstSeen.Add(j.objective()).After(due)
+	}
+}
+
+// capacity returns the processors, in thousandths of a core, of the upstream's workers
+// that are usable and not quarantined.
+func (c *Cell) capacity(now time.Time, upstream string) float64 {
+	var sum int64
+	for _, w := range c.workerOrder {
+		if w.Upstream == upstream && w.usable(now) && !c.health.Quarantined(w.ID) {
+			sum += w.Capacity.MilliCPU
+		}
+	}
+	return float64(sum)
+}
+
+// remainingWork returns the estimated work that isn't done, in thousandths of a core
+// times seconds. Long-running tasks are not counted.
+func (j *Job) remainingWork() float64 {
+	var sum float64
+	for _, o := range j.occurrences {
+		for _, s := range o.steps {
+			if s.spec.LongRunning {
+				continue
+			}
+			sum += s.tasksLeft() * float64(s.spec.Need.MilliCPU) * s.spec.Estimate.Seconds()
+		}
+	}
+	return sum
+}
+
+// tasksLeft returns the number of tasks that aren't done; a running task counts half.
+func (s *step) tasksLeft() float64 {
+	left := float64(len(s.tasks) - s.done)
+	for _, t := range s.tasks {
+		if !t.done && t.current != nil {
+			left -= 0.5
+		}
+	}
+	return left
+}
+
+// tooLate reports whether the job can no longer finish before its result is of no use.
+func (j *Job) tooLate(now time.Time) bool {
+	return j.Repeat == 0 && len(j.occurrences) > 0 && j.occurrences[0].tooLate(now)
+}
