--- a/process/cell/batch.go
+++ b/process/cell/batch.go
@@ -301,6 +301,8 @@
 func (c *Cell) dropReason(now time.Time, r *Run) string {
 	w := r.worker
 	switch {
+	case r.task.step.occ.job.setAside:
+		return "job set aside"
 	case r.stop.wanted:
 		return "stop requested"
 	case !w.unreachableSince.IsZero():
--- a/process/cell/setaside_test.go
+++ b/process/cell/setaside_test.go
@@ -65,6 +65,23 @@
 	}
 }
 
+// A job is set aside while a write that holds its planned runs is in flight. The runs must not
+// be started.
+func TestSetAsideJobIsNotStarted(t *testing.T) {
+	now := time.Unix(1_700_000_000, 0)
+	c := New(Settings{KeepEnded: time.Minute}, catalog.New(1, nil, nil, nil, catalog.Limits{}))
+	c.SetWorkers(now, []WorkerInfo{{ID: "w0", Upstream: "desk", Capacity: resource.Amount{MilliCPU: 8000, MemoryMB: 8000}}})
+	c.Listed(now, "w0", Listing{SentAt: now, Incarnation: 1})
+	spec := JobSpec{ID: "job", Team: "team", Upstream: "desk", Steps: []StepSpec{{Count: 2, Need: resource.Amount{MilliCPU: 1000}, Estimate: time.Second}}}
+	assert.Equal(t, c.Submit(now, spec, func(Recorded) {}).Verdict, Recording)
+	c.Plan(now)
+	b := c.TakeBatch(now)
+	c.setAside(c.jobs["job"], "test")
+	c.BatchRecorded(now, b, 7)
+	assert.Equal(t, len(c.TakeActions().Starts), 0)
+	assert.Equal(t, len(c.workers["w0"].runs), 0)
+}
+
 // An unexpected error in the handling of one worker's reply must not end the process.
 func TestPanicExcludesOneWorker(t *testing.T) {
 	c, s, now := gangOfTwo(t)
