--- a/process/cluster/node.go
+++ b/process/cluster/node.go
@@ -25,6 +25,8 @@
 	// MachineLease is the minimum time between commands of different entries to the same
 	// machine. A new scheduler waits this long before its first command.
 	MachineLease time.Duration
+	// Leave limits how long a scheduler that leaves keeps scheduling.
+	Leave LeaveLimits
 }
 
 // Config holds the settings and dependencies of a node.
@@ -197,17 +199,6 @@
 	return n.leadership != nil && !n.leadership.over()
 }
 
-// Leave marks the node as not ready and releases the lease if the node holds it.
-func (n *Node) Leave(ctx context.Context) {
-	n.mu.Lock()
-	n.leaving = true
-	r := n.leadership
-	n.mu.Unlock()
-	if r != nil && !r.over() {
-		n.release(ctx, r)
-	}
-}
-
 // serveCatalog returns the configuration in force to another entry.
 func (n *Node) serveCatalog(context.Context, json.RawMessage) (any, error) {
 	n.mu.Lock()
