cluster: a leaving scheduler holds on, then hands over to a named successor

An entry that was leaving counted as first in the order. The leadership was ended before its writes, so waiting callers got unknown outcomes. SIGTERM while the cell was being read left the lease with a process that ended 3 s later. Change: heartbeats say whether the sender leaves and how long it has been up; the list of members says who leaves. The handover closes the scheduler to calls, answers those in progress, ends the writes, releases the row and names the successor, the others act by rank 0.25 s later. A reply whose outcome is open at the end of scheduling is repeated at the successor. Calls wait for the load, and for a handover, 1 s in all.

--- a/process/cluster/acquire.go
+++ b/process/cluster/acquire.go
@@ -10,18 +10,21 @@
 	"github.com/kingcuplatch/kingcuplatch/process/platform"
 )
 
-// yield releases the lease if a sufficiently larger entry is live.
+// yield hands the cell over if a sufficiently larger entry is live and doesn't leave.
 func (n *Node) yield(ctx context.Context, r *leadership) {
 	n.mu.Lock()
-	largest := n.membersLocked()[0]
-	due := time.Since(r.began) > yieldAfter && time.Since(n.yieldedAt) > yieldInterval &&
-		largest.Cores > yieldFactor*n.config.Cores
+	var successor string
+	staying := n.stayingLocked()
+	due := !n.leaving && time.Since(r.began) > yieldAfter && time.Since(n.yieldedAt) > yieldInterval &&
+		len(staying) > 0 && staying[0].Cores > yieldFactor*n.config.Cores
 	if due {
+		successor = staying[0].Name
 		n.yieldedAt = time.Now()
 	}
 	n.mu.Unlock()
 	if due {
-		n.release(ctx, r)
+		n.log.Log(events.HandoverDecided, r.fence, successor, "the entry is larger", time.Since(r.began).String())
+		n.handOver(ctx, r, successor)
 	}
 }
 
@@ -52,6 +55,9 @@
 // and starts scheduling.
 func (n *Node) acquire(ctx context.Context, version uint64, reason string) {
 	began := time.Now()
+	if n.isLeaving() {
+		return
+	}
 	value, err := json.Marshal(n.ownLease())
 	if err != nil {
 		n.log.Log(events.OwnershipFailed, "encode lease row", err)
@@ -70,7 +76,7 @@
 		return
 	}
 	n.log.Log(events.CellLeaseAcquired, fence, reason, time.Since(began).String())
-	n.notify(n.knownMembers(), methodAcquired, seenReply{leaseRow: n.ownLease(), Fence: fence})
+	n.notify(n.knownEntries(), methodAcquired, seenReply{leaseRow: n.ownLease(), Fence: fence})
 	n.begin(ctx, fence, began)
 }
 
@@ -103,29 +109,23 @@
 	return n.leadership.fence
 }
 
-// begin loads the cell and starts scheduling. If the cell cannot be loaded, it releases
-// the lease.
+// begin loads the cell and starts scheduling. If the cell cannot be loaded, or this entry
+// leaves meanwhile and gives the load up, it releases the lease.
 func (n *Node) begin(ctx context.Context, fence uint64, since time.Time) {
-	n.setLoading(fence)
-	defer n.setLoading(0)
 	loadCtx, cancel := context.WithTimeout(ctx, loadTimeout)
 	defer cancel()
+	n.startLoad(fence, cancel)
 	r, err := newLeadership(loadCtx, n, fence, since)
 	if err != nil {
-		n.log.Log(events.OwnershipFailed, "read the cell", err)
-		n.writeRelease(ctx, fence)
+		n.loadFailed(context.WithoutCancel(ctx), fence, err)
 		return
 	}
 	jobs, live, _, _ := r.cell.Counts()
 	n.mu.Lock()
-	if n.leaving {
-		n.mu.Unlock()
-		n.writeRelease(ctx, fence)
-		return
-	}
 	n.leadership = r
 	n.inherit(n.view)
 	n.setView(newView(fence, n.ownLease(), n.view.members))
+	n.endLoadLocked()
 	n.mu.Unlock()
 	n.log.Log(events.SchedulerStarted, fence, jobs, live, time.Since(since).String())
 	go func() {
@@ -134,6 +134,20 @@
 	}()
 }
 
+// loadFailed releases the lease of a cell that was not loaded.
+func (n *Node) loadFailed(ctx context.Context, fence uint64, err error) {
+	n.mu.Lock()
+	abandoned := n.abandoned
+	n.endLoadLocked()
+	n.mu.Unlock()
+	if abandoned.now {
+		n.log.Log(events.HandoverDecided, fence, abandoned.successor, "the cell is not read yet; "+abandoned.reason, "")
+	} else {
+		n.log.Log(events.OwnershipFailed, "read the cell", err)
+	}
+	n.releaseLease(ctx, fence, abandoned.successor)
+}
+
 // ownLease returns the lease row with which this entry schedules.
 func (n *Node) ownLease() leaseRow {
 	return leaseRow{Holder: n.config.Name, Address: n.config.Address, Incarnation: n.config.Incarnation}
@@ -142,27 +156,41 @@
 // inherit adds the standbys that the former scheduler listed. They are considered live
 // until they have had time to send a heartbeat. n.mu must be held.
 func (n *Node) inherit(former leaderView) {
+	n.memberList = memberList{}
 	for _, m := range former.members {
 		if m.Name == former.Holder {
 			continue
 		}
 		known := n.standbys[m.Name]
+		if known.live() {
+			// It has sent heartbeats while the cell was read.
+			continue
+		}
 		n.standbys[m.Name] = standby{Member: m, lastContact: known.lastContact, confirmedAt: known.confirmedAt, inheritedAt: time.Now()}
 	}
 }
 
-// setLoading sets the fence of the leadership whose cell is being loaded; 0 means that
-// none is.
-func (n *Node) setLoading(fence uint64) {
+// startLoad notes that the cell of a leadership is being loaded; abort ends the load.
+func (n *Node) startLoad(fence uint64, abort context.CancelFunc) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	if n.loading == 0 && fence != 0 {
-		n.loaded = make(chan struct{})
-	}
-	if n.loading != 0 && fence == 0 {
-		close(n.loaded)
+	n.loading, n.loaded, n.abortLoad, n.abandoned = fence, make(chan struct{}), abort, handover{}
+}
+
+// endLoadLocked notes that the load has ended. n.mu must be held.
+func (n *Node) endLoadLocked() {
+	close(n.loaded)
+	n.loading = 0
+}
+
+// abandonLoad ends the load of a cell that is to be handed over.
+func (n *Node) abandonLoad(decision handover) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.loading != 0 && !n.abandoned.now {
+		n.abandoned = decision
+		n.abortLoad()
 	}
-	n.loading = fence
 }
 
 // awaitLoaded waits until the cell is loaded, for at most loadWait.
@@ -191,14 +219,6 @@
 	n.log.Log(events.SchedulerStopped, r.fence)
 }
 
-// release ends a leadership, releases the lease and notifies the other entries.
-func (n *Node) release(ctx context.Context, r *leadership) {
-	r.end()
-	r.goroutines.Wait()
-	n.writeRelease(ctx, r.fence)
-	n.notify(n.liveMembers(), methodReleased, seenReply{Fence: r.fence}).Wait()
-}
-
 // writeRelease clears the lease row if its version is still fence.
 func (n *Node) writeRelease(ctx context.Context, fence uint64) {
 	ctx, cancel := context.WithTimeout(ctx, releaseTimeout)
--- a/process/cluster/calls.go
+++ b/process/cluster/calls.go
@@ -28,6 +28,8 @@
 	Address string `json:"address"`
 	// Cores is the processor capacity of the entry; larger entries schedule first.
 	Cores float64 `json:"cores,omitempty"`
+	// Leaving is set while the entry leaves: it doesn't take the lease.
+	Leaving bool `json:"leaving,omitempty"`
 }
 
 // heartbeat is sent by a standby to the scheduler.
@@ -38,6 +40,8 @@
 	MembersHash uint64 `json:"members_hash,omitempty"`
 	// Stamp is that of the scheduler's last reply.
 	Stamp int64 `json:"stamp,omitempty"`
+	// UptimeMS is how long ago the standby's process started, in milliseconds.
+	UptimeMS int64 `json:"uptime_ms,omitempty"`
 }
 
 // heartbeatReply is the scheduler's answer to a heartbeat.
@@ -68,6 +72,8 @@
 	TableAgeMS   int64  `json:"store_age_ms"`
 	// Refused is set while the scheduler's address refuses connections or heartbeats.
 	Refused bool `json:"refused,omitempty"`
+	// Successor is the entry that is to acquire a released lease; empty if any may.
+	Successor string `json:"successor,omitempty"`
 }
 
 // rawCatalog is a version of the configuration in its encoded form.
@@ -133,6 +139,9 @@
 	RetryAfter time.Duration `json:"retry_after,omitempty"`
 	State      cell.State    `json:"state,omitempty"`
 	Pending    int           `json:"pending,omitempty"`
+	// Ended is set with ResultUnknown if scheduling ended before the outcome was known: the
+	// next scheduler knows it.
+	Ended bool `json:"ended,omitempty"`
 }
 
 // adviseCall requests that another entry call the advisory service.
--- a/process/cluster/elect.go
+++ b/process/cluster/elect.go
@@ -15,12 +15,15 @@
 	// unreachable.
 	unreachableAfter = 500 * time.Millisecond
 	// unreachableAfterRefusal replaces unreachableAfter if the scheduler's address refuses
-	// connections or heartbeats, or if the scheduler is leaving.
+	// connections or heartbeats.
 	unreachableAfterRefusal = 100 * time.Millisecond
 	// firstRankDelay is the takeover delay of the second-ranked standby, so that the first
 	// one has checked before it; rankDelay is added for each further rank.
 	firstRankDelay = 4 * electionPeriod
 	rankDelay      = 25 * time.Millisecond
+	// afterSuccessor is how long the entries leave a released lease to the successor that
+	// was named, before they act by rank.
+	afterSuccessor = 250 * time.Millisecond
 	// acquireHoldoff is how long a standby leaves the lease to another standby that is
 	// writing the lease row.
 	acquireHoldoff = tableTimeout
@@ -94,7 +97,7 @@
 	}
 	if view.fence == 0 || view.Holder == "" {
 		if n.leaseReads.due(heartbeatPeriod) {
-			n.checkLease(ctx, !leaving)
+			n.checkLease(ctx)
 		}
 		return
 	}
@@ -132,8 +135,9 @@
 	n.configContact = maxTime(n.configContact, time.Now().Add(-r.tableAge()))
 }
 
-// checkLease reads the lease row, and acquires the lease if it has no holder.
-func (n *Node) checkLease(ctx context.Context, mayAcquire bool) {
+// checkLease reads the lease row, and acquires the lease if it has no holder and this entry
+// may.
+func (n *Node) checkLease(ctx context.Context) {
 	row, ok, err := n.readLease(ctx)
 	if err != nil {
 		// Called only to follow a scheduler that another entry may name.
@@ -141,8 +145,7 @@
 		return
 	}
 	if !ok || row.leaseRow.Holder == "" {
-		early := !ok && time.Since(n.startedAt) < n.unrankedDelay()
-		if mayAcquire && !early && n.catalog() != nil {
+		if n.mayAcquire() {
 			n.acquire(ctx, row.version, "the lease had no holder")
 		}
 		return
@@ -150,6 +153,14 @@
 	n.follow(row)
 }
 
+// mayAcquire reports whether this entry may acquire a lease without a holder now. An entry
+// that has just started leaves it to larger ones first.
+func (n *Node) mayAcquire() bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return !n.leaving && n.published.Catalog != nil && time.Since(n.startedAt) >= n.unrankedDelay() && !time.Now().Before(n.acquireFrom)
+}
+
 // unrankedDelay returns how long this entry waits if it knows no other entry.
 func (n *Node) unrankedDelay() time.Duration {
 	return min(maxUnrankedDelay, time.Duration(float64(unrankedDelay)/max(n.config.Cores, 0.01)))
--- a/process/cluster/forward.go
+++ b/process/cluster/forward.go
@@ -17,11 +17,14 @@
 	// then a new scheduler is expected.
 	retryAfterUnknown = time.Second
 	// successorWindow is how long after the last contact with a scheduler its successor is
-	// still expected at any moment. successorWait is how long a call waits for it.
+	// still expected at any moment. successorWait is how long a call waits for it to take over
+	// from a silent scheduler. callWait bounds all waits of one call, and is how long it waits
+	// after an orderly handover.
 	successorWindow = 1500 * time.Millisecond
 	successorWait   = 600 * time.Millisecond
+	callWait        = time.Second
 	// loadWait is how long a call waits while the cell is being loaded.
-	loadWait = 250 * time.Millisecond
+	loadWait = callWait
 )
 
 // errNotScheduler rejects a call that only the scheduler can answer.
@@ -39,22 +42,28 @@
 // unknown until a scheduler reports it.
 func (n *Node) Do(ctx context.Context, call Call) Reply {
 	var unknown *Reply
+	waitUntil := time.Now().Add(callWait)
 	for {
 		n.awaitLoaded(ctx)
 		n.mu.Lock()
 		r, view, changed := n.leadership, n.view, n.changed
 		n.mu.Unlock()
-		if r != nil && !r.over() {
-			return r.do(ctx, call.timed(ctx))
-		}
-		reply, lost := n.forward(ctx, view, call.timed(ctx))
+		reply, lost := n.try(ctx, r, view, call.timed(ctx))
 		if !lost {
 			return reply
 		}
 		if reply.Result == ResultUnknown {
 			unknown = &reply
 		}
-		if !awaitSuccessor(ctx, view, changed) {
+		lastContact := maxTime(view.lastHeard, view.since)
+		if reply.Ended || view.Holder == n.config.Name {
+			lastContact = time.Now()
+		}
+		until := waitUntil
+		if limit := time.Now().Add(successorWait); view.fence != 0 && limit.Before(until) {
+			until = limit
+		}
+		if !awaitSuccessor(ctx, lastContact, until, changed) {
 			if unknown != nil {
 				return *unknown
 			}
@@ -63,15 +72,31 @@
 	}
 }
 
-// awaitSuccessor waits for a change of scheduler if one is expected soon, and reports
-// whether there was one.
-func awaitSuccessor(ctx context.Context, lost leaderView, changed <-chan struct{}) bool {
-	if time.Since(maxTime(lost.lastHeard, lost.since)) > successorWindow {
+// try makes a call here if this entry is the scheduler and doesn't hand over, else at the
+// scheduler. lost is set if the call is to be repeated at the next scheduler.
+func (n *Node) try(ctx context.Context, r *leadership, view leaderView, call Call) (reply Reply, lost bool) {
+	if r != nil && !r.over() && r.calls.enter() {
+		defer r.calls.exit()
+		reply = r.do(ctx, call)
+		return reply, reply.Ended
+	}
+	return n.forward(ctx, view, call)
+}
+
+// awaitSuccessor waits for a change of scheduler if one is expected soon, at most until a
+// given time, and reports whether there was one.
+func awaitSuccessor(ctx context.Context, lastContact, until time.Time, changed <-chan struct{}) bool {
+	if time.Since(lastContact) > successorWindow {
 		return false
 	}
-	ctx, cancel := context.WithTimeout(ctx, successorWait)
+	ctx, cancel := context.WithDeadline(ctx, until)
 	defer cancel()
 	select {
+	case <-changed:
+		return true
+	default:
+	}
+	select {
 	case <-changed:
 		return true
 	case <-ctx.Done():
@@ -92,7 +117,7 @@
 	defer context.AfterFunc(view.ctx, cancel)()
 	err := n.config.Peers.Call(ctx, view.Address, methodCall, call, &reply)
 	if err == nil {
-		return reply, false
+		return reply, reply.Ended
 	}
 	var remote *peer.RemoteError
 	lost = errors.Is(err, peer.ErrNotSent) || errors.As(err, &remote) || view.ctx.Err() != nil
@@ -119,9 +144,10 @@
 	n.mu.Lock()
 	r := n.leadership
 	n.mu.Unlock()
-	if r == nil || r.over() {
+	if r == nil || r.over() || !r.calls.enter() {
 		return nil, errNotScheduler
 	}
+	defer r.calls.exit()
 	return r.do(ctx, call), nil
 }
 
@@ -190,8 +216,20 @@
 		case <-ctx.Done():
 		case <-r.ctx.Done():
 		}
-		return r.recordReply(cell.RecordedUnknown)
+		return r.unrecordedReply(recorded)
+	}
+}
+
+// unrecordedReply returns the reply of a call that waits no longer for its record.
+func (r *leadership) unrecordedReply(recorded <-chan cell.Recorded) Reply {
+	select {
+	case how := <-recorded:
+		return r.recordReply(how)
+	default:
 	}
+	reply := r.recordReply(cell.RecordedUnknown)
+	reply.Ended = r.over()
+	return reply
 }
 
 func (r *leadership) recordReply(how cell.Recorded) Reply {
--- a/process/cluster/heartbeat.go
+++ b/process/cluster/heartbeat.go
@@ -80,7 +80,7 @@
 	defer cancel()
 	var reply heartbeatReply
 	sent := time.Now()
-	err := n.config.Peers.Call(ctx, view.Address, methodHeartbeat, heartbeat{Member: n.member(), CatalogVersion: n.catalogVersion(), MembersHash: view.membersHash, Stamp: view.stamp}, &reply)
+	err := n.config.Peers.Call(ctx, view.Address, methodHeartbeat, n.heartbeat(view), &reply)
 	n.mu.Lock()
 	if n.view.fence != view.fence {
 		n.mu.Unlock()
@@ -112,7 +112,6 @@
 		if len(reply.Members) > 0 {
 			n.view.setMembers(reply.Members)
 		}
-		n.view.leaving = reply.Leaving
 		n.configContact = maxTime(n.configContact, n.view.tableContact)
 	}
 	behind := n.published.Catalog == nil || n.published.Catalog.Version < reply.CatalogVersion
@@ -122,6 +121,14 @@
 	}
 }
 
+// heartbeat returns the heartbeat to the scheduler of a view.
+func (n *Node) heartbeat(view leaderView) heartbeat {
+	version := n.catalogVersion()
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return heartbeat{Member: n.member(), CatalogVersion: version, MembersHash: view.membersHash, Stamp: view.stamp, UptimeMS: n.clockMS()}
+}
+
 // serveHeartbeat answers a standby's heartbeat.
 func (n *Node) serveHeartbeat(_ context.Context, params json.RawMessage) (any, error) {
 	var b heartbeat
@@ -161,14 +168,18 @@
 // noteHeartbeat records a standby's heartbeat. n.mu must be held.
 func (n *Node) noteHeartbeat(b heartbeat) {
 	known, ok := n.standbys[b.Name]
-	if !ok {
+	if !ok || known.Leaving != b.Leaving {
 		n.memberList = memberList{}
 	}
 	confirmed := known.confirmedAt
 	if b.Stamp > 0 {
 		confirmed = maxTime(confirmed, n.startedAt.Add(time.Duration(b.Stamp)*time.Millisecond))
 	}
-	n.standbys[b.Name] = standby{Member: b.Member, lastContact: time.Now(), confirmedAt: confirmed}
+	heard := standby{Member: b.Member, lastContact: time.Now(), confirmedAt: confirmed, withoutCatalog: b.CatalogVersion == 0}
+	if b.UptimeMS > 0 {
+		heard.startedAt = time.Now().Add(-time.Duration(b.UptimeMS) * time.Millisecond)
+	}
+	n.standbys[b.Name] = heard
 }
 
 // clockMS returns the time since this entry started, in milliseconds, but at least 1.
--- a/process/cluster/leadership.go
+++ b/process/cluster/leadership.go
@@ -56,6 +56,10 @@
 	ctx        context.Context
 	cancel     context.CancelFunc
 	goroutines sync.WaitGroup
+	// calls counts the calls in progress, and is closed by a handover. released is closed
+	// when the handover is complete.
+	calls    *callGate
+	released chan struct{}
 
 	planSignal   chan struct{}
 	recordSignal chan struct{}
@@ -82,6 +86,8 @@
 	// the time of their first attempt.
 	lastWrite time.Duration
 	writes    map[*cell.Batch]time.Time
+	// writesStopped is set by a handover: no further write is sent.
+	writesStopped bool
 }
 
 // newLeadership loads the cell's rows. The caller must hold the lease row at version
@@ -98,6 +104,7 @@
 		node: n, fence: fence, timings: n.timings(), began: since, cell: loaded,
 		planSignal: make(chan struct{}, 1), recordSignal: make(chan struct{}, 1),
 		workers: make(map[string]*workerLoop), tableContact: read, tableHeard: read, writes: make(map[*cell.Batch]time.Time),
+		calls: newCallGate(), released: make(chan struct{}),
 	}
 	r.advisers = newAdvisers(r)
 	r.ctx, r.cancel = context.WithCancel(context.Background())
@@ -193,6 +200,10 @@
 		case <-r.planSignal:
 		}
 		sleep(r.ctx, pause)
+		if r.calls.isClosed() {
+			// The successor plans anew.
+			continue
+		}
 		r.mu.Lock()
 		began := time.Now()
 		r.cell.Plan(began)
--- a/process/cluster/leave.go
+++ b/process/cluster/leave.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"time"
+
+	"github.com/kingcuplatch/kingcuplatch/process/events"
 )
 
 // LeaveLimits are how long after Leave a scheduler hands the cell over. They are fractions of
@@ -18,15 +20,129 @@
 	Final time.Duration
 }
 
+// leavePeriod is the interval between checks of a leaving scheduler for a successor.
+const leavePeriod = 20 * time.Millisecond
+
 // Leave marks the node as not ready and, if it schedules, hands the cell over within
-// Timings.Leave. It returns when the lease is released or ctx ends; until then, and after it,
-// the node answers and forwards calls, so the caller goes on serving meanwhile.
+// Timings.Leave. It returns when the node can schedule no more, or soon after ctx ends;
+// until then, and after it, the node answers and forwards calls, so the caller goes on
+// serving meanwhile. Leave may be called more than once.
 func (n *Node) Leave(ctx context.Context) {
 	n.mu.Lock()
-	n.leaving = true
-	r := n.leadership
+	if !n.leaving {
+		n.leaving, n.leavingSince = true, time.Now()
+		n.memberList = memberList{}
+		// The scheduler is to learn of it at once.
+		n.suspected = true
+	}
+	n.mu.Unlock()
+	for !n.leaveStep(ctx) {
+		sleep(ctx, leavePeriod)
+	}
+}
+
+// leaveStep hands the cell over if it is time to, and reports whether this entry can
+// schedule no more.
+func (n *Node) leaveStep(ctx context.Context) (left bool) {
+	n.mu.Lock()
+	r, loading := n.leadership, n.loading
+	state := n.leaveStateLocked()
 	n.mu.Unlock()
-	if r != nil && !r.over() {
-		n.release(ctx, r)
+	scheduling := r != nil && !r.over()
+	if !scheduling && loading == 0 {
+		return n.acquiresNoMore()
+	}
+	decision := state.decide()
+	if ctx.Err() != nil {
+		decision = handover{now: true, reason: "the time to leave has ended"}
+	}
+	if !decision.now {
+		return false
+	}
+	if scheduling {
+		n.log.Log(events.HandoverDecided, r.fence, decision.successor, decision.reason, state.now.Sub(state.since).String())
+		n.handOver(context.WithoutCancel(ctx), r, decision.successor)
+		return true
+	}
+	n.abandonLoad(decision)
+	return false
+}
+
+// acquiresNoMore reports whether no attempt to acquire the lease is under way. A later one
+// finds that this entry leaves.
+func (n *Node) acquiresNoMore() bool {
+	select {
+	case <-n.leaseLock:
+	default:
+		return false
+	}
+	defer func() { n.leaseLock <- struct{}{} }()
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.leadership == nil || n.leadership.over()
+}
+
+// candidate is an entry that may take the cell over.
+type candidate struct {
+	Member
+	// startedAt is when its process started; zero if not known.
+	startedAt time.Time
+}
+
+// leaveState is what a leaving scheduler knows when it looks for a successor.
+type leaveState struct {
+	now time.Time
+	// since is when this entry began to leave; cores is its capacity.
+	since  time.Time
+	cores  float64
+	limits LeaveLimits
+	// othersLeave is set if other entries leave too.
+	othersLeave bool
+	// staying are the live entries that don't leave and can schedule, the one to prefer
+	// first.
+	staying []candidate
+}
+
+// handover is the decision whether to hand the cell over, and to which entry; successor is
+// empty if there is none.
+type handover struct {
+	now       bool
+	successor string
+	reason    string
+}
+
+// decide decides whether to hand the cell over now. A single entry that leaves hands over
+// soon to the largest one. When entries are restarted one after the other, whoever hasn't
+// been restarted yet soon will be, and would hand over again: each handover interrupts
+// scheduling for as long as it takes to read the cell. So a scheduler holds on until an
+// entry that has started since it began to leave can take over, and is about as large, since
+// a small one falls behind. If all leave together, it holds on until the first ones are back.
+func (s leaveState) decide() handover {
+	held := s.now.Sub(s.since)
+	switch {
+	case held < s.limits.Min:
+		return handover{}
+	case len(s.staying) == 0:
+		return handover{now: held >= s.limits.Final, reason: "no entry can take the lease"}
+	case !s.othersLeave:
+		return handover{now: true, successor: s.staying[0].Name, reason: "no other entry leaves"}
+	}
+	for _, c := range s.staying {
+		if c.startedAt.After(s.since) && c.Cores*yieldFactor >= s.cores {
+			return handover{now: true, successor: c.Name, reason: "the entry has been restarted"}
+		}
+	}
+	return handover{now: held >= s.limits.Hold, successor: s.staying[0].Name, reason: "no large entry has been restarted in time"}
+}
+
+// leaveStateLocked returns the state for decide. n.mu must be held.
+func (n *Node) leaveStateLocked() leaveState {
+	s := leaveState{now: time.Now(), since: n.leavingSince, cores: n.config.Cores, limits: n.config.Timings.Leave}
+	for _, m := range n.standbys {
+		if m.live() && m.Name != n.config.Name {
+			s.othersLeave = s.othersLeave || m.Leaving
+		}
 	}
+	s.staying = n.stayingLocked()
+	return s
 }
--- a/process/cluster/members.go
+++ b/process/cluster/members.go
@@ -17,6 +17,10 @@
 	confirmedAt time.Time
 	// inheritedAt is when the entry was inherited from a former scheduler's list.
 	inheritedAt time.Time
+	// startedAt is when its process started; zero if not known.
+	startedAt time.Time
+	// withoutCatalog is set while the entry has no configuration, and so can't schedule.
+	withoutCatalog bool
 }
 
 const (
@@ -89,6 +93,7 @@
 	return true
 }
 
+// member returns this entry as other entries list it. n.mu must be held.
 func (n *Node) member() Member {
-	return Member{Name: n.config.Name, Address: n.config.Address, Cores: n.config.Cores}
+	return Member{Name: n.config.Name, Address: n.config.Address, Cores: n.config.Cores, Leaving: n.leaving}
 }
--- a/process/cluster/node.go
+++ b/process/cluster/node.go
@@ -71,6 +71,9 @@
 	// closed when the load ends.
 	loading uint64
 	loaded  chan struct{}
+	// abortLoad cancels the load; abandoned is why and to whom the lease then goes.
+	abortLoad context.CancelFunc
+	abandoned handover
 	// configContact is the time of the last contact with the source of the configuration,
 	// directly or through the scheduler.
 	configContact time.Time
@@ -86,7 +89,11 @@
 	standbys map[string]standby
 	// memberList caches the list of live entries.
 	memberList memberList
-	leaving    bool
+	// leaving is set from leavingSince on, when this entry was told to stop.
+	leaving      bool
+	leavingSince time.Time
+	// acquireFrom is the time until which this entry leaves a released lease to others.
+	acquireFrom time.Time
 	// startedAt is when this incarnation started; yieldedAt is when it last yielded the
 	// lease to an entry with more cores.
 	startedAt time.Time
@@ -95,7 +102,7 @@
 
 // NewNode returns a node that is not running yet.
 func NewNode(c Config) *Node {
-	n := &Node{config: c, log: c.Log, standbys: make(map[string]standby), startedAt: time.Now(), changed: make(chan struct{})}
+	n := &Node{config: c, log: c.Log, standbys: make(map[string]standby), startedAt: time.Now(), view: noView(nil), changed: make(chan struct{})}
 	n.metrics = newNodeMetrics(&n.lag)
 	n.leaseLock = make(chan struct{}, 1)
 	n.leaseLock <- struct{}{}
@@ -199,6 +206,13 @@
 	return n.leadership != nil && !n.leadership.over()
 }
 
+// isLeaving reports whether this entry has been told to stop.
+func (n *Node) isLeaving() bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.leaving
+}
+
 // serveCatalog returns the configuration in force to another entry.
 func (n *Node) serveCatalog(context.Context, json.RawMessage) (any, error) {
 	n.mu.Lock()
--- a/process/cluster/record.go
+++ b/process/cluster/record.go
@@ -87,6 +87,9 @@
 func (r *leadership) mayWrite(backlogged bool) bool {
 	r.tableMu.Lock()
 	defer r.tableMu.Unlock()
+	if r.writesStopped {
+		return false
+	}
 	oldest := time.Duration(0)
 	for _, began := range r.writes {
 		oldest = max(oldest, time.Since(began))
--- a/process/cluster/standby.go
+++ b/process/cluster/standby.go
@@ -69,21 +69,38 @@
 		return nil, err
 	}
 	n.mu.Lock()
-	rank, _ := rankOf(n.config.Name, n.view)
-	mine := n.view.fence == message.Fence
-	if mine {
+	followed := n.view.fence == message.Fence
+	delay := n.releasedDelayLocked(message.Successor)
+	if followed {
+		n.acquireFrom = time.Now().Add(delay)
 		n.setView(noView(n.view.members))
 	}
 	n.mu.Unlock()
-	if mine {
+	if followed {
 		go func() {
-			sleep(context.Background(), takeoverDelay(rank))
+			sleep(context.Background(), delay)
 			n.checkReleasedLease()
 		}()
 	}
 	return struct{}{}, nil
 }
 
+// releasedDelayLocked returns how long this entry leaves a released lease to others. n.mu
+// must be held.
+func (n *Node) releasedDelayLocked(successor string) time.Duration {
+	if successor == n.config.Name {
+		return 0
+	}
+	delay := n.unrankedDelay()
+	if rank, known := rankOf(n.config.Name, n.view); known {
+		delay = takeoverDelay(rank)
+	}
+	if successor != "" {
+		delay += afterSuccessor
+	}
+	return delay
+}
+
 // serveAcquiring leaves the lease to another standby that is writing the lease row.
 func (n *Node) serveAcquiring(_ context.Context, params json.RawMessage) (any, error) {
 	var message seenReply
@@ -138,10 +155,10 @@
 	<-n.leaseLock
 	defer func() { n.leaseLock <- struct{}{} }()
 	n.mu.Lock()
-	idle := n.view.fence == 0 && !n.leaving && (n.leadership == nil || n.leadership.over())
+	idle := n.view.fence == 0 && (n.leadership == nil || n.leadership.over())
 	n.mu.Unlock()
 	if idle {
-		n.checkLease(context.Background(), true)
+		n.checkLease(context.Background())
 	}
 }
 
@@ -152,7 +169,7 @@
 	defer n.mu.Unlock()
 	n.suspected = true
 	if n.leadership != nil && !n.leadership.over() {
-		return seenReply{leaseRow: n.view.leaseRow, Fence: n.leadership.fence, TableAgeMS: n.leadership.tableAge().Milliseconds()}, nil
+		return seenReply{leaseRow: n.ownLease(), Fence: n.leadership.fence, TableAgeMS: n.leadership.tableAge().Milliseconds()}, nil
 	}
 	return seenReply{
 		leaseRow: n.view.leaseRow, Fence: n.view.fence, ContactAgeMS: time.Since(n.view.lastHeard).Milliseconds(), TableAgeMS: time.Since(n.view.tableContact).Milliseconds(),
--- a/process/cluster/takeover_test.go
+++ b/process/cluster/takeover_test.go
@@ -121,16 +121,21 @@
 		leader := w.awaitLeader(2*time.Second, "")
 		time.Sleep(time.Second)
 		other := w.other(leader)
-		other.setLoading(99)
-		time.AfterFunc(100*time.Millisecond, func() { other.setLoading(0) })
+		endLoad := func() {
+			other.mu.Lock()
+			defer other.mu.Unlock()
+			other.endLoadLocked()
+		}
+		other.startLoad(99, func() {})
+		time.AfterFunc(100*time.Millisecond, endLoad)
 		began := time.Now()
 		w.pendingAt(other)
 		assert.Assert(t, time.Since(began) >= 100*time.Millisecond)
-		other.setLoading(99)
+		other.startLoad(99, func() {})
 		began = time.Now()
 		w.pendingAt(other)
 		assert.Assert(t, time.Since(began) <= loadWait+10*time.Millisecond)
-		other.setLoading(0)
+		endLoad()
 	})
 }
 
--- a/process/cluster/view.go
+++ b/process/cluster/view.go
@@ -42,7 +42,6 @@
 	// refused is set while the scheduler's address refuses connections, or answers
 	// heartbeats with an error because the process there is not the scheduler.
 	refused bool
-	leaving bool
 	// stamp is that of the scheduler's last reply, which the next heartbeat returns.
 	stamp   int64
 	members []Member
@@ -143,7 +142,7 @@
 func (v leaderView) unreachable(now time.Time, delay time.Duration) bool {
 	timeout := unreachableAfter
 	switch {
-	case v.refused || v.leaving:
+	case v.refused:
 		timeout = unreachableAfterRefusal
 	case now.Sub(v.since) < takeoverWindow:
 		timeout += time.Duration(v.recentTakeovers) * unreachableAfter
@@ -171,14 +170,15 @@
 	return firstRankDelay + time.Duration(rank-1)*rankDelay
 }
 
-// rankOf returns the position of a standby in the order of takeover. known is false if the
+// rankOf returns the position of a standby in the order of takeover, in which entries that
+// leave don't count. known is false if the
 // view does not list it.
 func rankOf(name string, v leaderView) (rank int, known bool) {
 	for _, m := range v.members {
 		if m.Name == name {
 			return rank, true
 		}
-		if m.Name != v.Holder {
+		if m.Name != v.Holder && !m.Leaving {
 			rank++
 		}
 	}
@@ -191,6 +191,9 @@
 	for _, m := range members {
 		// Writing to a hash never fails.
 		_, _ = fmt.Fprintf(h, "%s %s %g;", m.Name, m.Address, m.Cores)
+		if m.Leaving {
+			_, _ = h.Write([]byte("leaving;"))
+		}
 	}
 	return h.Sum64()
 }
--- a/process/events/catalogue.go
+++ b/process/events/catalogue.go
@@ -51,6 +51,9 @@
 
 	WriteSlow = &Event{7012, logrus.WarnLevel, "slow write to the table", []string{"took", "under_way", "rows"}, "Check the platform if it persists."}
 
+	HandoverDecided = &Event{7013, logrus.InfoLevel, "scheduler hands the cell over", []string{"fence", "successor", "reason", "held"}, nothing}
+	HandoverDone    = &Event{7014, logrus.InfoLevel, "cell handed over", []string{"fence", "successor", "unfinished", "took"}, "Unfinished calls are repeated at the successor; check the table if they are many."}
+
 	JobAccepted  = &Event{7101, logrus.InfoLevel, "job accepted", []string{"job", "team", "age"}, nothing}
 	JobRefused   = &Event{7102, logrus.InfoLevel, "job refused, it will not run", []string{"job", "team", "reason", "retry_after"}, nothing}
 	JobEnded     = &Event{7103, logrus.InfoLevel, "job ended", []string{"job", "team", "state", "age"}, nothing}
@@ -91,7 +94,7 @@
 	RequestOutcomeUnknown,
 	CoordinatorFailed,
 	SchedulerObserved, CellLeaseAcquired, SchedulerStarted, SchedulerReplaced, SchedulerStopped, TableUnreachable, TableRecovered,
-	SettingsReloaded, FeedFailed, FeedRecovered, RowIgnored, WriteSlow,
+	SettingsReloaded, FeedFailed, FeedRecovered, RowIgnored, WriteSlow, HandoverDecided, HandoverDone,
 	JobAccepted, JobRefused, JobEnded, JobCancelled, CallRefused, JobSetAside,
 	RunPlaced, RunWithdrawn, StartFailed, RunEnded, RunStalled, RunUnknown, AdviceFailed, StepWaiting,
 	CellWorkerAdopted, CellWorkerUnreachable, CellWorkerReachable, CellWorkerLeaseExpired, CellWorkerRestarted, CellWorkerDraining, CellWorkerMissing,
