--- a/process/cluster/node.go
+++ b/process/cluster/node.go
@@ -25,6 +25,8 @@
 	// MachineLease is the minimum time between commands of different entries to the same
 	// machine. A new scheduler waits this long before its first command.
 	MachineLease time.Duration
+	// Leave limits how long a scheduler that leaves keeps scheduling.
+	Leave LeaveLimits
 }
 
 // Config holds the settings and dependencies of a node.
@@ -69,6 +71,9 @@
 	// closed when the load ends.
 	loading uint64
 	loaded  chan struct{}
+	// abortLoad cancels the load; abandoned is why and to whom the lease then goes.
+	abortLoad context.CancelFunc
+	abandoned handover
 	// configContact is the time of the last contact with the source of the configuration,
 	// directly or through the scheduler.
 	configContact time.Time
@@ -84,7 +89,11 @@
 	standbys map[string]standby
 	// memberList caches the list of live entries.
 	memberList memberList
-	leaving    bool
+	// leaving is set from leavingSince on, when this entry was told to stop.
+	leaving      bool
+	leavingSince time.Time
+	// acquireFrom is the time until which this entry leaves a released lease to others.
+	acquireFrom time.Time
 	// startedAt is when this incarnation started; yieldedAt is when it last yielded the
 	// lease to an entry with more cores.
 	startedAt time.Time
@@ -93,7 +102,7 @@
 
 // NewNode returns a node that is not running yet.
 func NewNode(c Config) *Node {
-	n := &Node{config: c, log: c.Log, standbys: make(map[string]standby), startedAt: time.Now(), changed: make(chan struct{})}
+	n := &Node{config: c, log: c.Log, standbys: make(map[string]standby), startedAt: time.Now(), view: noView(nil), changed: make(chan struct{})}
 	n.metrics = newNodeMetrics(&n.lag)
 	n.leaseLock = make(chan struct{}, 1)
 	n.leaseLock <- struct{}{}
@@ -197,15 +206,11 @@
 	return n.leadership != nil && !n.leadership.over()
 }
 
-// Leave marks the node as not ready and releases the lease if the node holds it.
-func (n *Node) Leave(ctx context.Context) {
+// isLeaving reports whether this entry has been told to stop.
+func (n *Node) isLeaving() bool {
 	n.mu.Lock()
-	n.leaving = true
-	r := n.leadership
-	n.mu.Unlock()
-	if r != nil && !r.over() {
-		n.release(ctx, r)
-	}
+	defer n.mu.Unlock()
+	return n.leaving
 }
 
 // serveCatalog returns the configuration in force to another entry.
