platform: limits for a scheduler that leaves

The fractions of the grace period stand with the decision in process/cluster; the platform passes its bound. The tests of the shutdown start a second entry: a lone scheduler now rightly holds the lease until its last limit.

--- a/process/cluster/leave.go
+++ b/process/cluster/leave.go
@@ -20,6 +20,20 @@
 	Final time.Duration
 }
 
+// Fractions of a grace period. Releasing the lease and answering the calls that waited for the
+// successor take the rest.
+const (
+	leaveMinFraction   = 0.3
+	leaveHoldFraction  = 0.65
+	leaveFinalFraction = 0.75
+)
+
+// LeaveLimitsWithin returns the limits of a process that is killed after the grace period.
+func LeaveLimitsWithin(grace time.Duration) LeaveLimits {
+	part := func(f float64) time.Duration { return time.Duration(f * float64(grace)) }
+	return LeaveLimits{Min: part(leaveMinFraction), Hold: part(leaveHoldFraction), Final: part(leaveFinalFraction)}
+}
+
 // leavePeriod is the interval between checks of a leaving scheduler for a successor.
 const leavePeriod = 20 * time.Millisecond
 
