Give each job of the ownership manager a file of its own

manager.go (387 lines), claim.go (331) and heartbeat.go (313) each held several jobs: a newcomer who looked for how a grant is published, how a row is read again or how a delta is replicated had to search three files. Options, members, grants, calls to the table, scans, replication and notifications are files now; manager.go holds the state and the loop.

Also: the call that notifies an entry of rows stood twice and dropped its error without a reason; it is sendChanged, which says why. sendHeartbeat built the message, sent it and applied the answer in 39 lines; those are three functions. The fields of Manager and the outcomes say what they hold.

No change of behaviour. Tests: go test -p 1 ./process/ownership passes.

--- a/process/ownership/claim.go
+++ b/process/ownership/claim.go
@@ -4,96 +4,20 @@
 	"context"
 	"errors"
 	"slices"
-	"strings"
-	"time"
 
 	"github.com/kingcuplatch/kingcuplatch/process/platform"
 )
 
 const (
-	// scanPage is how many rows one read returns.
-	scanPage = 500
-	// claimBatch is how many blocks one transaction claims.
+	// claimBatch is the largest number of blocks that one transaction claims.
 	claimBatch = 64
 	// claimRounds is the largest number of transactions of one step.
 	claimRounds = 16
-	// releaseBatch is how many blocks are released to other entries in one step,
-	// each in a transaction of its own.
+	// releaseBatch is the largest number of blocks that one step releases to other
+	// entries, each in a transaction of its own.
 	releaseBatch = 8
 )
 
-// scanIfDue reads all rows when the period has passed or a peer has sent a new row
-// of an entry.
-func (m *Manager) scanIfDue(ctx context.Context) {
-	m.mu.Lock()
-	due := m.scannedAt.IsZero() || time.Since(m.scannedAt) >= m.ScanEvery
-	m.mu.Unlock()
-	if !due {
-		return
-	}
-	startedAt := time.Now()
-	if m.scanEntries(ctx) != nil || m.scanBlocks(ctx) != nil {
-		return
-	}
-	m.mu.Lock()
-	m.scannedAt = startedAt
-	m.mu.Unlock()
-}
-
-func (m *Manager) scanEntries(ctx context.Context) error {
-	return m.scan(ctx, entryPrefix, func(r platform.Row, now time.Time) error {
-		row, err := decodeEntry(r.Value)
-		if err != nil {
-			return err
-		}
-		w := m.entries[row.Instance]
-		w.observe(row, r.Version, now)
-		m.entries[row.Instance] = w
-		return nil
-	})
-}
-
-func (m *Manager) scanBlocks(ctx context.Context) error {
-	return m.scan(ctx, blockPrefix, func(r platform.Row, _ time.Time) error {
-		row, err := decodeBlock(r.Value)
-		if err != nil {
-			return err
-		}
-		id := strings.TrimPrefix(r.Key, blockPrefix)
-		m.observeBlock(seenBlock{ID: id, Version: r.Version, Row: row})
-		return nil
-	})
-}
-
-// scan reads all rows with the prefix and passes each to visit, under m.mu.
-func (m *Manager) scan(ctx context.Context, prefix string, visit func(platform.Row, time.Time) error) error {
-	after := ""
-	for {
-		rows, err := m.scanPage(ctx, prefix, after)
-		if err != nil {
-			return err
-		}
-		now := time.Now()
-		m.mu.Lock()
-		for _, r := range rows {
-			if err == nil {
-				err = visit(r, now)
-			}
-		}
-		m.mu.Unlock()
-		if err != nil || len(rows) < scanPage {
-			return err
-		}
-		after = rows[len(rows)-1].Key
-	}
-}
-
-func (m *Manager) scanPage(ctx context.Context, prefix, after string) ([]platform.Row, error) {
-	ctx, cancel := m.tableContext(ctx)
-	defer cancel()
-	return m.Table.Scan(ctx, prefix, after, scanPage)
-}
-
 // claimable is a block that this entry should own. dead is the condition on the row
 // of its dead owner; nil if the block has none.
 type claimable struct {
@@ -193,36 +117,6 @@
 	return m.refresh(ctx, conflict.Key)
 }
 
-// refresh reads a row whose version differed from the last known one. It returns
-// false if the read failed.
-func (m *Manager) refresh(ctx context.Context, key string) bool {
-	id, isBlock := strings.CutPrefix(key, blockPrefix)
-	if !isBlock {
-		return m.scanEntries(ctx) == nil
-	}
-	found, ok, err := m.get(ctx, key)
-	if err != nil {
-		return false
-	}
-	seen := seenBlock{ID: id, Version: found.Version}
-	if ok {
-		if seen.Row, err = decodeBlock(found.Value); err != nil {
-			return false
-		}
-	}
-	m.mu.Lock()
-	m.observeBlock(seen)
-	m.mu.Unlock()
-	return true
-}
-
-// scheduleScan makes the next step read all rows.
-func (m *Manager) scheduleScan() {
-	m.mu.Lock()
-	m.scannedAt = time.Time{}
-	m.mu.Unlock()
-}
-
 // gained grants the blocks that self is confirmed to own by rows written at version,
 // and notifies the other entries.
 func (m *Manager) gained(ctx context.Context, blocks []seenBlock, self Member, version uint64) {
@@ -243,21 +137,6 @@
 	m.notify(ctx, changedParams{Blocks: now})
 }
 
-func (m *Manager) observeBlocks(blocks []seenBlock) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	for _, b := range blocks {
-		m.observeBlock(b)
-	}
-}
-
-// observeBlock records a row unless a newer one is known. Call with m.mu.
-func (m *Manager) observeBlock(b seenBlock) {
-	if b.Version > m.blocks[b.ID].Version {
-		m.blocks[b.ID] = b
-	}
-}
-
 // releaseMisplaced releases up to releaseBatch of the blocks that another live entry
 // should own.
 func (m *Manager) releaseMisplaced(ctx context.Context) {
--- a/process/ownership/release.go
+++ b/process/ownership/release.go
@@ -13,7 +13,7 @@
 // crash. Call it when nothing runs any more. Errors: that of ctx, or the last one of
 // the table.
 func (m *Manager) Release(ctx context.Context) error {
-	m.once.Do(func() { close(m.stop) })
+	m.stopOnce.Do(func() { close(m.stop) })
 	select {
 	case <-m.stopped:
 	case <-ctx.Done():
--- a/process/ownership/unclaimed.go
+++ b/process/ownership/unclaimed.go
@@ -17,12 +17,7 @@
 	}
 	m.unclaimedNotifiedAt = now
 	for to, blocks := range m.unclaimed() {
-		go func() {
-			ctx, cancel := context.WithTimeout(ctx, m.Heartbeat)
-			defer cancel()
-			var none struct{}
-			_ = m.Peers.Call(ctx, to.Address, methodChanged, changedParams{Blocks: blocks}, &none)
-		}()
+		go m.sendChanged(ctx, to, changedParams{Blocks: blocks})
 	}
 }
 
