Confirm handed-over request ids only once they are stored

Cause: the handler of request.remember confirmed every message, also one that it could not decode and therefore did not store. An entry gives a shard up once all peers have confirmed, so a repeated request could have run twice. Change: the handler returns the error; the giving entry then keeps the shard and tries again, as after a failed call. Import, after a takeover, still skips such a message, and says why. The marshalling whose error is dropped says why.

--- a/process/requests/dispatched.go
+++ b/process/requests/dispatched.go
@@ -30,19 +30,28 @@
 
 // Import adds request ids dispatched by another entry: those that the witnesses of a
 // failed entry stored, or those that an entry sent before it stopped or gave up a shard.
-// A repeated request with one of these ids isn't dispatched again.
+// A repeated request with one of these ids isn't dispatched again. A message that can't be
+// decoded is skipped: the failed entry that sent it can't be asked again.
 func (s *Service) Import(messages []json.RawMessage) {
 	now := time.Now()
 	for _, message := range messages {
-		var m dispatchedIDs
-		if json.Unmarshal(message, &m) == nil {
-			s.flights.Import(m.Requests, now)
-		}
+		_ = s.importIDs(message, now)
 	}
 }
 
+// importIDs adds the request ids of one message, or none if it can't be decoded.
+func (s *Service) importIDs(message json.RawMessage, now time.Time) error {
+	var m dispatchedIDs
+	if err := json.Unmarshal(message, &m); err != nil {
+		return err
+	}
+	s.flights.Import(m.Requests, now)
+	return nil
+}
+
 // DispatchedIDs returns the encoded request ids that the next owner of the shards needs.
 func (s *Service) DispatchedIDs() json.RawMessage {
+	// A list of strings can always be encoded.
 	message, _ := json.Marshal(dispatchedIDs{Requests: s.flights.Keys(time.Now())})
 	return message
 }
--- a/process/requests/handlers.go
+++ b/process/requests/handlers.go
@@ -3,12 +3,14 @@
 import (
 	"context"
 	"encoding/json"
+	"time"
 
 	"github.com/kingcuplatch/kingcuplatch/conn/api"
 	"github.com/kingcuplatch/kingcuplatch/conn/peer"
 	"github.com/kingcuplatch/kingcuplatch/process/ownership"
 	"github.com/kingcuplatch/kingcuplatch/request/attempt"
 	"github.com/kingcuplatch/kingcuplatch/version"
+	"github.com/rotisserie/eris"
 )
 
 // Methods that entries call on each other.
@@ -25,12 +27,9 @@
 // Handlers returns the handlers of the methods that peers call.
 func (s *Service) Handlers() map[string]peer.Handler {
 	return map[string]peer.Handler{
-		methodHome:  s.handleHome,
-		methodPlace: s.handlePlace,
-		methodRemember: func(_ context.Context, message json.RawMessage) (any, error) {
-			s.Import([]json.RawMessage{message})
-			return struct{}{}, nil
-		},
+		methodHome:     s.handleHome,
+		methodPlace:    s.handlePlace,
+		methodRemember: s.handleRemember,
 	}
 }
 
@@ -85,5 +84,14 @@
 	return outcome, nil
 }
 
+// handleRemember stores the request ids that another entry dispatched. It confirms them
+// only if it has stored all of them.
+func (s *Service) handleRemember(_ context.Context, message json.RawMessage) (any, error) {
+	if err := s.importIDs(message, time.Now()); err != nil {
+		return nil, eris.Wrap(err, "remember request ids")
+	}
+	return struct{}{}, nil
+}
+
 // Drain refuses further requests of other entries and waits for those in progress.
 func (s *Service) Drain(ctx context.Context) error { return s.forwarded.drain(ctx) }
