Separate the queue of a dispatcher from its attempts

An attempt returned three values of which two were passed on in pairs: they are an attemptResult, whose fields say when they are empty. Wake and notify were the same function under two names. The hour in Run and the second in refusals are named constants.

No change of behaviour. Tests: go test -p 1 -count 3 ./process/dispatch passes.

--- a/process/dispatch/dispatch.go
+++ b/process/dispatch/dispatch.go
@@ -10,7 +10,6 @@
 import (
 	"context"
 	"errors"
-	"fmt"
 	"sync"
 	"time"
 
@@ -30,8 +29,14 @@
 	// or peer after a refusal. Refusals cost the upstream nothing and therefore don't use the
 	// retry budget.
 	maxRefusals = 8
+	// retryAfter is how long a caller should wait before a retry if neither the queue nor
+	// the step that failed says how long.
+	retryAfter = time.Second
 )
 
+// idleWait is how long Run waits for Wake if no queued request has a deadline.
+const idleWait = time.Hour
+
 // Reservation is capacity reserved for one request until Release.
 type Reservation interface {
 	// Worker returns the name of the worker, or of the peer that will choose one.
@@ -102,21 +107,6 @@
 	}
 }
 
-// waiter is a queued request.
-type waiter struct {
-	request *attempt.Request
-	kind    *version.Kind
-	avoid   string
-	// result receives exactly one value.
-	result chan waitResult
-}
-
-// waitResult ends the wait: with a reservation, or with the final outcome.
-type waitResult struct {
-	reservation Reservation
-	outcome     attempt.Outcome
-}
-
 // Do sends the request to a worker and returns its outcome. prepare is called before
 // each dispatch; if it returns an error, the request isn't dispatched, and an
 // *api.Error becomes the outcome. ctx ends when the caller has left; it is ignored
@@ -129,18 +119,18 @@
 	mayHaveRun := false
 	attempts := 0
 	for {
-		outcome, sentTo, placed := d.attemptOnce(ctx, r, kind, avoid, prepare)
-		observed.Waited = placed.Sub(started)
-		if peerHadNoCapacity(outcome) && time.Now().Before(r.Deadline) {
+		last := d.attemptOnce(ctx, r, kind, avoid, prepare)
+		observed.Waited = last.placed.Sub(started)
+		if peerHadNoCapacity(last.outcome) && time.Now().Before(r.Deadline) {
 			continue
 		}
 		attempts++
-		mayHaveRun = mayHaveRun || !outcome.WasNotRun()
-		if d.shouldRetry(outcome, kind, r, attempts, sentTo) {
-			avoid = sentTo
+		mayHaveRun = mayHaveRun || !last.outcome.WasNotRun()
+		if d.shouldRetry(last, kind, r, attempts) {
+			avoid = last.sentTo
 			continue
 		}
-		observed.Outcome = finalOutcome(outcome, mayHaveRun)
+		observed.Outcome = finalOutcome(last.outcome, mayHaveRun)
 		observed.Outcome.Waited = observed.Waited
 		observed.Took, observed.Retries = time.Since(started), attempts-1
 		d.observe(observed)
@@ -163,37 +153,47 @@
 	return o
 }
 
-// shouldRetry decides whether another attempt follows.
-func (d *Dispatcher) shouldRetry(o attempt.Outcome, kind *version.Kind, r *attempt.Request, attempts int, sentTo string) bool {
-	if o.Err == nil || sentTo == "" || !time.Now().Before(r.Deadline) {
+// shouldRetry decides whether another attempt follows the last one.
+func (d *Dispatcher) shouldRetry(last attemptResult, kind *version.Kind, r *attempt.Request, attempts int) bool {
+	if last.outcome.Err == nil || last.sentTo == "" || !time.Now().Before(r.Deadline) {
 		return false
 	}
-	if o.WasNotRun() {
+	if last.outcome.WasNotRun() {
 		return attempts <= maxRefusals
 	}
-	return attempt.MayRetry(kind, o) && attempts < maxAttempts && d.budget.MayRetry(r.Team)
+	return attempt.MayRetry(kind, last.outcome) && attempts < maxAttempts && d.budget.MayRetry(r.Team)
+}
+
+// attemptResult is how one attempt ended.
+type attemptResult struct {
+	outcome attempt.Outcome
+	// sentTo is the worker or peer that the request was sent to; empty if it was not sent.
+	sentTo string
+	// placed is when the request got a reservation, or the wait for one ended without.
+	placed time.Time
 }
 
-// attemptOnce waits for a reservation and makes one attempt. sentTo is empty if the
-// request was not sent; placed is when the wait ended.
-func (d *Dispatcher) attemptOnce(ctx context.Context, r *attempt.Request, kind *version.Kind, avoid string, prepare func(context.Context) error) (outcome attempt.Outcome, sentTo string, placed time.Time) {
-	reservation, outcome := d.wait(ctx, r, kind, avoid)
-	placed = time.Now()
+// attemptOnce waits for a reservation and makes one attempt.
+func (d *Dispatcher) attemptOnce(ctx context.Context, r *attempt.Request, kind *version.Kind, avoid string, prepare func(context.Context) error) (result attemptResult) {
+	reservation, refused := d.wait(ctx, r, kind, avoid)
+	result.placed = time.Now()
 	if reservation == nil {
-		return outcome, "", placed
+		result.outcome = refused
+		return result
 	}
-	defer func() { d.finish(r, kind, reservation, outcome) }()
+	defer func() { d.finish(r, kind, reservation, result.outcome) }()
 	// A dispatched request runs to its deadline even if the caller leaves.
 	sendCtx, cancel := context.WithDeadline(context.WithoutCancel(ctx), r.Deadline)
 	defer cancel()
 	if err := prepare(sendCtx); err != nil {
-		outcome = notSentOutcome(err)
-		return outcome, "", placed
+		result.outcome = notSentOutcome(err)
+		return result
 	}
 	sent := time.Now()
-	outcome = reservation.Send(sendCtx, r, kind)
-	d.learn(kind, time.Since(sent), outcome)
-	return outcome, reservation.Worker(), placed
+	result.outcome = reservation.Send(sendCtx, r, kind)
+	result.sentTo = reservation.Worker()
+	d.learn(kind, time.Since(sent), result.outcome)
+	return result
 }
 
 // notSentOutcome returns the outcome for an error of prepare: the error itself if it
@@ -203,88 +203,7 @@
 	if errors.As(err, &typed) {
 		return attempt.Outcome{Err: typed}
 	}
-	return attempt.NotRun(api.CodeUnavailable, err.Error(), time.Second)
-}
-
-// wait queues the request until it has a reservation or a final outcome.
-func (d *Dispatcher) wait(ctx context.Context, r *attempt.Request, kind *version.Kind, avoid string) (Reservation, attempt.Outcome) {
-	w := &waiter{request: r, kind: kind, avoid: avoid, result: make(chan waitResult, 1)}
-	item := d.push(w)
-	d.startReady()
-	select {
-	case v := <-w.result:
-		return v.reservation, v.outcome
-	case <-ctx.Done():
-	}
-	if d.remove(item) {
-		return nil, attempt.NotRun(api.CodeDeadline, "the caller left before the start", 0)
-	}
-	v := <-w.result
-	return v.reservation, v.outcome
-}
-
-func (d *Dispatcher) push(w *waiter) *queue.Item {
-	now := time.Now()
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	d.sequence++
-	item := &queue.Item{
-		ID:       fmt.Sprintf("%d", d.sequence),
-		Team:     w.request.Team,
-		Kind:     w.kind.Name,
-		Urgent:   w.kind.Urgent,
-		Deadline: w.request.Deadline,
-		RunTime:  d.runTime(w.kind, w.request.Deadline.Sub(now)),
-		Amount:   w.kind.Amount,
-		Enqueued: now,
-		Value:    w,
-	}
-	shed, err := d.queue.Push(now, item)
-	for _, victim := range shed {
-		finishWait(victim, refusedOutcome(&queue.FullError{Team: victim.Team, RetryAfter: d.queue.RetryAfter(now)}))
-	}
-	if err != nil {
-		finishWait(item, refusedOutcome(err))
-	}
-	d.notify()
-	return item
-}
-
-// startReady starts queued items in order, each with a reservation, until no further
-// item gets one.
-func (d *Dispatcher) startReady() {
-	now := time.Now()
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	d.expire(now)
-	for {
-		var found Reservation
-		item := d.queue.Pop(now, func(it *queue.Item) bool {
-			w := it.Value.(*waiter)
-			reservation, ok := d.finder.Find(w.request, w.kind, w.avoid)
-			found = reservation
-			return ok
-		})
-		if item == nil {
-			return
-		}
-		d.queue.Started(now, item.Charge())
-		item.Value.(*waiter).result <- waitResult{reservation: found}
-	}
-}
-
-// expire answers the items that can't meet their deadline. The caller holds d.mu.
-func (d *Dispatcher) expire(now time.Time) {
-	for _, item := range d.queue.Expire(now) {
-		finishWait(item, attempt.NotRun(api.CodeDeadline, "the deadline passed before a worker was free", d.queue.RetryAfter(now)))
-	}
-}
-
-func (d *Dispatcher) remove(item *queue.Item) bool {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	_, queued := d.queue.Remove(item.ID)
-	return queued
+	return attempt.NotRun(api.CodeUnavailable, err.Error(), retryAfter)
 }
 
 // finish releases the reservation and starts requests that wait for the capacity.
@@ -298,14 +217,14 @@
 
 // Run answers late requests and starts requests after Wake, until ctx ends.
 func (d *Dispatcher) Run(ctx context.Context) {
-	timer := time.NewTimer(time.Hour)
+	timer := time.NewTimer(idleWait)
 	defer timer.Stop()
 	for {
 		d.startReady()
 		if next, ok := d.nextExpiry(); ok {
 			timer.Reset(time.Until(next))
 		} else {
-			timer.Reset(time.Hour)
+			timer.Reset(idleWait)
 		}
 		select {
 		case <-ctx.Done():
@@ -318,14 +237,19 @@
 
 // Wake makes Run try to start requests again, after a change of a worker, an allotment
 // or a peer.
-func (d *Dispatcher) Wake() { d.notify() }
+func (d *Dispatcher) Wake() {
+	select {
+	case d.wakeups <- struct{}{}:
+	default:
+	}
+}
 
 // Configure applies a change of the queue: of teams, fleet capacity or peers' usage.
 func (d *Dispatcher) Configure(change func(q *queue.Queue, now time.Time)) {
 	d.mu.Lock()
 	change(d.queue, time.Now())
 	d.mu.Unlock()
-	d.notify()
+	d.Wake()
 }
 
 // Totals returns the teams' usage since the queue was created.
@@ -341,33 +265,3 @@
 	defer d.mu.Unlock()
 	return d.queue.Depths()
 }
-
-func (d *Dispatcher) nextExpiry() (time.Time, bool) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	return d.queue.NextExpiry()
-}
-
-func (d *Dispatcher) notify() {
-	select {
-	case d.wakeups <- struct{}{}:
-	default:
-	}
-}
-
-func finishWait(item *queue.Item, outcome attempt.Outcome) {
-	item.Value.(*waiter).result <- waitResult{outcome: outcome}
-}
-
-// refusedOutcome returns the final outcome for an error of the queue.
-func refusedOutcome(err error) attempt.Outcome {
-	var full *queue.FullError
-	if errors.As(err, &full) {
-		return attempt.NotRun(api.CodeOverloaded, full.Error(), full.RetryAfter)
-	}
-	var late *queue.LateError
-	if errors.As(err, &late) {
-		return attempt.NotRun(api.CodeDeadline, late.Error(), 0)
-	}
-	return attempt.NotRun(api.CodeUnavailable, err.Error(), time.Second)
-}
