--- a/process/allotment/ledger.go
+++ b/process/allotment/ledger.go
@@ -80,28 +80,6 @@
 	teams map[string]*team
 }
 
-// team is the state of one team.
-type team struct {
-	limit resource.Amount
-	demand
-	refusedAt time.Time
-	ceiling   resource.Amount
-	// bound is the limit that TryAcquire checks: the least of what the candidates and
-	// the ceiling allow.
-	bound    resource.Amount
-	allotted resource.Amount
-	// candidates are the confirmed grant and those of writes with unknown
-	// outcome.
-	candidates []grant
-	// row is the row as last read or written; stale is set if it has to be read
-	// before the next write.
-	row     row
-	version uint64
-	stale   bool
-	// closed is set once nothing may be acquired any more.
-	closed bool
-}
-
 // New returns a Ledger without grants.
 func New(o Options) *Ledger {
 	if o.Every == 0 {
@@ -185,29 +163,6 @@
 	}
 }
 
-func (t *team) tryAcquire(a resource.Amount) bool {
-	used := t.used.Add(a)
-	if exceeds(used, t.bound, a) {
-		t.want = t.want.Add(a).Min(t.limit)
-		t.refusedAt = time.Now()
-		return false
-	}
-	t.used = used
-	t.peak = t.peak.Max(used)
-	return true
-}
-
-// exceeds reports whether used is over bound in a dimension in which a is positive.
-func exceeds(used, bound, a resource.Amount) bool {
-	u, b, add := used.Vector(), bound.Vector(), a.Vector()
-	for d := range u {
-		if add[d] > 0 && u[d] > b[d] {
-			return true
-		}
-	}
-	return false
-}
-
 // ForceAcquire counts a as used even if it exceeds the allotment, for work that was
 // found running. Until a grant covers it, nothing more can be acquired.
 func (l *Ledger) ForceAcquire(name string, a resource.Amount) {
@@ -304,26 +259,3 @@
 		s.mu.Unlock()
 	}
 }
-
-// recompute derives what the team may use from the candidates and the limit.
-func (t *team) recompute(omit omissions) {
-	from := t.candidates
-	if omit.growFirst {
-		from = from[len(from)-1:]
-	}
-	if omit.shrinkLate {
-		from = from[:1]
-	}
-	t.allotted = grantAt(from[0], t.limit, omit)
-	for _, g := range from[1:] {
-		t.allotted = t.allotted.Min(grantAt(g, t.limit, omit))
-	}
-	t.bound = t.allotted.Min(t.ceiling)
-}
-
-func grantAt(g grant, limit resource.Amount, omit omissions) resource.Amount {
-	if omit.scale {
-		return g.Amount
-	}
-	return g.at(limit)
-}
