Separate the ring and the states from the exchange

exchange.go (328 lines) began with five types of content and ended with the ring, so that the loop and the two directions of a message stood in between; state.go and ring.go hold them now. An error of decoding a message names its step, and the two places that skip a state say what becomes of it.

No change of behaviour but that error's text. Tests: go test -p 1 ./process/exchange passes.

--- a/process/exchange/exchange.go
+++ b/process/exchange/exchange.go
@@ -26,82 +26,19 @@
 	"cmp"
 	"context"
 	"encoding/json"
-	"hash/fnv"
 	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
 
 	"github.com/kingcuplatch/kingcuplatch/conn/peer"
-	"github.com/kingcuplatch/kingcuplatch/process/capacity"
-	"github.com/kingcuplatch/kingcuplatch/process/resource"
-	"github.com/kingcuplatch/kingcuplatch/request/queue"
 	"github.com/kingcuplatch/kingcuplatch/version/store"
+	"github.com/rotisserie/eris"
 )
 
 // Method is the peer method of the exchange.
 const Method = "exchange.state"
 
-// Fanout is the number of entries that an entry calls each period.
-const Fanout = 4
-
-// Free is the free capacity of an upstream's workers owned by one entry.
-type Free struct {
-	Upstream string
-	Total    resource.Amount
-}
-
-// QueueTotals holds the teams' usage as counted by the queue of an upstream.
-type QueueTotals struct {
-	Upstream string
-	Totals   []queue.TeamTotal
-}
-
-// State is the state that one entry reports of itself.
-type State struct {
-	// Usage is the teams' usage of the entry's workers.
-	Usage []capacity.TeamUsage
-	// Free is the free capacity for requests, by upstream.
-	Free []Free
-	// Queues holds the teams' usage counted by the entry's queues since they were
-	// created.
-	Queues []QueueTotals
-	// Tasks is the free capacity for tasks on all of the entry's workers.
-	Tasks capacity.Summary
-	// Leaving names the workers that are leaving according to the entry's recent
-	// instance list, for entries that can't read the list.
-	Leaving []string
-}
-
-// Peer is the last state received from another entry.
-type Peer struct {
-	Instance    string
-	Incarnation string
-	Address     string
-	Status      store.PeerStatus
-	State       State
-	// LastContact is when the last message was received.
-	LastContact time.Time
-	// CreatedAfter is a time of this entry's clock after which the peer created its
-	// last message. It is zero if no such time is known.
-	CreatedAfter time.Time
-
-	// Number is the number of State. Within an incarnation, a State with a higher
-	// number is newer.
-	Number uint64
-	// acked is the number of this entry's State that the peer has.
-	acked uint64
-	// token is the time of the peer's last answer by the peer's clock. The next call
-	// echoes it.
-	token int64
-}
-
-// Member is an entry that may be called.
-type Member struct {
-	Instance string
-	Address  string
-}
-
 // Options configures an Exchange.
 type Options struct {
 	Instance    string
@@ -182,6 +119,7 @@
 	calls.Wait()
 }
 
+// call sends this entry's message to a peer and applies the answer.
 func (e *Exchange) call(ctx context.Context, member Member) {
 	var answer message
 	sent := time.Now()
@@ -194,10 +132,11 @@
 	e.apply(answer, sent)
 }
 
+// receive applies a peer's message and returns this entry's.
 func (e *Exchange) receive(_ context.Context, params json.RawMessage) (any, error) {
 	var m message
 	if err := json.Unmarshal(params, &m); err != nil {
-		return nil, err
+		return nil, eris.Wrap(err, "decode exchange message")
 	}
 	var createdAfter time.Time
 	if m.Echo > 0 {
@@ -244,6 +183,7 @@
 	}
 	state, err := encodeState(e.o.State())
 	if err != nil {
+		// Peers keep the last state until one can be encoded.
 		return
 	}
 	e.mu.Lock()
@@ -254,7 +194,8 @@
 	}
 }
 
-// apply replaces the stored state of the sender and calls OnMessage.
+// apply replaces the stored state of the sender and calls OnMessage. A state that can't be
+// decoded is ignored; the sender sends it again, since its number isn't confirmed.
 func (e *Exchange) apply(m message, createdAfter time.Time) {
 	e.mu.Lock()
 	p, known := e.peers[m.From]
@@ -293,36 +234,3 @@
 	slices.SortFunc(peers, func(a, b Peer) int { return cmp.Compare(a.Instance, b.Instance) })
 	return peers
 }
-
-// successors returns the n members after self on the ring.
-func successors(self string, members []Member, n int) []Member {
-	own := ringPosition(self)
-	others := slices.DeleteFunc(slices.Clone(members), func(m Member) bool { return m.Instance == self })
-	slices.SortFunc(others, func(a, b Member) int {
-		return cmp.Or(
-			cmp.Compare(ringPosition(a.Instance)-own, ringPosition(b.Instance)-own),
-			cmp.Compare(a.Instance, b.Instance),
-		)
-	})
-	return others[:min(n, len(others))]
-}
-
-// ringPosition returns the position of a name on the ring. Differences of positions
-// wrap around.
-func ringPosition(name string) uint64 {
-	h := fnv.New64a()
-	_, _ = h.Write([]byte(name))
-	return mix(h.Sum64())
-}
-
-// mix spreads the hashes of similar names over the ring.
-//
-// Source: the finalizer of MurmurHash3, Austin Appleby.
-func mix(x uint64) uint64 {
-	x ^= x >> 33
-	x *= 0xff51afd7ed558ccd
-	x ^= x >> 33
-	x *= 0xc4ceb9fe1a85ec53
-	x ^= x >> 33
-	return x
-}
