Name the field of every invalid platform setting

Cause: the settings file was decoded into a struct, whose errors name the Go type ("struct field platform.Settings.Name", for a table a whole anonymous struct) and end at the first; only some fields were checked, in random order. Change: the fields are declared once with their bounds and read by internal/tomlcheck, as those of an entry and of records are; it can ignore unknown keys and read lists of integers now, says "must be a table" where a value stands for one, and names the key on the line of a syntax error. limits.* must be given: memory_mb = 0 is a memory limit of 0.

--- a/internal/tomlcheck/read.go
+++ b/internal/tomlcheck/read.go
@@ -1,6 +1,7 @@
 package tomlcheck
 
 import (
+	"bytes"
 	"errors"
 	"fmt"
 	"sort"
@@ -39,13 +40,27 @@
 	var decode *toml.DecodeError
 	if errors.As(err, &decode) {
 		line, column := decode.Position()
-		r.Faults.Add(r.File, "", "", "line %d, column %d: %s", line, column, decode.Error())
+		r.Faults.Add(r.File, "", "", "line %d, column %d: %s%s", line, column, decode.Error(), atKey(data, line))
 		return nil, false
 	}
 	r.Faults.Add(r.File, "", "", "%s", err)
 	return nil, false
 }
 
+// atKey names the key on a line of the file, counted from 1, if there is one. The value is
+// left out, since it may be long.
+func atKey(data []byte, line int) string {
+	lines := bytes.Split(data, []byte("\n"))
+	if line < 1 || line > len(lines) {
+		return ""
+	}
+	key, _, found := bytes.Cut(lines[line-1], []byte("="))
+	if key = bytes.TrimSpace(key); !found || len(key) == 0 {
+		return ""
+	}
+	return fmt.Sprintf(", at key %s", key)
+}
+
 // Tables returns the array of tables under key. Any other value adds a fault.
 func (r *Reader) Tables(root map[string]any, record, key string) []map[string]any {
 	value, ok := root[key]
@@ -109,7 +124,7 @@
 			r.Faults.Add(r.File, record, key, "%s", err)
 		}
 	}
-	r.unknownFields(record, flat, s.laterKeys(r.Schema))
+	s.otherFields(r, record, flat)
 	s.Check(&r.Faults, r.File, record, &v, faulty)
 	return v
 }
@@ -126,13 +141,19 @@
 	return later
 }
 
-func (r *Reader) unknownFields(record string, flat map[string]any, later map[string]int) {
+// otherFields adds a fault for each key that belongs to no field of the file's schema.
+func (s *Spec[T]) otherFields(r *Reader, record string, flat map[string]any) {
+	later := s.laterKeys(r.Schema)
 	for _, key := range sortedKeys(flat) {
-		if since, ok := later[key]; ok {
+		since, isLater := later[key]
+		switch {
+		case isLater:
 			r.Faults.Add(r.File, record, key, "needs schema %d, the file has %d", since, r.Schema)
-			continue
+		case s.isGroup(key):
+			r.Faults.Add(r.File, record, key, "must be a table")
+		case !s.IgnoreUnknown:
+			r.Faults.Add(r.File, record, key, "is not a known key")
 		}
-		r.Faults.Add(r.File, record, key, "is not a known key")
 	}
 }
 
@@ -203,7 +224,9 @@
 		}
 		return assignAs(p, value, "a number")
 	case *[]string:
-		return assignStrings(p, value)
+		return assignList(p, value, func(v string) string { return v }, "a list of strings")
+	case *[]int:
+		return assignList(p, value, func(v int64) int { return int(v) }, "a list of integers")
 	case *time.Duration:
 		return assignDuration(p, value, integerSeconds)
 	}
@@ -219,18 +242,19 @@
 	return nil
 }
 
-func assignStrings(p *[]string, value any) error {
+// assignList stores a list, whose elements TOML decodes as V. want names the type.
+func assignList[V, E any](p *[]E, value any, convert func(V) E, want string) error {
 	list, ok := value.([]any)
 	if !ok {
-		return errors.New("must be a list of strings")
+		return fmt.Errorf("must be %s", want)
 	}
-	var out []string
+	var out []E
 	for _, element := range list {
-		text, ok := element.(string)
+		v, ok := element.(V)
 		if !ok {
-			return errors.New("must be a list of strings")
+			return fmt.Errorf("must be %s", want)
 		}
-		out = append(out, text)
+		out = append(out, convert(v))
 	}
 	*p = out
 	return nil
--- a/internal/tomlcheck/spec.go
+++ b/internal/tomlcheck/spec.go
@@ -13,7 +13,7 @@
 	// Key is the dotted key inside the table.
 	Key string
 	// At returns a pointer to the value inside T: *string, *bool, *int, *int64,
-	// *float64, *time.Duration or *[]string.
+	// *float64, *time.Duration, *[]string or *[]int.
 	At func(*T) any
 	// Required makes a zero value a fault.
 	Required bool
@@ -39,6 +39,9 @@
 	Fields   []Field[T]
 	// Children are keys that Read ignores, because the caller reads them.
 	Children []string
+	// IgnoreUnknown makes Read ignore keys that no field declares, for a file in which
+	// another program has fields of its own.
+	IgnoreUnknown bool
 }
 
 // Check adds a fault for every field of v that is missing or invalid, except for the
@@ -59,7 +62,10 @@
 func (s *Spec[T]) problem(field Field[T], v *T) string {
 	value := field.value(v)
 	if reflect.ValueOf(value).IsZero() && field.Required {
-		return strings.TrimSpace("must be given " + field.bounds())
+		if bounds := field.bounds(); bounds != "" {
+			return "must be given, " + bounds
+		}
+		return "must be given"
 	}
 	if reflect.DeepEqual(value, field.value(&s.Defaults)) {
 		return ""
@@ -264,6 +270,8 @@
 		return "string"
 	case *[]string:
 		return "list of strings"
+	case *[]int:
+		return "list of integers"
 	case *bool:
 		return "boolean"
 	case *float64:
