Name bad arguments of the command line, and send nothing

Cause, as seen by TestBadInputIsNamedAndNotSent and its neighbours before the change: apply and plan sent an empty directory as no records, so that apply of two directories of which one was empty would have removed what belonged there; a negative -deadline, -within or -wait, and -tasks 0 or below, were sent on or ignored; a second job of status and the arguments of get, version and trial were ignored; an empty name went into the path. Ids stood in paths unescaped: cancel 'front?x=1' cancelled the job front. report without -operators, and a URL without a scheme, ended as done or as unreachable. A 200 that can't be decoded, also after submit or apply, was a usage error (exit code 2) instead of an unknown outcome (3). A directory is read whatever characters its name has (it was a pattern). -html, -body and -payload are named when their file can't be read or written.

--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -96,7 +96,10 @@
 			"Exit codes: 0 done; 1 refused, not run; 2 usage error; 3 outcome unknown; 4 no entry reached.",
 		FlagSet: set,
 		Options: []ff.Option{ff.WithEnvVarPrefix("KINGCUPLATCH")},
-		Exec: func(context.Context, []string) error {
+		Exec: func(_ context.Context, args []string) error {
+			if len(args) > 0 {
+				return &usageError{fmt.Sprintf("there is no command %q", args[0])}
+			}
 			return &usageError{"a command is missing"}
 		},
 	}
@@ -160,18 +163,12 @@
 }
 
 func (a *app) versionCommand() *ffcli.Command {
-	return a.command("version", "", "Print the version of this command.", a.flags("version"), func(context.Context, []string) error {
+	return a.command("version", "", "Print the version of this command.", a.flags("version"), func(_ context.Context, args []string) error {
+		if err := noArgs(args, "version"); err != nil {
+			return err
+		}
 		return a.print(struct {
 			Version string `json:"version"`
 		}{Version}, func(w io.Writer) { fmt.Fprintln(w, Version) })
 	})
 }
-
-// oneArg returns the only argument. The error of any other number of arguments contains
-// the description what.
-func oneArg(args []string, what string) (string, error) {
-	if len(args) != 1 {
-		return "", &usageError{"want one argument: " + what}
-	}
-	return args[0], nil
-}
--- a/internal/cli/client.go
+++ b/internal/cli/client.go
@@ -9,7 +9,6 @@
 	"io"
 	"net/http"
 	"net/http/httptrace"
-	"strings"
 
 	"github.com/kingcuplatch/kingcuplatch/conn/api"
 )
@@ -33,20 +32,20 @@
 	body         []byte
 }
 
-// do sends the call to the first reachable URL of a comma-separated list. It tries the
-// next one only if nothing was sent. Errors are *usageError, *api.Error,
-// *unreachableError or errNoReply.
-func (a *app) do(ctx context.Context, urls string, c call) (*http.Response, []byte, error) {
-	if urls == "" {
-		return nil, nil, &usageError{"-entries or -operators is missing"}
+// do sends the call to the first reachable URL of the target. It tries the next one only if
+// nothing was sent. Errors are *usageError, *api.Error, *unreachableError or errNoReply.
+func (a *app) do(ctx context.Context, to target, c call) (*http.Response, []byte, error) {
+	bases, err := to.bases()
+	if err != nil {
+		return nil, nil, err
 	}
 	key, err := a.secret()
 	if err != nil {
 		return nil, nil, err
 	}
 	var last error
-	for base := range strings.SplitSeq(urls, ",") {
-		response, body, sent, err := send(ctx, strings.TrimSuffix(base, "/"), key, c)
+	for _, base := range bases {
+		response, body, sent, err := send(ctx, base, key, c)
 		if err == nil {
 			return response, body, responseError(response, body)
 		}
@@ -95,12 +94,12 @@
 }
 
 // get decodes the JSON response of a GET into v.
-func (a *app) get(ctx context.Context, urls, path string, v any) error {
-	return a.exchange(ctx, urls, http.MethodGet, path, nil, v)
+func (a *app) get(ctx context.Context, to target, path string, v any) error {
+	return a.exchange(ctx, to, http.MethodGet, path, nil, v)
 }
 
 // exchange sends in as JSON, unless it is nil, and decodes the response into out.
-func (a *app) exchange(ctx context.Context, urls, method, path string, in, out any) error {
+func (a *app) exchange(ctx context.Context, to target, method, path string, in, out any) error {
 	var body []byte
 	if in != nil {
 		data, err := json.Marshal(in)
@@ -109,9 +108,12 @@
 		}
 		body = data
 	}
-	_, response, err := a.do(ctx, urls, call{method: method, path: path, body: body})
+	_, response, err := a.do(ctx, to, call{method: method, path: path, body: body})
 	if err != nil {
 		return err
 	}
-	return json.Unmarshal(response, out)
+	if err := json.Unmarshal(response, out); err != nil {
+		return fmt.Errorf("%s %s: %w: %w", method, path, errNoReply, err)
+	}
+	return nil
 }
--- a/internal/cli/operate.go
+++ b/internal/cli/operate.go
@@ -28,7 +28,7 @@
 			}
 			var result api.ApplyResult
 			request := api.ApplyRequest{ChangeID: *change, Base: *base, Files: files}
-			if err := a.exchange(ctx, a.operators, http.MethodPost, "/v1/apply", request, &result); err != nil {
+			if err := a.exchange(ctx, a.toOperators(), http.MethodPost, "/v1/apply", request, &result); err != nil {
 				return err
 			}
 			return a.printApply(result)
@@ -55,7 +55,7 @@
 				return err
 			}
 			var result api.PlanResult
-			if err := a.exchange(ctx, a.operators, http.MethodPost, "/v1/plan", api.ApplyRequest{Files: files}, &result); err != nil {
+			if err := a.exchange(ctx, a.toOperators(), http.MethodPost, "/v1/plan", api.ApplyRequest{Files: files}, &result); err != nil {
 				return err
 			}
 			return a.print(result, func(w io.Writer) {
@@ -70,12 +70,12 @@
 func (a *app) withdrawCommand() *ffcli.Command {
 	return a.command("withdraw", "KEY-ID", "Withdraw a key; returns when it is in force.", a.flags("withdraw"),
 		func(ctx context.Context, args []string) error {
-			id, err := oneArg(args, "the key's id")
+			id, err := pathArg(args, "the key's id")
 			if err != nil {
 				return err
 			}
 			var result api.ApplyResult
-			if err := a.exchange(ctx, a.operators, http.MethodPost, "/v1/keys/"+id+"/withdraw", nil, &result); err != nil {
+			if err := a.exchange(ctx, a.toOperators(), http.MethodPost, "/v1/keys/"+id+"/withdraw", nil, &result); err != nil {
 				return err
 			}
 			return a.printApply(result)
@@ -87,7 +87,7 @@
 	off := set.Bool("off", false, "end the drain: the worker accepts new work again")
 	return a.command("drain", "[-off] WORKER", "Stop sending new work to a worker.", set,
 		func(ctx context.Context, args []string) error {
-			name, err := oneArg(args, "the worker's name")
+			name, err := pathArg(args, "the worker's name")
 			if err != nil {
 				return err
 			}
@@ -95,7 +95,7 @@
 			if *off {
 				method = http.MethodDelete
 			}
-			return a.exchange(ctx, a.operators, method, "/v1/workers/"+name+"/drain", nil, &struct{}{})
+			return a.exchange(ctx, a.toOperators(), method, "/v1/workers/"+name+"/drain", nil, &struct{}{})
 		})
 }
 
@@ -105,6 +105,11 @@
 			if len(args) == 0 {
 				return &usageError{"name what to get"}
 			}
+			if args[0] != "jobs" {
+				if err := noArgs(args[1:], "get "+args[0]); err != nil {
+					return err
+				}
+			}
 			switch args[0] {
 			case "records":
 				return a.getRecords(ctx)
@@ -126,7 +131,7 @@
 
 func (a *app) getRecords(ctx context.Context) error {
 	var view api.RecordsView
-	if err := a.get(ctx, a.operators, "/v1/records", &view); err != nil {
+	if err := a.get(ctx, a.toOperators(), "/v1/records", &view); err != nil {
 		return err
 	}
 	return a.print(view, func(w io.Writer) { fmt.Fprintf(w, "# version %d\n%s", view.Version, view.Data) })
@@ -134,7 +139,7 @@
 
 func (a *app) getEntries(ctx context.Context) error {
 	var views []api.EntryView
-	if err := a.get(ctx, a.operators, "/v1/entries", &views); err != nil {
+	if err := a.get(ctx, a.toOperators(), "/v1/entries", &views); err != nil {
 		return err
 	}
 	return a.print(views, func(w io.Writer) {
@@ -152,7 +157,7 @@
 
 func (a *app) getWorkers(ctx context.Context, racks bool) error {
 	var views []api.WorkerView
-	if err := a.get(ctx, a.operators, "/v1/workers", &views); err != nil {
+	if err := a.get(ctx, a.toOperators(), "/v1/workers", &views); err != nil {
 		return err
 	}
 	if racks {
@@ -202,7 +207,7 @@
 
 func (a *app) getTeams(ctx context.Context) error {
 	var views []api.TeamView
-	if err := a.get(ctx, a.operators, "/v1/teams", &views); err != nil {
+	if err := a.get(ctx, a.toOperators(), "/v1/teams", &views); err != nil {
 		return err
 	}
 	return a.print(views, func(w io.Writer) {
@@ -215,37 +220,30 @@
 }
 
 func (a *app) getJobs(ctx context.Context, args []string) error {
-	team, err := oneArg(args, "the team")
+	team, err := pathArg(args, "the team")
 	if err != nil {
 		return err
 	}
 	var views []api.JobView
-	if err := a.get(ctx, a.operators, "/v1/teams/"+team+"/jobs", &views); err != nil {
+	if err := a.get(ctx, a.toOperators(), "/v1/teams/"+team+"/jobs", &views); err != nil {
 		return err
 	}
 	return a.printJobs(views)
 }
 
-// readFiles reads the named files, and the .toml files of the named directories.
+// readFiles reads the named files, and the .toml files of the named directories. A directory
+// without such files is an error: applied, it would remove the records that belong there.
 func readFiles(args []string) ([]api.File, error) {
 	if len(args) == 0 {
 		return nil, &usageError{"want files or directories of records"}
 	}
 	var paths []string
 	for _, arg := range args {
-		info, err := os.Stat(arg)
-		if err != nil {
-			return nil, &usageError{err.Error()}
-		}
-		if !info.IsDir() {
-			paths = append(paths, arg)
-			continue
-		}
-		inside, err := filepath.Glob(filepath.Join(arg, "*.toml"))
+		found, err := recordPaths(arg)
 		if err != nil {
 			return nil, err
 		}
-		paths = append(paths, inside...)
+		paths = append(paths, found...)
 	}
 	files := make([]api.File, 0, len(paths))
 	for _, path := range paths {
@@ -258,6 +256,35 @@
 	return files, nil
 }
 
+// recordPaths returns the path if it is a file's, and the paths of the .toml files in it if it
+// is a directory's.
+func recordPaths(path string) ([]string, error) {
+	if path == "" {
+		return nil, &usageError{"want files or directories of records, got an empty name"}
+	}
+	info, err := os.Stat(path)
+	if err != nil {
+		return nil, &usageError{err.Error()}
+	}
+	if !info.IsDir() {
+		return []string{path}, nil
+	}
+	entries, err := os.ReadDir(path)
+	if err != nil {
+		return nil, &usageError{err.Error()}
+	}
+	var paths []string
+	for _, entry := range entries {
+		if filepath.Ext(entry.Name()) == ".toml" {
+			paths = append(paths, filepath.Join(path, entry.Name()))
+		}
+	}
+	if len(paths) == 0 {
+		return nil, &usageError{path + ": the directory has no .toml files"}
+	}
+	return paths, nil
+}
+
 // table prints aligned columns.
 func table(w io.Writer, head string, rows func(row func(...any))) {
 	columns := tabwriter.NewWriter(w, 0, 4, 2, ' ', 0)
--- a/internal/cli/report.go
+++ b/internal/cli/report.go
@@ -2,10 +2,10 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"net/http"
 	"os"
-	"strings"
 	"time"
 
 	"github.com/peterbourgon/ff/v3/ffcli"
@@ -28,7 +28,11 @@
 			if what != "burn" {
 				return &usageError{"unknown report " + what}
 			}
-			report := burn.Merge(time.Now(), a.burnParts(ctx))
+			parts, err := a.burnParts(ctx)
+			if err != nil {
+				return err
+			}
+			report := burn.Merge(time.Now(), parts)
 			if *page != "" {
 				return writePage(*page, report)
 			}
@@ -37,36 +41,30 @@
 }
 
 // burnParts reads the burn report of every entry in -operators. An entry that fails is
-// listed with the error.
-func (a *app) burnParts(ctx context.Context) []burn.Part {
+// listed with the error. Errors: *usageError.
+func (a *app) burnParts(ctx context.Context) ([]burn.Part, error) {
+	operators := a.toOperators()
+	bases, err := operators.bases()
+	if err != nil {
+		return nil, err
+	}
 	var parts []burn.Part
-	for base := range strings.SplitSeq(a.operators, ",") {
+	for _, base := range bases {
 		ctx, cancel := context.WithTimeout(ctx, reportTimeout)
 		var part burn.Part
-		if err := a.exchange(ctx, base, http.MethodGet, "/v1/burn", nil, &part); err != nil {
+		if err := a.exchange(ctx, target{operators.name, base}, http.MethodGet, "/v1/burn", nil, &part); err != nil {
 			part = burn.Part{Entry: base, Missing: err.Error()}
 		}
 		cancel()
 		parts = append(parts, part)
 	}
-	return parts
+	return parts, nil
 }
 
 func writePage(path string, report burn.Report) error {
 	file, err := os.Create(path)
 	if err != nil {
-		return &usageError{err.Error()}
-	}
-	if err := report.WriteHTML(file); err != nil {
-		return err
-	}
-	return file.Close()
-}
-
-func readFile(path string) ([]byte, error) {
-	data, err := os.ReadFile(path)
-	if err != nil {
-		return nil, &usageError{err.Error()}
+		return &usageError{"-html: " + err.Error()}
 	}
-	return data, nil
+	return errors.Join(report.WriteHTML(file), file.Close())
 }
--- a/internal/cli/trial.go
+++ b/internal/cli/trial.go
@@ -36,7 +36,10 @@
 	set := a.flags("trial")
 	logs := set.Bool("logs", false, "print the entries' events to standard error")
 	return a.command("trial", "[-logs]", "Run a small scheduler in this process and send work to it.", set,
-		func(ctx context.Context, _ []string) error {
+		func(ctx context.Context, args []string) error {
+			if err := noArgs(args, "trial"); err != nil {
+				return err
+			}
 			out := io.Discard
 			if *logs {
 				out = a.stderr
@@ -83,7 +86,7 @@
 	}
 	a.key = trial.OperatorKey
 	var result api.ApplyResult
-	if err := a.exchange(ctx, a.operators, http.MethodPost, "/v1/apply", request, &result); err != nil {
+	if err := a.exchange(ctx, a.toOperators(), http.MethodPost, "/v1/apply", request, &result); err != nil {
 		return err
 	}
 	fmt.Fprintf(a.stdout, "\nApplied %d files: %d changes, version %d in force on %s.\n",
--- a/internal/cli/work.go
+++ b/internal/cli/work.go
@@ -6,6 +6,8 @@
 	"fmt"
 	"io"
 	"net/http"
+	"net/url"
+	"os"
 	"strconv"
 	"strings"
 	"time"
@@ -32,11 +34,14 @@
 	body := set.String("body", "", "body, or @FILE, or - for standard input")
 	return a.command("request", "[flags] KIND", "Send one request and print the answer.", set,
 		func(ctx context.Context, args []string) error {
-			kind, err := oneArg(args, "the kind of work")
+			kind, err := pathArg(args, "the kind of work")
 			if err != nil {
 				return err
 			}
-			data, err := a.readBody(*body)
+			if err := checkDuration("-deadline", *deadline, time.Millisecond); err != nil {
+				return err
+			}
+			data, err := a.readBody("-body", *body)
 			if err != nil {
 				return err
 			}
@@ -47,7 +52,7 @@
 			if *deadline > 0 {
 				header.Set(api.HeaderDeadline, strconv.FormatInt(deadline.Milliseconds(), 10))
 			}
-			response, answer, err := a.do(ctx, a.entries, call{http.MethodPost, "/v1/kinds/" + kind + "/requests", header, data})
+			response, answer, err := a.do(ctx, a.toEntries(), call{http.MethodPost, "/v1/kinds/" + kind + "/requests", header, data})
 			if err != nil {
 				return err
 			}
@@ -85,7 +90,16 @@
 		if err != nil {
 			return err
 		}
-		data, err := a.readBody(*payload)
+		if *tasks < 1 {
+			return &usageError{fmt.Sprintf("-tasks: %d is below 1", *tasks)}
+		}
+		if err := checkDuration("-within", *within, time.Millisecond); err != nil {
+			return err
+		}
+		if err := checkDuration("-wait", *wait, 0); err != nil {
+			return err
+		}
+		data, err := a.readBody("-payload", *payload)
 		if err != nil {
 			return err
 		}
@@ -94,7 +108,7 @@
 			spec.Deadline = time.Now().Add(*within)
 		}
 		var view api.JobView
-		if err := a.exchange(ctx, a.entries, http.MethodPost, "/v1/jobs", spec, &view); err != nil {
+		if err := a.exchange(ctx, a.toEntries(), http.MethodPost, "/v1/jobs", spec, &view); err != nil {
 			return err
 		}
 		return a.follow(ctx, view, *wait)
@@ -106,15 +120,22 @@
 	wait := set.Duration("wait", 0, "wait this long for the job to be finished")
 	return a.command("status", "[-wait D] [JOB]", "Print a job, or all jobs of the team.", set,
 		func(ctx context.Context, args []string) error {
+			if err := checkDuration("-wait", *wait, 0); err != nil {
+				return err
+			}
 			if len(args) == 0 {
 				var views []api.JobView
-				if err := a.get(ctx, a.entries, "/v1/jobs", &views); err != nil {
+				if err := a.get(ctx, a.toEntries(), "/v1/jobs", &views); err != nil {
 					return err
 				}
 				return a.printJobs(views)
 			}
+			id, err := pathArg(args, "the job's id")
+			if err != nil {
+				return err
+			}
 			var view api.JobView
-			if err := a.get(ctx, a.entries, "/v1/jobs/"+args[0], &view); err != nil {
+			if err := a.get(ctx, a.toEntries(), "/v1/jobs/"+id, &view); err != nil {
 				return err
 			}
 			return a.follow(ctx, view, *wait)
@@ -127,7 +148,8 @@
 	until := time.Now().Add(wait)
 	for !view.State.Final() && time.Now().Before(until) {
 		time.Sleep(statusInterval)
-		err := a.get(ctx, a.entries, "/v1/jobs/"+view.ID, &view)
+		err := a.get(ctx, a.toEntries(), "/v1/jobs/"+url.PathEscape(view.ID), &view)
+		// Other errors may pass before the wait is over.
 		var refused *api.Error
 		if errors.As(err, &refused) && refused.RetryAfter == 0 {
 			return err
@@ -159,12 +181,12 @@
 func (a *app) cancelCommand() *ffcli.Command {
 	return a.command("cancel", "JOB", "Cancel a job; after the answer no task of it starts.", a.flags("cancel"),
 		func(ctx context.Context, args []string) error {
-			id, err := oneArg(args, "the job's id")
+			id, err := pathArg(args, "the job's id")
 			if err != nil {
 				return err
 			}
 			var view api.JobView
-			if err := a.exchange(ctx, a.entries, http.MethodDelete, "/v1/jobs/"+id, nil, &view); err != nil {
+			if err := a.exchange(ctx, a.toEntries(), http.MethodDelete, "/v1/jobs/"+id, nil, &view); err != nil {
 				return err
 			}
 			return a.printJobs([]api.JobView{view})
@@ -174,12 +196,12 @@
 func (a *app) explainCommand() *ffcli.Command {
 	return a.command("explain", "JOB", "Explain why a job is waiting.", a.flags("explain"),
 		func(ctx context.Context, args []string) error {
-			id, err := oneArg(args, "the job's id")
+			id, err := pathArg(args, "the job's id")
 			if err != nil {
 				return err
 			}
 			var e api.Explanation
-			if err := a.get(ctx, a.entries, "/v1/jobs/"+id+"/explain", &e); err != nil {
+			if err := a.get(ctx, a.toEntries(), "/v1/jobs/"+id+"/explain", &e); err != nil {
 				return err
 			}
 			return a.print(e, func(w io.Writer) {
@@ -197,13 +219,17 @@
 }
 
 // readBody returns the content of FILE for @FILE, standard input for -, and arg itself
-// otherwise.
-func (a *app) readBody(arg string) ([]byte, error) {
+// otherwise. name is the flag that has arg.
+func (a *app) readBody(name, arg string) ([]byte, error) {
 	if arg == "-" {
 		return io.ReadAll(a.stdin)
 	}
 	if file, isFile := strings.CutPrefix(arg, "@"); isFile {
-		return readFile(file)
+		data, err := os.ReadFile(file)
+		if err != nil {
+			return nil, &usageError{name + ": " + err.Error()}
+		}
+		return data, nil
 	}
 	return []byte(arg), nil
 }
