Refuse an empty or repeating list of teams

Cause: a table of bad values for every field of the records (103 values in TestBadValueNamesRecordAndField) found two that were accepted: teams = [] read as the default, all teams, and a team named twice. Change: an empty list is a fault of its field in every file read by internal/tomlcheck. A team named twice is one for Parse; Decode, which reads stored configurations, still accepts it.

--- a/internal/tomlcheck/read.go
+++ b/internal/tomlcheck/read.go
@@ -242,12 +242,16 @@
 	return nil
 }
 
-// assignList stores a list, whose elements TOML decodes as V. want names the type.
+// assignList stores a list, whose elements TOML decodes as V. want names the type. An empty
+// list is an error: it would read as the default, which may be the opposite of none.
 func assignList[V, E any](p *[]E, value any, convert func(V) E, want string) error {
 	list, ok := value.([]any)
 	if !ok {
 		return fmt.Errorf("must be %s", want)
 	}
+	if len(list) == 0 {
+		return errors.New("must not be empty")
+	}
 	var out []E
 	for _, element := range list {
 		v, ok := element.(V)
--- a/version/records/parse.go
+++ b/version/records/parse.go
@@ -15,6 +15,11 @@
 // Parse reads a file of either schema. The error is Faults, which lists all faults of the
 // file. References to records, which other files may declare, are checked by Compile.
 func Parse(file string, data []byte) (*Records, error) {
+	return parse(file, data, repeatedTeams)
+}
+
+// parse reads a file. check returns faults of the records besides those of their fields.
+func parse(file string, data []byte, check func(*Records) Faults) (*Records, error) {
 	reader := &tomlcheck.Reader{File: file}
 	if len(data) > MaxFileBytes {
 		reader.Faults.Add(file, "", "", "has %d bytes, more than %d", len(data), MaxFileBytes)
@@ -32,12 +37,28 @@
 		Upstreams: readAll(reader, root, upstreamSpec, "name", func(u *Upstream) { u.File = file }),
 	}
 	reader.Faults = append(reader.Faults, duplicates(out)...)
+	reader.Faults = append(reader.Faults, check(out)...)
 	if err := reader.Faults.Err(); err != nil {
 		return nil, err
 	}
 	return out, nil
 }
 
+// repeatedTeams returns a fault for each kind of work that names a team twice.
+func repeatedTeams(r *Records) Faults {
+	var faults Faults
+	for _, kind := range r.Kinds {
+		named := map[string]bool{}
+		for _, team := range kind.Teams {
+			if named[team] {
+				faults.Add(kind.File, kind.label(), "teams", "names %q twice", team)
+			}
+			named[team] = true
+		}
+	}
+	return faults
+}
+
 func readSchema(reader *tomlcheck.Reader, root map[string]any) bool {
 	schema, ok := root["schema"].(int64)
 	if !ok || schema < Schema1 || schema > Schema2 {
@@ -133,7 +154,8 @@
 	}
 }
 
-// Decode is the inverse of Encode.
+// Decode is the inverse of Encode. It accepts what an earlier release may have stored, which
+// includes teams named twice.
 func Decode(data []byte) (*Records, error) {
-	return Parse("", data)
+	return parse("", data, func(*Records) Faults { return nil })
 }
