conn/drain: close connections in stages

Cause: a connection that is closed while bytes are on their way is reset, and the reset discards a response that the client has not read yet. Change: while a server drains, a connection is closed for writing first and for reading when the client has closed it, at most 0.2 s later. Test: TestLateBytesDoNotResetTheResponse fails without the stages (connection reset by peer).

--- a/conn/drain/conn.go
+++ b/conn/drain/conn.go
@@ -1,6 +1,7 @@
 package drain
 
 import (
+	"io"
 	"net"
 	"sync"
 	"time"
@@ -9,6 +10,7 @@
 // conn is a connection of a Server that knows whether a request is in progress on it.
 type conn struct {
 	net.Conn
+	server *Server
 	// headerTimeout bounds the reading of a request's header.
 	headerTimeout time.Duration
 	acceptedAt    time.Time
@@ -38,6 +40,28 @@
 	return n, err
 }
 
+// Close implements net.Conn. A connection that is closed while bytes are on their way is
+// reset, which may take the last response with it. So while the server drains, the
+// connection is closed for writing first, and for reading when the client has closed it.
+func (c *conn) Close() error {
+	if c.server.lingers() && c.linger() {
+		c.server.late.Add(1)
+	}
+	return c.Conn.Close()
+}
+
+// linger closes the connection for writing, waits until the client closes it, and reports
+// whether further bytes arrived.
+func (c *conn) linger() bool {
+	writer, ok := c.Conn.(interface{ CloseWrite() error })
+	if !ok || writer.CloseWrite() != nil || c.Conn.SetReadDeadline(time.Now().Add(lingerTime)) != nil {
+		return false
+	}
+	// An error means that the client has reset the connection or keeps it open.
+	n, _ := io.Copy(io.Discard, c.Conn)
+	return n > 0
+}
+
 func isTimeout(err error) bool {
 	netErr, ok := err.(net.Error)
 	return ok && netErr.Timeout()
--- a/conn/drain/drain_test.go
+++ b/conn/drain/drain_test.go
@@ -223,6 +223,37 @@
 	})
 }
 
+// A client whose next bytes are on their way when its connection is closed must still get the
+// response before: a reset would discard it.
+func TestLateBytesDoNotResetTheResponse(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	body := strings.Repeat("x", 1<<20)
+	s := New(&http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, body) }), ReadHeaderTimeout: time.Second})
+	go func() { _ = s.Serve(l) }()
+	drained := make(chan Outcome, 1)
+	go func() {
+		drained <- s.Drain(Limits{Accept: 100 * time.Millisecond, Answer: time.Second, Cut: 2 * time.Second})
+	}()
+	for !s.draining.Load() {
+		time.Sleep(time.Millisecond)
+	}
+	c, err := net.Dial("tcp", l.Addr().String())
+	assert.NilError(t, err)
+	_, err = io.WriteString(c, strings.Repeat("GET / HTTP/1.1\r\nHost: host\r\n\r\n", 2))
+	assert.NilError(t, err)
+	time.Sleep(50 * time.Millisecond)
+	_, err = io.WriteString(c, strings.Repeat("x", 1<<12))
+	assert.NilError(t, err)
+	res, err := http.ReadResponse(bufio.NewReader(c), nil)
+	assert.NilError(t, err)
+	read, err := io.ReadAll(res.Body)
+	assert.NilError(t, err)
+	assert.Equal(t, len(read), len(body))
+	assert.NilError(t, c.Close())
+	assert.Equal(t, (<-drained).Late, 1)
+}
+
 // A client that has connected sends its request a round trip later, which may be after the
 // listener was closed.
 func TestFirstRequestAfterTheListenerIsClosed(t *testing.T) {
--- a/conn/drain/server.go
+++ b/conn/drain/server.go
@@ -22,6 +22,8 @@
 	// firstRequestTime is how long after a connection was accepted its first request is
 	// expected: clients connect to send at once.
 	firstRequestTime = 500 * time.Millisecond
+	// lingerTime is how long a connection that was closed for writing is read.
+	lingerTime = 200 * time.Millisecond
 	// pollInterval is the interval between checks for requests in progress.
 	pollInterval = 10 * time.Millisecond
 )
@@ -36,6 +38,10 @@
 	ctx      context.Context
 	cancel   context.CancelFunc
 	draining atomic.Bool
+	// cutting is set when connections are closed at once.
+	cutting atomic.Bool
+	// late counts the connections on which bytes arrived after they were closed.
+	late atomic.Int64
 
 	mu    sync.Mutex
 	conns map[*conn]struct{}
@@ -68,10 +74,14 @@
 
 // Close closes the listener and cuts all connections.
 func (s *Server) Close() error {
+	s.cutting.Store(true)
 	s.cancel()
 	return s.server.Close()
 }
 
+// lingers reports whether connections are closed in stages.
+func (s *Server) lingers() bool { return s.draining.Load() && !s.cutting.Load() }
+
 // Connections counts the open connections of a Server.
 type Connections struct {
 	// Requests is the number of connections with a request in progress. Idle ones have had
@@ -136,7 +146,7 @@
 	if err != nil {
 		return nil, err
 	}
-	c := &conn{Conn: accepted, headerTimeout: l.server.server.ReadHeaderTimeout, acceptedAt: time.Now()}
+	c := &conn{Conn: accepted, server: l.server, headerTimeout: l.server.server.ReadHeaderTimeout, acceptedAt: time.Now()}
 	l.server.mu.Lock()
 	l.server.conns[c] = struct{}{}
 	l.server.mu.Unlock()
