--- a/process/cluster/acquire.go
+++ b/process/cluster/acquire.go
@@ -75,9 +75,13 @@
 	if err != nil || fence == 0 {
 		return
 	}
+	loadCtx, cancel := context.WithTimeout(ctx, loadTimeout)
+	defer cancel()
+	// From the notifications on, calls of other entries arrive.
+	n.startLoad(fence, cancel)
 	n.log.Log(events.CellLeaseAcquired, fence, reason, time.Since(began).String())
 	n.notify(n.knownEntries(), methodAcquired, seenReply{leaseRow: n.ownLease(), Fence: fence})
-	n.begin(ctx, fence, began)
+	n.begin(loadCtx, fence, began)
 }
 
 // readBackLease finds out whether a lease write with unknown outcome took effect, and
@@ -112,10 +116,7 @@
 // begin loads the cell and starts scheduling. If the cell cannot be loaded, or this entry
 // leaves meanwhile and gives the load up, it releases the lease.
 func (n *Node) begin(ctx context.Context, fence uint64, since time.Time) {
-	loadCtx, cancel := context.WithTimeout(ctx, loadTimeout)
-	defer cancel()
-	n.startLoad(fence, cancel)
-	r, err := newLeadership(loadCtx, n, fence, since)
+	r, err := newLeadership(ctx, n, fence, since)
 	if err != nil {
 		n.loadFailed(context.WithoutCancel(ctx), fence, err)
 		return
