cluster: offer the lease before it is released, small entries wait for large ones

Change: the scheduler offers the lease first. An entry that accepts it acquires it even if it begins to leave meanwhile, one that refuses is passed over. At the end of the hold a large entry that has been leaving for less than half of the hold goes before a small one that stays (heartbeats say for how long). An entry waits 0.4 s longer to take over while one 1.5 times as large is known, also one that the list, which may be old, shows as leaving. Tests: TestSuccessorLeavesDuringHandover failed before (a small scheduler for 135 of 400 looks), TestSmallEntryWaitsForRestartedOne fails without the delay by size; TestRefusedOffer, TestSmallEntryTakesOverFromLargeOnes.

--- a/process/cluster/acquire.go
+++ b/process/cluster/acquire.go
@@ -14,7 +14,7 @@
 func (n *Node) yield(ctx context.Context, r *leadership) {
 	n.mu.Lock()
 	var successor string
-	staying := n.stayingLocked()
+	staying, _ := n.candidatesLocked()
 	due := !n.leaving && time.Since(r.began) > yieldAfter && time.Since(n.yieldedAt) > yieldInterval &&
 		len(staying) > 0 && staying[0].Cores > yieldFactor*n.config.Cores
 	if due {
@@ -22,7 +22,7 @@
 		n.yieldedAt = time.Now()
 	}
 	n.mu.Unlock()
-	if due {
+	if due && n.offerLease(ctx, successor) {
 		n.log.Log(events.HandoverDecided, r.fence, successor, "the entry is larger", time.Since(r.began).String())
 		n.handOver(ctx, r, successor)
 	}
@@ -55,7 +55,7 @@
 // and starts scheduling.
 func (n *Node) acquire(ctx context.Context, version uint64, reason string) {
 	began := time.Now()
-	if n.isLeaving() {
+	if !n.takesLease() {
 		return
 	}
 	value, err := json.Marshal(n.ownLease())
@@ -176,6 +176,7 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.loading, n.loaded, n.abortLoad, n.abandoned = fence, make(chan struct{}), abort, handover{}
+	n.offer = acceptedOffer{}
 }
 
 // endLoadLocked notes that the load has ended. n.mu must be held.
--- a/process/cluster/calls.go
+++ b/process/cluster/calls.go
@@ -12,6 +12,7 @@
 	methodHeartbeat = "cell.beat"
 	methodSeen      = "cell.seen"
 	methodReleased  = "cell.released"
+	methodOffer     = "cell.offer"
 	methodAcquiring = "cell.taking"
 	methodAcquired  = "cell.took"
 	methodCall      = "cell.call"
@@ -40,8 +41,10 @@
 	MembersHash uint64 `json:"members_hash,omitempty"`
 	// Stamp is that of the scheduler's last reply.
 	Stamp int64 `json:"stamp,omitempty"`
-	// UptimeMS is how long ago the standby's process started, in milliseconds.
-	UptimeMS int64 `json:"uptime_ms,omitempty"`
+	// UptimeMS is how long ago the standby's process started, and LeavingMS how long ago it
+	// began to leave, in milliseconds.
+	UptimeMS  int64 `json:"uptime_ms,omitempty"`
+	LeavingMS int64 `json:"leaving_ms,omitempty"`
 }
 
 // heartbeatReply is the scheduler's answer to a heartbeat.
@@ -76,6 +79,12 @@
 	Successor string `json:"successor,omitempty"`
 }
 
+// offerReply answers a scheduler that offers to hand the cell over.
+type offerReply struct {
+	// Accepted is set if the entry will acquire the lease once it is released.
+	Accepted bool `json:"accepted"`
+}
+
 // rawCatalog is a version of the configuration in its encoded form.
 type rawCatalog struct {
 	Raw []byte `json:"raw"`
--- a/process/cluster/elect.go
+++ b/process/cluster/elect.go
@@ -21,6 +21,8 @@
 	// one has checked before it; rankDelay is added for each further rank.
 	firstRankDelay = 4 * electionPeriod
 	rankDelay      = 25 * time.Millisecond
+	// smallDelay is the additional takeover delay of an entry while a larger one is known.
+	smallDelay = 400 * time.Millisecond
 	// afterSuccessor is how long the entries leave a released lease to the successor that
 	// was named, before they act by rank.
 	afterSuccessor = 250 * time.Millisecond
@@ -154,11 +156,26 @@
 }
 
 // mayAcquire reports whether this entry may acquire a lease without a holder now. An entry
-// that has just started leaves it to larger ones first.
+// that has just started leaves it to larger ones first, unless it was named the successor.
 func (n *Node) mayAcquire() bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	return !n.leaving && n.published.Catalog != nil && time.Since(n.startedAt) >= n.unrankedDelay() && !time.Now().Before(n.acquireFrom)
+	if !n.takesLeaseLocked() || n.published.Catalog == nil {
+		return false
+	}
+	return n.offer.toMe() || time.Since(n.startedAt) >= n.unrankedDelay() && !time.Now().Before(n.acquireFrom)
+}
+
+// sizeDelay returns how much longer an entry waits that is much smaller than another one: it
+// would need long to read the cell. The list of entries may be old, and the larger ones
+// restarted since.
+func (n *Node) sizeDelay(view leaderView) time.Duration {
+	for _, m := range view.members {
+		if m.Name != view.Holder && m.Cores > yieldFactor*n.config.Cores {
+			return smallDelay
+		}
+	}
+	return 0
 }
 
 // unrankedDelay returns how long this entry waits if it knows no other entry.
@@ -174,7 +191,7 @@
 	n.mu.Unlock()
 	delay := n.unrankedDelay()
 	if rank, known := rankOf(n.config.Name, view); known {
-		delay = takeoverDelay(rank)
+		delay = takeoverDelay(rank) + n.sizeDelay(view)
 	}
 	delay += n.heartbeatInterval(view) - heartbeatPeriod + n.lag.allowance()
 	switch now := time.Now(); {
--- a/process/cluster/handover.go
+++ b/process/cluster/handover.go
@@ -3,11 +3,14 @@
 import (
 	"cmp"
 	"context"
+	"encoding/json"
+	"errors"
 	"slices"
 	"strings"
 	"sync"
 	"time"
 
+	"github.com/kingcuplatch/kingcuplatch/conn/peer"
 	"github.com/kingcuplatch/kingcuplatch/process/events"
 )
 
@@ -16,6 +19,10 @@
 	handoverDrain = 300 * time.Millisecond
 	// drainCheckPeriod is the interval between checks whether writes have ended.
 	drainCheckPeriod = 5 * time.Millisecond
+	// offerTimeout bounds the offer of the lease to an entry.
+	offerTimeout = 200 * time.Millisecond
+	// offerHolds is how long an entry that accepted an offer waits for the lease.
+	offerHolds = handoverDrain + releaseTimeout
 )
 
 // callGate counts the calls that a scheduler is answering, and admits no more once closed.
@@ -144,6 +151,80 @@
 	n.notify(members, methodReleased, seenReply{Fence: fence, Successor: successor}).Wait()
 }
 
+// acceptedOffer is an offer of the lease that this entry has accepted: it acquires the lease
+// of this fence once it is released, even if it begins to leave meanwhile.
+type acceptedOffer struct {
+	fence uint64
+	until time.Time
+	// released is set once the lease has been released to this entry.
+	released bool
+}
+
+// open reports whether the lease may still be released to this entry.
+func (o acceptedOffer) open() bool { return time.Now().Before(o.until) }
+
+// toMe reports whether the lease has just been released to this entry.
+func (o acceptedOffer) toMe() bool { return o.released && o.open() }
+
+// offerLease asks an entry to take the lease over, and reports whether it will. An entry of
+// an earlier version doesn't know the question; it acquires the lease when it is released.
+func (n *Node) offerLease(ctx context.Context, name string) bool {
+	n.mu.Lock()
+	to, known := n.standbys[name]
+	message := seenReply{leaseRow: n.ownLease(), Fence: n.offeredFenceLocked()}
+	n.mu.Unlock()
+	if !known {
+		return false
+	}
+	ctx, cancel := context.WithTimeout(ctx, offerTimeout)
+	defer cancel()
+	var reply offerReply
+	err := n.config.Peers.Call(ctx, to.Address, methodOffer, message, &reply)
+	var remote *peer.RemoteError
+	if reply.Accepted || errors.As(err, &remote) {
+		return true
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if to, known = n.standbys[name]; known {
+		// Its next heartbeat says whether it can schedule again.
+		to.unable = true
+		n.standbys[name] = to
+	}
+	return false
+}
+
+// offeredFenceLocked returns the fence of the leadership that this entry has or reads the
+// cell for. n.mu must be held.
+func (n *Node) offeredFenceLocked() uint64 {
+	if n.loading != 0 {
+		return n.loading
+	}
+	if n.leadership != nil {
+		return n.leadership.fence
+	}
+	return 0
+}
+
+// serveOffer answers a scheduler that offers to hand the cell over.
+func (n *Node) serveOffer(_ context.Context, params json.RawMessage) (any, error) {
+	var message seenReply
+	if err := json.Unmarshal(params, &message); err != nil {
+		return nil, err
+	}
+	n.follow(leaseState{leaseRow: message.leaseRow, version: message.Fence})
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	able := n.published.Catalog != nil && n.view.fence == message.Fence && (n.leadership == nil || n.leadership.over())
+	if n.leaving {
+		able = able && n.config.Timings.Leave.mayAccept(time.Since(n.leavingSince))
+	}
+	if able {
+		n.offer = acceptedOffer{fence: message.Fence, until: time.Now().Add(offerHolds)}
+	}
+	return offerReply{Accepted: able}, nil
+}
+
 // knownEntries returns the live entries and those of the last view.
 func (n *Node) knownEntries() []Member {
 	n.mu.Lock()
@@ -162,18 +243,27 @@
 	return members
 }
 
-// stayingLocked returns the other live entries that don't leave and can schedule: the
-// largest first, and of those that are equal the one that started last, which is the last
-// to be restarted again. n.mu must be held.
-func (n *Node) stayingLocked() []candidate {
-	var staying []candidate
+// candidatesLocked returns the other live entries that can schedule: the largest first, and
+// of those that are equal the one that started last, which is the last to be restarted
+// again. n.mu must be held.
+func (n *Node) candidatesLocked() (staying, leaving []candidate) {
 	for _, m := range n.standbys {
-		if m.live() && m.Name != n.config.Name && !m.Leaving && !m.withoutCatalog {
-			staying = append(staying, candidate{Member: m.Member, startedAt: m.startedAt})
+		if !m.live() || m.Name == n.config.Name || m.unable {
+			continue
+		}
+		c := candidate{Member: m.Member, startedAt: m.startedAt}
+		switch {
+		case !m.Leaving:
+			staying = append(staying, c)
+		case !m.leavingSince.IsZero():
+			c.leavingFor = time.Since(m.leavingSince)
+			leaving = append(leaving, c)
 		}
 	}
-	slices.SortFunc(staying, func(a, b candidate) int {
-		return cmp.Or(cmp.Compare(b.Cores, a.Cores), b.startedAt.Compare(a.startedAt), strings.Compare(a.Name, b.Name))
-	})
-	return staying
+	order := func(a, b candidate) int {
+		return cmp.Or(cmp.Compare(b.Cores, a.Cores), cmp.Compare(a.leavingFor, b.leavingFor), b.startedAt.Compare(a.startedAt), strings.Compare(a.Name, b.Name))
+	}
+	slices.SortFunc(staying, order)
+	slices.SortFunc(leaving, order)
+	return staying, leaving
 }
--- a/process/cluster/heartbeat.go
+++ b/process/cluster/heartbeat.go
@@ -126,7 +126,11 @@
 	version := n.catalogVersion()
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	return heartbeat{Member: n.member(), CatalogVersion: version, MembersHash: view.membersHash, Stamp: view.stamp, UptimeMS: n.clockMS()}
+	b := heartbeat{Member: n.member(), CatalogVersion: version, MembersHash: view.membersHash, Stamp: view.stamp, UptimeMS: n.clockMS()}
+	if n.leaving {
+		b.LeavingMS = max(1, time.Since(n.leavingSince).Milliseconds())
+	}
+	return b
 }
 
 // serveHeartbeat answers a standby's heartbeat.
@@ -175,12 +179,18 @@
 	if b.Stamp > 0 {
 		confirmed = maxTime(confirmed, n.startedAt.Add(time.Duration(b.Stamp)*time.Millisecond))
 	}
-	heard := standby{Member: b.Member, lastContact: time.Now(), confirmedAt: confirmed, withoutCatalog: b.CatalogVersion == 0}
-	if b.UptimeMS > 0 {
-		heard.startedAt = time.Now().Add(-time.Duration(b.UptimeMS) * time.Millisecond)
-	}
+	heard := standby{Member: b.Member, lastContact: time.Now(), confirmedAt: confirmed, unable: b.CatalogVersion == 0}
+	heard.startedAt, heard.leavingSince = timeBefore(b.UptimeMS), timeBefore(b.LeavingMS)
 	n.standbys[b.Name] = heard
 }
 
+// timeBefore returns the time that was so many milliseconds ago; the zero time for 0.
+func timeBefore(ms int64) time.Time {
+	if ms <= 0 {
+		return time.Time{}
+	}
+	return time.Now().Add(-time.Duration(ms) * time.Millisecond)
+}
+
 // clockMS returns the time since this entry started, in milliseconds, but at least 1.
 func (n *Node) clockMS() int64 { return max(1, time.Since(n.startedAt).Milliseconds()) }
--- a/process/cluster/leave.go
+++ b/process/cluster/leave.go
@@ -59,6 +59,9 @@
 	if !decision.now {
 		return false
 	}
+	if decision.successor != "" && !n.offerLease(ctx, decision.successor) {
+		return false
+	}
 	if scheduling {
 		n.log.Log(events.HandoverDecided, r.fence, decision.successor, decision.reason, state.now.Sub(state.since).String())
 		n.handOver(context.WithoutCancel(ctx), r, decision.successor)
@@ -68,8 +71,8 @@
 	return false
 }
 
-// acquiresNoMore reports whether no attempt to acquire the lease is under way. A later one
-// finds that this entry leaves.
+// acquiresNoMore reports whether no attempt to acquire the lease is under way or to come. A
+// later one finds that this entry leaves.
 func (n *Node) acquiresNoMore() bool {
 	select {
 	case <-n.leaseLock:
@@ -79,7 +82,7 @@
 	defer func() { n.leaseLock <- struct{}{} }()
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	return n.leadership == nil || n.leadership.over()
+	return (n.leadership == nil || n.leadership.over()) && !n.offer.open()
 }
 
 // candidate is an entry that may take the cell over.
@@ -87,6 +90,8 @@
 	Member
 	// startedAt is when its process started; zero if not known.
 	startedAt time.Time
+	// leavingFor is how long it has been leaving, or 0 if it stays.
+	leavingFor time.Duration
 }
 
 // leaveState is what a leaving scheduler knows when it looks for a successor.
@@ -98,9 +103,9 @@
 	limits LeaveLimits
 	// othersLeave is set if other entries leave too.
 	othersLeave bool
-	// staying are the live entries that don't leave and can schedule, the one to prefer
-	// first.
-	staying []candidate
+	// staying are the live entries that don't leave and can schedule, leaving those that
+	// leave; the ones to prefer come first.
+	staying, leaving []candidate
 }
 
 // handover is the decision whether to hand the cell over, and to which entry; successor is
@@ -116,25 +121,53 @@
 // been restarted yet soon will be, and would hand over again: each handover interrupts
 // scheduling for as long as it takes to read the cell. So a scheduler holds on until an
 // entry that has started since it began to leave can take over, and is about as large, since
-// a small one falls behind. If all leave together, it holds on until the first ones are back.
+// a small one needs long to read the cell and falls behind. If all leave together, it holds
+// on until the first ones are back.
 func (s leaveState) decide() handover {
 	held := s.now.Sub(s.since)
-	switch {
-	case held < s.limits.Min:
+	if held < s.limits.Min {
 		return handover{}
-	case len(s.staying) == 0:
-		return handover{now: held >= s.limits.Final, reason: "no entry can take the lease"}
-	case !s.othersLeave:
+	}
+	if !s.othersLeave && len(s.staying) > 0 {
 		return handover{now: true, successor: s.staying[0].Name, reason: "no other entry leaves"}
 	}
 	for _, c := range s.staying {
-		if c.startedAt.After(s.since) && c.Cores*yieldFactor >= s.cores {
+		if c.startedAt.After(s.since) && s.large(c) {
 			return handover{now: true, successor: c.Name, reason: "the entry has been restarted"}
 		}
 	}
-	return handover{now: held >= s.limits.Hold, successor: s.staying[0].Name, reason: "no large entry has been restarted in time"}
+	if held >= s.limits.Hold {
+		if c, ok := s.lastResort(); ok {
+			return handover{now: true, successor: c.Name, reason: "no large entry has been restarted in time"}
+		}
+	}
+	return handover{now: held >= s.limits.Final, reason: "no entry can take the lease"}
 }
 
+// large reports whether an entry is about as large as this one.
+func (s leaveState) large(c candidate) bool { return c.Cores*yieldFactor >= s.cores }
+
+// lastResort returns the entry to prefer at the end of the hold: a large one that stays, a
+// large one that leaves and can hold on for long enough, or any that stays.
+func (s leaveState) lastResort() (candidate, bool) {
+	if len(s.staying) > 0 && s.large(s.staying[0]) {
+		return s.staying[0], true
+	}
+	for _, c := range s.leaving {
+		if s.large(c) && s.limits.mayAccept(c.leavingFor) {
+			return c, true
+		}
+	}
+	if len(s.staying) > 0 {
+		return s.staying[0], true
+	}
+	return candidate{}, false
+}
+
+// mayAccept reports whether an entry that has been leaving for so long may still take the
+// cell over: it must be able to hold on until others have been restarted.
+func (l LeaveLimits) mayAccept(leavingFor time.Duration) bool { return leavingFor <= l.Hold/2 }
+
 // leaveStateLocked returns the state for decide. n.mu must be held.
 func (n *Node) leaveStateLocked() leaveState {
 	s := leaveState{now: time.Now(), since: n.leavingSince, cores: n.config.Cores, limits: n.config.Timings.Leave}
@@ -143,6 +176,6 @@
 			s.othersLeave = s.othersLeave || m.Leaving
 		}
 	}
-	s.staying = n.stayingLocked()
+	s.staying, s.leaving = n.candidatesLocked()
 	return s
 }
--- a/process/cluster/leave_decide_test.go
+++ b/process/cluster/leave_decide_test.go
@@ -21,26 +21,34 @@
 	fresh := candidate{Member: Member{Name: "fresh", Cores: 0.8}, startedAt: after}
 	freshSmall := candidate{Member: Member{Name: "small", Cores: 0.2}, startedAt: after}
 	unknown := candidate{Member: Member{Name: "unknown", Cores: 0.8}}
+	leavingLarge := candidate{Member: Member{Name: "leaving", Cores: 0.8, Leaving: true}, leavingFor: time.Second}
+	leavingLong := candidate{Member: Member{Name: "long", Cores: 0.8, Leaving: true}, leavingFor: 2 * time.Second}
 	for _, c := range []struct {
 		name        string
 		held        time.Duration
 		othersLeave bool
 		staying     []candidate
+		leaving     []candidate
 		now         bool
 		successor   string
 	}{
-		{"others may leave too", 900 * time.Millisecond, false, []candidate{old}, false, ""},
-		{"alone", time.Second, false, []candidate{old, freshSmall}, true, "old"},
-		{"others are to be restarted", 2 * time.Second, true, []candidate{old, unknown}, false, ""},
-		{"a large one is back", 2 * time.Second, true, []candidate{old, fresh}, true, "fresh"},
-		{"a small one is back", 2 * time.Second, true, []candidate{old, freshSmall}, false, ""},
-		{"no large one in time", 3 * time.Second, true, []candidate{old, freshSmall}, true, "old"},
-		{"small ones only", 3 * time.Second, true, []candidate{freshSmall}, true, "small"},
-		{"nobody stays", 3900 * time.Millisecond, true, nil, false, ""},
-		{"nobody stays until the end", 4 * time.Second, true, nil, true, ""},
-		{"no other entry", 2 * time.Second, false, nil, false, ""},
+		{"others may leave too", 900 * time.Millisecond, false, []candidate{old}, nil, false, ""},
+		{"alone", time.Second, false, []candidate{old, freshSmall}, nil, true, "old"},
+		{"others are to be restarted", 2 * time.Second, true, []candidate{old, unknown}, nil, false, ""},
+		{"a large one is back", 2 * time.Second, true, []candidate{old, fresh}, nil, true, "fresh"},
+		{"a small one is back", 2 * time.Second, true, []candidate{old, freshSmall}, nil, false, ""},
+		{"no large one in time", 3 * time.Second, true, []candidate{old, freshSmall}, nil, true, "old"},
+		{"small ones only", 3 * time.Second, true, []candidate{freshSmall}, nil, true, "small"},
+		{"nobody stays", 3900 * time.Millisecond, true, nil, nil, false, ""},
+		{"nobody stays until the end", 4 * time.Second, true, nil, nil, true, ""},
+		{"no other entry", 2 * time.Second, false, nil, nil, false, ""},
+		{"large ones that leave, too early", 2 * time.Second, true, []candidate{freshSmall}, []candidate{leavingLarge}, false, ""},
+		{"a large one that leaves goes before a small one", 3 * time.Second, true, []candidate{freshSmall}, []candidate{leavingLarge}, true, "leaving"},
+		{"a large one that stays goes first", 3 * time.Second, true, []candidate{old}, []candidate{leavingLarge}, true, "old"},
+		{"too little time left", 3 * time.Second, true, []candidate{freshSmall}, []candidate{leavingLong}, true, "small"},
+		{"only one that leaves", 3 * time.Second, true, nil, []candidate{leavingLarge}, true, "leaving"},
 	} {
-		s := leaveState{now: began.Add(c.held), since: began, cores: 0.8, limits: limits, othersLeave: c.othersLeave, staying: c.staying}
+		s := leaveState{now: began.Add(c.held), since: began, cores: 0.8, limits: limits, othersLeave: c.othersLeave, staying: c.staying, leaving: c.leaving}
 		got := s.decide()
 		assert.Equal(t, got.now, c.now, c.name)
 		if c.now {
--- a/process/cluster/leave_test.go
+++ b/process/cluster/leave_test.go
@@ -403,6 +403,98 @@
 	})
 }
 
+// The successor is told to stop while the scheduler hands over to it. The lease must not
+// go to a small entry instead, which would need seconds to read the cell.
+func TestSuccessorLeavesDuringHandover(t *testing.T) {
+	for delay := time.Duration(0); delay < 150*time.Millisecond; delay += 10 * time.Millisecond {
+		t.Run(delay.String(), func(t *testing.T) {
+			simulateFleet(t, 3, 8, func(w *fleet) {
+				w.simulation.mu.Lock()
+				w.tableDelay = 30 * time.Millisecond
+				w.simulation.mu.Unlock()
+				leader := w.awaitLeader(time.Second, "")
+				var others sync.WaitGroup
+				for name, cores := range w.cores {
+					if name != leader && cores == largeCores {
+						others.Go(func() {
+							time.Sleep(testLimits.Min + delay)
+							w.restart(name)
+						})
+					}
+				}
+				w.call(20 * time.Millisecond)
+				others.Go(func() { w.restart(leader) })
+				small := 0
+				for began := time.Now(); time.Since(began) < 8*time.Second; time.Sleep(20 * time.Millisecond) {
+					for _, name := range w.leaders() {
+						if w.cores[name] == smallCores {
+							small++
+						}
+					}
+				}
+				others.Wait()
+				assert.Equal(t, small, 0)
+				w.checkServed()
+			})
+		})
+	}
+}
+
+// The scheduler is lost just after the other large entry has been restarted. The small
+// ones, whose lists say that it leaves, must not go first.
+func TestSmallEntryWaitsForRestartedOne(t *testing.T) {
+	for delay := time.Duration(0); delay < 300*time.Millisecond; delay += 20 * time.Millisecond {
+		t.Run(delay.String(), func(t *testing.T) {
+			simulateFleet(t, 2, 8, func(w *fleet) {
+				leader, other := w.awaitLeader(time.Second, ""), "n1"
+				if leader == other {
+					other = "n0"
+				}
+				w.restart(other)
+				time.Sleep(delay)
+				w.kill(leader)
+				assert.Equal(t, w.awaitLeader(2*time.Second, leader), other)
+			})
+		})
+	}
+}
+
+// All large entries are lost at once. A small one takes over, somewhat later.
+func TestSmallEntryTakesOverFromLargeOnes(t *testing.T) {
+	simulateFleet(t, 2, 8, func(w *fleet) {
+		w.kill("n0")
+		w.kill("n1")
+		w.awaitLeader(unreachableAfterRefusal+smallDelay+time.Second, "")
+	})
+}
+
+// The entry to which the lease is offered refuses, since it has been leaving for long. The
+// scheduler must ask the next one, and keep scheduling meanwhile.
+func TestRefusedOffer(t *testing.T) {
+	simulateFleet(t, 3, 4, func(w *fleet) {
+		leader := w.awaitLeader(time.Second, "")
+		n := w.node(leader)
+		var refusing string
+		n.mu.Lock()
+		staying, _ := n.candidatesLocked()
+		n.mu.Unlock()
+		refusing = staying[0].Name
+		other := w.node(refusing)
+		other.mu.Lock()
+		other.leaving, other.leavingSince = true, time.Now().Add(-killAfter)
+		other.mu.Unlock()
+		assert.Assert(t, !n.offerLease(context.Background(), refusing))
+		n.mu.Lock()
+		staying, _ = n.candidatesLocked()
+		n.mu.Unlock()
+		assert.Assert(t, staying[0].Name != refusing)
+		assert.Assert(t, n.offerLease(context.Background(), staying[0].Name))
+		assert.DeepEqual(t, w.leaders(), []string{leader})
+		n.Leave(context.Background())
+		assert.Equal(t, w.cores[w.awaitLeader(time.Second, leader)], largeCores)
+	})
+}
+
 // An entry that leaves must forward its callers' calls until its process ends, also after
 // it has handed over.
 func TestLeavingEntryForwardsCalls(t *testing.T) {
--- a/process/cluster/members.go
+++ b/process/cluster/members.go
@@ -17,10 +17,12 @@
 	confirmedAt time.Time
 	// inheritedAt is when the entry was inherited from a former scheduler's list.
 	inheritedAt time.Time
-	// startedAt is when its process started; zero if not known.
-	startedAt time.Time
-	// withoutCatalog is set while the entry has no configuration, and so can't schedule.
-	withoutCatalog bool
+	// startedAt is when its process started, leavingSince when it began to leave; zero if not
+	// known.
+	startedAt    time.Time
+	leavingSince time.Time
+	// unable is set if the entry can't schedule now: it has no configuration, or refused.
+	unable bool
 }
 
 const (
--- a/process/cluster/node.go
+++ b/process/cluster/node.go
@@ -92,6 +92,8 @@
 	// leaving is set from leavingSince on, when this entry was told to stop.
 	leaving      bool
 	leavingSince time.Time
+	// offer is the offer of the lease that this entry accepted last.
+	offer acceptedOffer
 	// acquireFrom is the time until which this entry leaves a released lease to others.
 	acquireFrom time.Time
 	// startedAt is when this incarnation started; yieldedAt is when it last yielded the
@@ -115,6 +117,7 @@
 		methodHeartbeat: n.serveHeartbeat,
 		methodSeen:      n.serveSeen,
 		methodReleased:  n.serveReleased,
+		methodOffer:     n.serveOffer,
 		methodAcquiring: n.serveAcquiring,
 		methodAcquired:  n.serveAcquired,
 		methodCall:      n.serveCall,
@@ -206,13 +209,16 @@
 	return n.leadership != nil && !n.leadership.over()
 }
 
-// isLeaving reports whether this entry has been told to stop.
-func (n *Node) isLeaving() bool {
+// takesLease reports whether this entry may acquire the lease at all: it doesn't leave, or
+// the lease was released to it after it had accepted it.
+func (n *Node) takesLease() bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	return n.leaving
+	return n.takesLeaseLocked()
 }
 
+func (n *Node) takesLeaseLocked() bool { return !n.leaving || n.offer.toMe() }
+
 // serveCatalog returns the configuration in force to another entry.
 func (n *Node) serveCatalog(context.Context, json.RawMessage) (any, error) {
 	n.mu.Lock()
--- a/process/cluster/standby.go
+++ b/process/cluster/standby.go
@@ -73,6 +73,7 @@
 	delay := n.releasedDelayLocked(message.Successor)
 	if followed {
 		n.acquireFrom = time.Now().Add(delay)
+		n.offer.released = message.Successor == n.config.Name && n.offer.fence == message.Fence
 		n.setView(noView(n.view.members))
 	}
 	n.mu.Unlock()
@@ -93,7 +94,7 @@
 	}
 	delay := n.unrankedDelay()
 	if rank, known := rankOf(n.config.Name, n.view); known {
-		delay = takeoverDelay(rank)
+		delay = takeoverDelay(rank) + n.sizeDelay(n.view)
 	}
 	if successor != "" {
 		delay += afterSuccessor
