--- a/process/cluster/advisers.go
+++ b/process/cluster/advisers.go
@@ -40,7 +40,7 @@
 
 // request sends a call through the entry that is expected to return advice first.
 func (a *advisers) request(request cell.AdviceRequest) {
-	members := advisingMembers(a.leadership.node.liveMembers())
+	members := a.leadership.node.liveMembers()
 	now := time.Now()
 	a.mu.Lock()
 	chosen, ready := a.queue.choose(now, members, request)
@@ -48,21 +48,6 @@
 	go a.call(chosen, request, ready.Sub(now)+adviceTimeout)
 }
 
-// advisingMembers returns the members that receive calls: those that don't leave, if there
-// are any. The order stays.
-func advisingMembers(members []Member) []Member {
-	staying := make([]Member, 0, len(members))
-	for _, m := range members {
-		if !m.Leaving {
-			staying = append(staying, m)
-		}
-	}
-	if len(staying) == 0 {
-		return members
-	}
-	return staying
-}
-
 // choose returns the member that can answer first among those for calls as slow as this
 // one, and when its answer is expected. members must be in a fixed order and not empty.
 func (q *adviceQueue) choose(now time.Time, members []Member, request cell.AdviceRequest) (Member, time.Time) {
--- a/process/cluster/leadership.go
+++ b/process/cluster/leadership.go
@@ -226,7 +226,7 @@
 		case <-ticker.C:
 		}
 		refusing := r.refusingFor()
-		limits := adviceLimits(len(advisingMembers(r.node.liveMembers())))
+		limits := adviceLimits(len(r.node.liveMembers()))
 		decisionTime := r.node.lag.decisionTime()
 		r.change(func(now time.Time, c *cell.Cell) {
 			c.SetTableUnavailable(refusing)
