conn/drain: read nothing more from idle connections that are closed

Change: only a connection that has just had its response is closed in stages; an idle one is closed at once, so that its client learns of it by the reset instead of waiting. The count of late bytes is dropped with it.

--- a/conn/drain/conn.go
+++ b/conn/drain/conn.go
@@ -41,25 +41,25 @@
 }
 
 // Close implements net.Conn. A connection that is closed while bytes are on their way is
-// reset, which may take the last response with it. So while the server drains, the
-// connection is closed for writing first, and for reading when the client has closed it.
+// reset, which may take the last response with it. So while the server drains, a connection
+// is closed for writing after its response, and for reading when the client has closed it.
+// One on which nothing was in progress is closed at once: a request that crosses the close
+// isn't read, and its client learns of it by the reset.
 func (c *conn) Close() error {
-	if c.server.lingers() && c.linger() {
-		c.server.late.Add(1)
+	if c.server.lingers() && !c.isClosing() {
+		c.linger()
 	}
 	return c.Conn.Close()
 }
 
-// linger closes the connection for writing, waits until the client closes it, and reports
-// whether further bytes arrived.
-func (c *conn) linger() bool {
+// linger closes the connection for writing and waits until the client closes it.
+func (c *conn) linger() {
 	writer, ok := c.Conn.(interface{ CloseWrite() error })
 	if !ok || writer.CloseWrite() != nil || c.Conn.SetReadDeadline(time.Now().Add(lingerTime)) != nil {
-		return false
+		return
 	}
 	// An error means that the client has reset the connection or keeps it open.
-	n, _ := io.Copy(io.Discard, c.Conn)
-	return n > 0
+	_, _ = io.Copy(io.Discard, c.Conn)
 }
 
 func isTimeout(err error) bool {
--- a/conn/drain/drain.go
+++ b/conn/drain/drain.go
@@ -42,9 +42,6 @@
 	// Cancelled is the number of requests whose contexts were ended, Cut the number of
 	// those that were not answered.
 	Cancelled, Cut int
-	// Late is the number of connections on which bytes arrived after they were closed, such as
-	// a request that was on its way.
-	Late int
 }
 
 // Drain stops the server. Every request that was read before the limit Cut is answered if
@@ -61,7 +58,6 @@
 		s.awaitClosed(began.Add(l.Cut))
 	}
 	outcome.Cut = s.Connections().Requests
-	outcome.Late = int(s.late.Load())
 	_ = s.Close()
 	outcome.Took = time.Since(began)
 	return outcome
--- a/conn/drain/server.go
+++ b/conn/drain/server.go
@@ -40,8 +40,6 @@
 	draining atomic.Bool
 	// cutting is set when connections are closed at once.
 	cutting atomic.Bool
-	// late counts the connections on which bytes arrived after they were closed.
-	late atomic.Int64
 
 	mu    sync.Mutex
 	conns map[*conn]struct{}
