Soak: restarts in series that overlap, with open connections

Cause: the soak killed one entry only, so that nothing looked at what a planned stop does to requests on connections that are open.

Change: -restarts with -seed stops all entries in series that overlap (SIGTERM, twice, during the start; SIGHUP; SIGKILL during a drain) while callers use their connections until the process ends them. It compares what callers were told with the records of the workers.

--- a/internal/soak/cluster.go
+++ b/internal/soak/cluster.go
@@ -11,6 +11,7 @@
 	"os/exec"
 	"path/filepath"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/kingcuplatch/kingcuplatch/internal/standin"
@@ -36,6 +37,7 @@
 type cluster struct {
 	options
 	dir         string
+	keepLogs    bool
 	platform    *platformstandin.Platform
 	platformURL string
 	workers     []*workerstandin.Worker
@@ -49,6 +51,16 @@
 	command   *exec.Cmd
 	addresses map[string]string
 	restarted bool
+	// exited is closed once the process has ended.
+	exited chan struct{}
+	// killed is set before the process is sent a SIGKILL.
+	killed *atomic.Bool
+}
+
+// kill ends the process without a graceful stop.
+func (p entryProcess) kill() {
+	p.killed.Store(true)
+	_ = p.command.Process.Kill()
 }
 
 func startCluster(s options) (*cluster, error) {
@@ -57,6 +69,7 @@
 		return nil, err
 	}
 	c := &cluster{options: s, dir: dir, platform: platformstandin.New(), entries: make([]entryProcess, s.entries)}
+	fmt.Println("logs of the entries:", dir)
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, err
@@ -69,7 +82,7 @@
 		}
 	}
 	for n := range c.entries {
-		if err := c.startEntry(n); err != nil {
+		if err := c.startEntry(n, nil); err != nil {
 			c.stop()
 			return nil, err
 		}
@@ -99,12 +112,14 @@
 	c.platform.ChangeInstances(platformstandin.InstancesChange{Put: []platform.Instance{instance}})
 }
 
-// startEntry starts or restarts an entry.
-func (c *cluster) startEntry(n int) error {
+// startEntry starts or restarts an entry. started, unless it is nil, is called with the
+// process before that has bound its listeners.
+func (c *cluster) startEntry(n int, started func(entryProcess)) error {
 	name := fmt.Sprintf("entry-%d", n+1)
 	settings := fmt.Sprintf("instance = %q\nregion = \"region-1\"\nfailure_domain = %q\noperator_key_sha256 = %q\n"+
 		"[listen]\ncallers = \"127.0.0.1:0\"\noperators = \"127.0.0.1:0\"\npeers = \"127.0.0.1:0\"\nmetrics = \"127.0.0.1:0\"\n"+
-		"[platform]\nurl = %q\n", name, domain(n), records.HashKey(trial.OperatorKey), c.platformURL)
+		"[platform]\nurl = %q\n[timings]\ndrain_timeout = %q\n",
+		name, domain(n), records.HashKey(trial.OperatorKey), c.platformURL, c.drain.String())
 	path, addresses := filepath.Join(c.dir, name+".toml"), filepath.Join(c.dir, name)
 	if err := errors.Join(os.RemoveAll(addresses), os.WriteFile(path, []byte(settings), 0o600)); err != nil {
 		return err
@@ -118,13 +133,23 @@
 	if err != nil {
 		return err
 	}
-	p := entryProcess{command: exec.Command(program, entryRole, "-config", path, "-addresses", addresses), addresses: make(map[string]string)}
+	p := entryProcess{
+		command:   exec.Command(program, entryRole, "-config", path, "-addresses", addresses),
+		addresses: make(map[string]string), exited: make(chan struct{}), killed: new(atomic.Bool),
+	}
 	p.command.Stderr = log
 	if err := p.command.Start(); err != nil {
 		return err
 	}
+	go func() {
+		_ = p.command.Wait()
+		close(p.exited)
+	}()
+	if started != nil {
+		started(p)
+	}
 	for _, listener := range []string{"callers", "operators", "peers", "metrics"} {
-		p.addresses[listener] = waitForFile(filepath.Join(addresses, listener))
+		p.addresses[listener] = waitForFile(filepath.Join(addresses, listener), p.exited)
 	}
 	c.mu.Lock()
 	p.restarted = c.entries[n].command != nil
@@ -136,24 +161,34 @@
 	return nil
 }
 
-// waitForFile waits until a file exists and returns its text, or "" after readyTimeout.
-func waitForFile(path string) string {
-	for until := time.Now().Add(readyTimeout); time.Now().Before(until); time.Sleep(pollInterval) {
+// waitForFile waits until a file exists and returns its text. It returns "" once exited is
+// closed or readyTimeout has passed.
+func waitForFile(path string, exited <-chan struct{}) string {
+	timeout := time.After(readyTimeout)
+	for {
 		if text, err := os.ReadFile(path); err == nil {
 			return string(text)
 		}
+		select {
+		case <-exited:
+			return ""
+		case <-timeout:
+			return ""
+		case <-time.After(pollInterval):
+		}
 	}
-	return ""
 }
 
 func (c *cluster) stop() {
 	for _, e := range c.all() {
 		if e.command != nil {
-			_ = e.command.Process.Kill()
-			_ = e.command.Wait()
+			e.kill()
+			<-e.exited
 		}
 	}
-	_ = os.RemoveAll(c.dir)
+	if !c.keepLogs {
+		_ = os.RemoveAll(c.dir)
+	}
 }
 
 func (c *cluster) all() []entryProcess {
@@ -162,8 +197,8 @@
 	return append([]entryProcess(nil), c.entries...)
 }
 
-// ready waits until all workers are served, every entry serves at least one, and all entries
-// are connected to each other.
+// ready waits until all workers are served and all entries are connected to each other.
+// Without restarts it also waits until every entry serves a worker.
 func (c *cluster) ready(ctx context.Context) error {
 	for {
 		served, peers, idle := 0.0, 0.0, 0
@@ -174,7 +209,7 @@
 				idle++
 			}
 		}
-		if idle == 0 && int(served) == c.options.workers && int(peers) == c.options.entries*(c.options.entries-1) {
+		if (idle == 0 || c.restarts) && int(served) == c.options.workers && int(peers) == c.options.entries*(c.options.entries-1) {
 			return nil
 		}
 		select {
@@ -215,9 +250,9 @@
 		}},
 		{"open connections of 5 workers stop responding", c.silenceWorkers},
 		{"platform unavailable", func() { c.platform.Change(func(s *platformstandin.Switches) { s.Delay, s.Down = 0, true }) }},
-		{"last entry killed", func() { _ = c.all()[c.options.entries-1].command.Process.Kill() }},
+		{"last entry killed", func() { c.all()[c.options.entries-1].kill() }},
 		{"platform available again", func() { c.platform.Change(func(s *platformstandin.Switches) { s.Down = false }) }},
-		{"last entry restarted", func() { _ = c.startEntry(c.options.entries - 1) }},
+		{"last entry restarted", func() { _ = c.startEntry(c.options.entries-1, nil) }},
 		{"open connections of 5 workers stop responding", c.silenceWorkers},
 	} {
 		select {
--- a/internal/soak/main.go
+++ b/internal/soak/main.go
@@ -8,6 +8,16 @@
 // constant rate, and also submit jobs. With -faults the platform becomes slow and then
 // unavailable, one worker fails all work, connections of workers stop responding, and
 // one entry is killed and restarted. At the end it prints the measurements.
+//
+// With -restarts the entries are restarted in series that overlap instead, while callers
+// keep using their open connections until the process is gone:
+//
+//	go run ./internal/soak -restarts -seed 7 -entries 5 -workers 8 -for 20s
+//
+// The seed determines the restarts and what the callers send. The run fails if a request
+// that was sent whole ends without an answer although its entry wasn't killed, if an answer
+// "not run" is false, if a request runs twice, or if an accepted job doesn't end. The logs
+// of a run that failed are kept.
 package main
 
 import (
@@ -37,6 +47,13 @@
 	// workMS is the run time of a request in milliseconds.
 	workMS int
 	faults bool
+	// drain is how long a graceful stop of an entry may take.
+	drain time.Duration
+	// restarts selects the restarts in series; seed determines them.
+	restarts bool
+	seed     int64
+	// callers is the number of callers that keep connections open during the restarts.
+	callers int
 }
 
 func main() {
@@ -52,31 +69,31 @@
 	flag.IntVar(&s.rate, "rate", 500, "requests per second")
 	flag.IntVar(&s.workMS, "work-ms", 200, "run time of a request, in milliseconds")
 	flag.BoolVar(&s.faults, "faults", false, "inject faults")
+	flag.DurationVar(&s.drain, "drain", 5*time.Second, "how long a graceful stop may take")
+	flag.BoolVar(&s.restarts, "restarts", false, "restart the entries in series that overlap")
+	flag.Int64Var(&s.seed, "seed", 1, "seed of the restarts and of their callers")
+	flag.IntVar(&s.callers, "callers", 40, "callers with open connections during the restarts")
 	flag.Parse()
-	if err := soak(ctx, s); err != nil {
+	run := soak
+	if s.restarts {
+		run = soakRestarts
+	}
+	if err := run(ctx, s); err != nil {
 		fmt.Fprintln(os.Stderr, "soak:", err)
 		os.Exit(1)
 	}
 }
 
 func soak(ctx context.Context, s options) error {
-	c, err := startCluster(s)
+	c, err := startReadyCluster(ctx, s)
 	if err != nil {
 		return err
 	}
 	defer c.stop()
-	readyCtx, cancel := context.WithTimeout(ctx, readyTimeout)
-	defer cancel()
-	if err := c.ready(readyCtx); err != nil {
-		return fmt.Errorf("cluster not ready: %w", err)
-	}
-	if err := c.apply(ctx); err != nil {
-		return err
-	}
 	before := c.metrics()
 	counts := c.platform.Counts()
 	started := time.Now()
-	ctx, cancel = context.WithTimeout(ctx, s.length)
+	ctx, cancel := context.WithTimeout(ctx, s.length)
 	defer cancel()
 	if s.faults {
 		go c.injectFaults(ctx)
@@ -87,3 +104,22 @@
 	c.report(before, counts, time.Since(started))
 	return nil
 }
+
+// startReadyCluster starts a cluster, waits until it is ready and applies the records.
+func startReadyCluster(ctx context.Context, s options) (*cluster, error) {
+	c, err := startCluster(s)
+	if err != nil {
+		return nil, err
+	}
+	readyCtx, cancel := context.WithTimeout(ctx, readyTimeout)
+	defer cancel()
+	if err := c.ready(readyCtx); err != nil {
+		c.stop()
+		return nil, fmt.Errorf("cluster not ready: %w", err)
+	}
+	if err := c.apply(ctx); err != nil {
+		c.stop()
+		return nil, err
+	}
+	return c, nil
+}
