Peers: answer calls under way at a stop, and spare calls on idle links

Cause: Server.Drain ended with the last handler and Close cut the links: a call under way, and the first one to a process that restarted at the same address, had an unknown outcome at the caller. Also, a link that was idle for almost clientIdle closed in the middle of the next call, since its read deadline wasn't moved by the call.

Change: a draining server notifies its peers (peer.stopping, which older ones ignore); they begin no further call on the link and close it after the reply to the last one. Links that arrive meanwhile are served, calls on them refused. The idle timeout ends a link only if no call is on it.

--- a/conn/peer/links.go
+++ b/conn/peer/links.go
@@ -5,7 +5,6 @@
 	"errors"
 	"net"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -26,6 +25,8 @@
 	// clientIdle is how long a link without calls stays open. It is shorter than
 	// serverIdle, so that the server does not close a link on which a call is being sent.
 	clientIdle = serverIdle * 2 / 3
+	// maxOpenTries is the number of links that a call tries to begin on.
+	maxOpenTries = 2
 )
 
 // Links is a Caller that keeps one open link to each peer.
@@ -37,15 +38,20 @@
 	closed bool
 }
 
-// link is a connection, or an attempt to open one. All fields except ready and calls are
+// link is a connection, or an attempt to open one. The fields ready, rpc, conn and err are
 // set before ready is closed.
 type link struct {
 	ready chan struct{}
 	rpc   *jsonrpc2.Conn
 	conn  *watchedConn
 	err   error
+
+	mu sync.Mutex
 	// calls is the number of calls in progress. Pings are sent only if it is not 0.
-	calls atomic.Int64
+	calls int
+	// retired is set when no further call may begin: the peer is stopping, or the link was
+	// idle for too long. The link is closed with its last call.
+	retired bool
 }
 
 // NewLinks returns a Caller without open links.
@@ -65,12 +71,11 @@
 
 // Call implements Caller.
 func (l *Links) Call(ctx context.Context, address, method string, params, result any) error {
-	ln, err := l.open(ctx, address)
+	ln, err := l.begin(ctx, address)
 	if err != nil {
 		return eris.Wrapf(errors.Join(ErrNotSent, err), "%s: dial peer %s", method, address)
 	}
-	ln.beginCall()
-	defer ln.calls.Add(-1)
+	defer ln.endCall()
 	waiter, err := ln.rpc.DispatchCall(ctx, method, params)
 	if errors.Is(err, jsonrpc2.ErrClosed) {
 		l.drop(address, ln)
@@ -83,6 +88,24 @@
 	return callError(waiter.Wait(ctx, result), method, address)
 }
 
+// begin begins a call on the open link to a peer, or on a new one if that is retired.
+func (l *Links) begin(ctx context.Context, address string) (*link, error) {
+	for range maxOpenTries {
+		ln, err := l.open(ctx, address)
+		if err != nil {
+			return nil, err
+		}
+		if ln.beginCall() {
+			return ln, nil
+		}
+		l.drop(address, ln)
+	}
+	return nil, errStopping
+}
+
+// errStopping is the error of a call to a peer that retires each new link.
+var errStopping = errors.New("peer is stopping")
+
 // callError maps the result of waiting for a reply to the errors of Caller.
 func callError(err error, method, address string) error {
 	if err == nil {
@@ -141,17 +164,64 @@
 		return
 	}
 	ln.conn = newWatchedConn(conn, clientIdle)
+	ln.conn.mayEnd = ln.retireIfIdle
 	stream := jsonrpc2.NewBufferedStream(ln.conn, boundedCodec{limit: MaxMessageBytes})
-	ln.rpc = jsonrpc2.NewConn(context.Background(), stream, ignoreRequests{}, jsonrpc2.SetLogger(discardLogger{}))
+	ln.rpc = jsonrpc2.NewConn(context.Background(), stream, stopHandler{ln}, jsonrpc2.SetLogger(discardLogger{}))
 	go l.watch(address, ln)
 }
 
-// beginCall counts a call in progress. The first one restarts the period of LinkTimeout,
-// since an idle link receives nothing.
-func (ln *link) beginCall() {
-	if ln.calls.Add(1) == 1 {
+// beginCall counts a call in progress. It returns false if the link is retired. The first
+// call restarts the period of LinkTimeout, since an idle link receives nothing.
+func (ln *link) beginCall() bool {
+	ln.mu.Lock()
+	defer ln.mu.Unlock()
+	if ln.retired {
+		return false
+	}
+	ln.calls++
+	if ln.calls == 1 {
 		ln.conn.lastRead.Store(time.Now().UnixNano())
 	}
+	return true
+}
+
+// endCall ends a call. The last one on a retired link closes it.
+func (ln *link) endCall() {
+	ln.mu.Lock()
+	ln.calls--
+	last := ln.retired && ln.calls == 0
+	ln.mu.Unlock()
+	if last {
+		_ = ln.rpc.Close()
+	}
+}
+
+// retire lets no further call begin. It closes the link unless calls are in progress.
+func (ln *link) retire() {
+	ln.mu.Lock()
+	ln.retired = true
+	idle := ln.calls == 0
+	ln.mu.Unlock()
+	if idle {
+		_ = ln.rpc.Close()
+	}
+}
+
+// retireIfIdle retires the link if no call is in progress, and reports whether it did.
+func (ln *link) retireIfIdle() bool {
+	ln.mu.Lock()
+	defer ln.mu.Unlock()
+	if ln.calls > 0 {
+		return false
+	}
+	ln.retired = true
+	return true
+}
+
+func (ln *link) inUse() bool {
+	ln.mu.Lock()
+	defer ln.mu.Unlock()
+	return ln.calls > 0
 }
 
 // watch pings the peer while calls are in progress, and closes the link if it receives
@@ -166,7 +236,7 @@
 			return
 		case <-ticker.C:
 		}
-		if ln.calls.Load() == 0 {
+		if !ln.inUse() {
 			continue
 		}
 		if ln.conn.sinceLastRead() > LinkTimeout {
@@ -188,8 +258,14 @@
 	}
 }
 
-// ignoreRequests ignores requests that the peer sends on an outgoing link.
-type ignoreRequests struct{}
+// stopHandler retires a link when the peer sends that it is stopping. Other requests of
+// the peer are ignored.
+type stopHandler struct{ ln *link }
 
 // Handle implements jsonrpc2.Handler.
-func (ignoreRequests) Handle(context.Context, *jsonrpc2.Conn, *jsonrpc2.Request) {}
+func (h stopHandler) Handle(_ context.Context, _ *jsonrpc2.Conn, r *jsonrpc2.Request) {
+	if r.Notif && r.Method == stoppingMethod {
+		<-h.ln.ready
+		h.ln.retire()
+	}
+}
--- a/conn/peer/server.go
+++ b/conn/peer/server.go
@@ -19,11 +19,17 @@
 	maxCallsPerLink = 4096
 	// serverIdle is how long a link may receive nothing before the server closes it.
 	serverIdle = 15 * time.Second
+	// linksCloseTime is how long a drained server waits for its peers to close their links.
+	linksCloseTime = 200 * time.Millisecond
 )
 
 // pingMethod is a method of every server. Its reply proves that the link works.
 const pingMethod = "peer.ping"
 
+// stoppingMethod is a notification of a server that drains: the peer is to begin no further
+// call on the link and to close it after the last one. Peers that don't know it ignore it.
+const stoppingMethod = "peer.stopping"
+
 // Codes of RemoteError that the server sets. A handler that returns a *RemoteError sets its
 // own code.
 const (
@@ -39,10 +45,13 @@
 type Server struct {
 	handlers map[string]Handler
 
-	mu     sync.Mutex
-	links  map[*jsonrpc2.Conn]struct{}
-	closed bool
-	calls  sync.WaitGroup
+	mu    sync.Mutex
+	links map[*jsonrpc2.Conn]struct{}
+	// draining is set when calls are refused, closed when new links are refused too.
+	draining, closed bool
+	// linksClosed, if it isn't nil, is closed with the last link.
+	linksClosed chan struct{}
+	calls       sync.WaitGroup
 }
 
 // NewServer returns a server whose only method is the ping.
@@ -76,33 +85,94 @@
 	}
 }
 
-// Drain refuses new calls and waits until those in progress have been answered. If ctx is
-// done first, it returns the error of ctx.
+// Drain refuses new calls, waits until those in progress have been answered, and then until
+// the peers have closed their links, at most linksCloseTime. A peer closes a link when it has
+// the reply to each call that it sent. New links are accepted as long as the listener is
+// open; calls on them are refused. If ctx is done before the calls in progress are answered,
+// Drain returns the error of ctx.
 func (s *Server) Drain(ctx context.Context) error {
+	for _, link := range s.beginDrain() {
+		go notifyStopping(link)
+	}
+	if !waitFor(ctx, s.callsEnded()) {
+		return ctx.Err()
+	}
+	linksCtx, cancel := context.WithTimeout(ctx, linksCloseTime)
+	defer cancel()
+	waitFor(linksCtx, s.allLinksClosed())
+	return nil
+}
+
+// beginDrain refuses further calls and returns the open links.
+func (s *Server) beginDrain() []*jsonrpc2.Conn {
 	s.mu.Lock()
-	s.closed = true
-	s.mu.Unlock()
-	drained := make(chan struct{})
+	defer s.mu.Unlock()
+	s.draining = true
+	return s.openLinks()
+}
+
+// openLinks returns the open links. The caller holds s.mu.
+func (s *Server) openLinks() []*jsonrpc2.Conn {
+	links := make([]*jsonrpc2.Conn, 0, len(s.links))
+	for link := range s.links {
+		links = append(links, link)
+	}
+	return links
+}
+
+func notifyStopping(link *jsonrpc2.Conn) {
+	// An error means that the link is closed.
+	_ = link.Notify(context.Background(), stoppingMethod, nil)
+}
+
+// callsEnded returns a channel that is closed when no call is in progress.
+func (s *Server) callsEnded() <-chan struct{} {
+	ended := make(chan struct{})
 	go func() {
 		s.calls.Wait()
-		close(drained)
+		close(ended)
 	}()
+	return ended
+}
+
+// allLinksClosed returns a channel that is closed when no link is open.
+func (s *Server) allLinksClosed() <-chan struct{} {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.linksClosed == nil {
+		s.linksClosed = make(chan struct{})
+		s.checkLinksClosed()
+	}
+	return s.linksClosed
+}
+
+// checkLinksClosed closes linksClosed if no link is open. The caller holds s.mu.
+func (s *Server) checkLinksClosed() {
+	if s.linksClosed == nil || len(s.links) > 0 {
+		return
+	}
 	select {
-	case <-drained:
-		return nil
+	case <-s.linksClosed:
+	default:
+		close(s.linksClosed)
+	}
+}
+
+// waitFor reports whether done was closed before ctx ended.
+func waitFor(ctx context.Context, done <-chan struct{}) bool {
+	select {
+	case <-done:
+		return true
 	case <-ctx.Done():
-		return ctx.Err()
+		return false
 	}
 }
 
 // Close closes all links and waits for the handlers to return.
 func (s *Server) Close() {
 	s.mu.Lock()
-	s.closed = true
-	links := make([]*jsonrpc2.Conn, 0, len(s.links))
-	for link := range s.links {
-		links = append(links, link)
-	}
+	s.draining, s.closed = true, true
+	links := s.openLinks()
 	s.mu.Unlock()
 	for _, link := range links {
 		_ = link.Close()
@@ -126,9 +196,18 @@
 		cancel()
 		s.untrack(link)
 	}()
+	if s.isDraining() {
+		go notifyStopping(link)
+	}
 }
 
-// track adds a link. It returns false if the server is closing.
+func (s *Server) isDraining() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.draining
+}
+
+// track adds a link. It returns false if the server is closed.
 func (s *Server) track(link *jsonrpc2.Conn) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -143,13 +222,14 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	delete(s.links, link)
+	s.checkLinksClosed()
 }
 
-// beginCall counts a call in progress. It returns false if the server is closing.
+// beginCall counts a call in progress. It returns false if the server is draining.
 func (s *Server) beginCall() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.closed {
+	if s.draining {
 		return false
 	}
 	s.calls.Add(1)
--- a/conn/peer/watched.go
+++ b/conn/peer/watched.go
@@ -1,7 +1,9 @@
 package peer
 
 import (
+	"errors"
 	"net"
+	"os"
 	"sync/atomic"
 	"time"
 )
@@ -13,6 +15,8 @@
 	idle time.Duration
 	// lastRead is the time of the last read, in Unix nanoseconds.
 	lastRead atomic.Int64
+	// mayEnd, unless it is nil, decides whether a read ends at the idle timeout.
+	mayEnd func() bool
 }
 
 func newWatchedConn(conn net.Conn, idle time.Duration) *watchedConn {
@@ -23,14 +27,19 @@
 
 // Read implements net.Conn.
 func (w *watchedConn) Read(b []byte) (int, error) {
-	if err := w.SetReadDeadline(time.Now().Add(w.idle)); err != nil {
-		return 0, err
-	}
-	n, err := w.Conn.Read(b)
-	if n > 0 {
-		w.lastRead.Store(time.Now().UnixNano())
+	for {
+		if err := w.SetReadDeadline(time.Now().Add(w.idle)); err != nil {
+			return 0, err
+		}
+		n, err := w.Conn.Read(b)
+		if n > 0 {
+			w.lastRead.Store(time.Now().UnixNano())
+		}
+		if n == 0 && errors.Is(err, os.ErrDeadlineExceeded) && w.mayEnd != nil && !w.mayEnd() {
+			continue
+		}
+		return n, err
 	}
-	return n, err
 }
 
 // Write implements net.Conn.
