Entry: answer every request that was read before the process stops

Cause, traced with the soak's restarts and net/http's source: Shutdown drops a request whose header is read while the server shuts down (serve returns after readRequest), and closes idle connections with a request in their buffers. Callers' and operators' servers were shut down one after the other on one context, which the release of the blocks shared: a request that outlasted the drain was cut without an answer, and the blocks were left to expire. Ruled out: the SIGKILLs, which are counted apart.

Change: both servers are drained by conn/drain at the same time; each step of a stop keeps time for the next. Shortly before the contexts of calls end, requests in progress are ended: those that wait are refused as not run with a time to retry, the outcome of dispatched ones is unknown, also for other entries. Peers are drained before their listener closes.

The soak's retries had other content than the first try (refused with conflict); mended here.

--- a/internal/soak/callers.go
+++ b/internal/soak/callers.go
@@ -56,7 +56,9 @@
 type wanted struct {
 	id, team, kind string
 	job            bool
-	tries          []try
+	// work is the run time of a request.
+	work  time.Duration
+	tries []try
 	// done is set for a job that was seen as done.
 	done bool
 }
@@ -123,7 +125,7 @@
 }
 
 func newWanted(random *rand.Rand, caller, n int) *wanted {
-	w := &wanted{id: fmt.Sprintf("c%d-%d", caller, n), team: teams[caller%len(teams)].name, kind: "quote"}
+	w := &wanted{id: fmt.Sprintf("c%d-%d", caller, n), team: teams[caller%len(teams)].name, kind: "quote", work: randomBelow(random, maxWork)}
 	switch {
 	case n%jobEvery == jobEvery-1:
 		w.team, w.kind, w.job = "skippers", "crew-roster", true
@@ -159,7 +161,7 @@
 	if random.IntN(8) == 0 {
 		pause = randomBelow(random, maxThink)
 	}
-	request := w.request(randomBelow(random, maxWork))
+	request := w.request()
 	t := try{entry: open.entry, sent: time.Now(), reused: open.used > 0}
 	got, whole, err := open.send(request, pause)
 	t.ended = time.Now()
@@ -199,9 +201,9 @@
 }
 
 // request returns the HTTP request of the call.
-func (w *wanted) request(work time.Duration) *http.Request {
+func (w *wanted) request() *http.Request {
 	path := "/v1/kinds/" + w.kind + "/requests"
-	body := fmt.Appendf(nil, `{"work_ms":%d,"call":%q}`, work.Milliseconds(), w.id)
+	body := fmt.Appendf(nil, `{"work_ms":%d,"call":%q}`, w.work.Milliseconds(), w.id)
 	if w.job {
 		path = "/v1/jobs"
 		body, _ = json.Marshal(api.JobSpec{ID: w.id, Kind: w.kind, Tasks: 2, Payload: []byte(`{"run_ms":300}`)})
--- a/internal/trial/bench_test.go
+++ b/internal/trial/bench_test.go
@@ -30,7 +30,7 @@
 	return c
 }
 
-func apply(b *testing.B, c *Cluster) {
+func apply(b testing.TB, c *Cluster) {
 	b.Helper()
 	request, err := ExampleRecords()
 	if err != nil {
@@ -42,7 +42,7 @@
 	}
 }
 
-func post(b *testing.B, url, key string, body []byte) int {
+func post(b testing.TB, url, key string, body []byte) int {
 	request, err := http.NewRequestWithContext(b.Context(), http.MethodPost, url, bytes.NewReader(body))
 	if err != nil {
 		b.Fatal(err)
--- a/internal/trial/cluster.go
+++ b/internal/trial/cluster.go
@@ -3,6 +3,7 @@
 package trial
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"io"
@@ -43,6 +44,8 @@
 	Upstreams []string
 	// Logs receives the entries' events.
 	Logs io.Writer
+	// Drain, unless it is 0, replaces that of Timings.
+	Drain time.Duration
 }
 
 // Cluster is a running scheduler with its stand-ins.
@@ -54,6 +57,7 @@
 	configs  []entry.Config
 
 	cancel    context.CancelFunc
+	cancels   []context.CancelFunc
 	running   sync.WaitGroup
 	listeners []net.Listener
 }
@@ -82,11 +86,16 @@
 		}
 	}
 	for _, e := range c.Entries {
-		c.running.Go(func() { _ = e.Run(ctx) })
+		entryCtx, cancelEntry := context.WithCancel(ctx)
+		c.cancels = append(c.cancels, cancelEntry)
+		c.running.Go(func() { _ = e.Run(entryCtx) })
 	}
 	return c, nil
 }
 
+// StopEntry begins the graceful stop of the n-th entry.
+func (c *Cluster) StopEntry(n int) { c.cancels[n]() }
+
 // Stop shuts down all entries gracefully, then the workers.
 func (c *Cluster) Stop() {
 	c.cancel()
@@ -118,11 +127,13 @@
 	}
 	name := fmt.Sprintf("entry-%d", n+1)
 	meter := &traffic.Meter{}
+	timings := Timings()
+	timings.Drain = cmp.Or(c.shape.Drain, timings.Drain)
 	config := entry.Config{
 		Instance: name, Incarnation: entry.NewIncarnation(name), FailureDomain: domain(n), Region: region,
 		PeerAddress: l.Peers.Addr().String(), OperatorKeySHA256: records.HashKey(OperatorKey),
 		MaxBodyBytes: 1 << 20, MaxHeaderBytes: 64 << 10, MaxQueue: 1000,
-		Timings: Timings(), Listeners: l,
+		Timings: timings, Listeners: l,
 		Table: c.Platform, Objects: c.Platform.Objects(), Instances: c.Platform,
 		Traffic: meter, Dial: dial(meter), Log: events.New(c.shape.Logs, name),
 	}
--- a/process/dispatch/dispatch.go
+++ b/process/dispatch/dispatch.go
@@ -119,8 +119,8 @@
 
 // Do sends the request to a worker and returns its outcome. prepare is called before
 // each dispatch; if it returns an error, the request isn't dispatched, and an
-// *api.Error becomes the outcome. ctx ends when the caller has left; it is ignored
-// once the request is dispatched.
+// *api.Error becomes the outcome. ctx ends when the caller has left, or with an *api.Error as
+// its cause, which becomes the outcome; it is ignored once the request is dispatched.
 func (d *Dispatcher) Do(ctx context.Context, r *attempt.Request, kind *version.Kind, prepare func(context.Context) error) attempt.Outcome {
 	started := time.Now()
 	observed := Observation{Team: r.Team, Kind: r.Kind}
@@ -217,12 +217,22 @@
 	case <-ctx.Done():
 	}
 	if d.remove(item) {
-		return nil, attempt.NotRun(api.CodeDeadline, "the caller left before the start", 0)
+		return nil, endedOutcome(ctx)
 	}
 	v := <-w.result
 	return v.reservation, v.outcome
 }
 
+// endedOutcome returns the outcome of a request whose ctx ended while it waited: the cause if
+// that is an *api.Error, else that the caller has left.
+func endedOutcome(ctx context.Context) attempt.Outcome {
+	var cause *api.Error
+	if errors.As(context.Cause(ctx), &cause) {
+		return attempt.Outcome{Err: cause}
+	}
+	return attempt.NotRun(api.CodeDeadline, "the caller left before the start", 0)
+}
+
 func (d *Dispatcher) push(w *waiter) *queue.Item {
 	now := time.Now()
 	d.mu.Lock()
--- a/process/dispatch/dispatch_test.go
+++ b/process/dispatch/dispatch_test.go
@@ -232,3 +232,16 @@
 		synctest.Wait()
 	})
 }
+
+// A request that still waits when its entry stops was reported as one whose caller had left,
+// without a time to retry.
+func TestRequestEndedWhileItWaits(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := start(t, &fakeFinder{}, 10)
+		stopping := &api.Error{Code: api.CodeStopping, Ran: api.NotRun, RetryAfter: time.Second}
+		ctx, cancel := context.WithCancelCause(t.Context())
+		time.AfterFunc(time.Second, func() { cancel(stopping) })
+		outcome := d.Do(ctx, request(time.Minute), quote, allowSend)
+		assert.Equal(t, outcome.Err, stopping)
+	})
+}
--- a/process/entry/entry.go
+++ b/process/entry/entry.go
@@ -136,50 +136,6 @@
 	})
 }
 
-// stop stops the entry gracefully within Timings.Drain.
-func (e *Entry) stop() {
-	e.stopping.Store(true)
-	e.Log.Log(events.EntryDraining, e.servers.inFlight())
-	ctx, cancel := context.WithTimeout(context.Background(), e.Timings.Drain)
-	defer cancel()
-	unfinished := e.drain(ctx)
-	e.replicateDispatched(ctx)
-	e.releaseAll(ctx)
-	e.cancel()
-	_ = e.Listeners.Peers.Close()
-	_ = e.server.Drain(ctx)
-	e.server.Close()
-	e.loops.Wait()
-	e.servers.close()
-	e.links.Close()
-	e.clients.close()
-	e.Log.Log(events.EntryStopped, unfinished)
-}
-
-// drain waits for the calls of callers and operators, then for the requests of other
-// entries. It returns the number of calls that were cut off.
-func (e *Entry) drain(ctx context.Context) int64 {
-	if e.Omit.Drain {
-		e.servers.close()
-		return e.servers.inFlight()
-	}
-	unfinished := e.servers.drain(ctx)
-	if err := e.requests.Drain(ctx); err != nil {
-		e.Log.Log(events.OwnershipFailed, "drain requests of other entries", err)
-	}
-	return unfinished
-}
-
-// releaseAll releases the entry's allotments and blocks.
-func (e *Entry) releaseAll(ctx context.Context) {
-	if err := e.allotments.ReturnUnused(ctx); err != nil {
-		e.Log.Log(events.OwnershipFailed, "release allotments", err)
-	}
-	if err := e.owners.Release(ctx); err != nil {
-		e.Log.Log(events.OwnershipFailed, "release blocks", err)
-	}
-}
-
 // idBytes is the length of a generated id before encoding.
 const idBytes = 12
 
--- a/process/entry/servers.go
+++ b/process/entry/servers.go
@@ -1,7 +1,6 @@
 package entry
 
 import (
-	"context"
 	"net"
 	"net/http"
 	"sync"
@@ -9,7 +8,9 @@
 	"time"
 
 	"github.com/kingcuplatch/kingcuplatch/conn/callers"
+	"github.com/kingcuplatch/kingcuplatch/conn/drain"
 	"github.com/kingcuplatch/kingcuplatch/conn/operators"
+	"github.com/kingcuplatch/kingcuplatch/process/events"
 )
 
 // Timeouts of the HTTP servers.
@@ -20,30 +21,29 @@
 	// connections, so that load balancers see that it isn't ready before its
 	// listener closes.
 	maxNotReadyDelay = time.Second
+	// metricsTime is how long a stopping entry waits for readers of its metrics.
+	metricsTime = 200 * time.Millisecond
 )
 
 // servers holds the HTTP servers of an entry.
 type servers struct {
-	callers         *http.Server
-	operators       *http.Server
-	metrics         *http.Server
+	callers         *drain.Server
+	operators       *drain.Server
+	metrics         *drain.Server
 	serving         sync.WaitGroup
 	callsInProgress atomic.Int64
-	// notReadyDelay is a quarter of Timings.Drain, at most maxNotReadyDelay.
-	notReadyDelay time.Duration
 }
 
 // start starts a server on each HTTP listener.
 func (s *servers) start(e *Entry) {
-	s.notReadyDelay = min(maxNotReadyDelay, e.Timings.Drain/4)
-	s.callers = e.httpServer(s.countCalls(callers.Handler(callers.Options{
+	s.callers = drain.New(e.httpServer(s.countCalls(callers.Handler(callers.Options{
 		Config: e.admission(), Requests: e.requestRunner(), Jobs: e.callersJobs(), MaxBodyBytes: e.MaxBodyBytes,
 		Stopping: e.stopping.Load, NewID: newID,
-	})))
-	s.operators = e.httpServer(s.countCalls(operators.Handler(operators.Options{
+	}))))
+	s.operators = drain.New(e.httpServer(s.countCalls(operators.Handler(operators.Options{
 		Config: operatorsConfig{e.config, e}, Views: e, KeySHA256: e.OperatorKeySHA256, NewID: newID,
-	})))
-	s.metrics = e.httpServer(e.metrics.handler(e))
+	}))))
+	s.metrics = drain.New(e.httpServer(e.metrics.handler(e)))
 	s.serve(s.callers, e.Listeners.Callers)
 	s.serve(s.operators, e.Listeners.Operators)
 	s.serve(s.metrics, e.Listeners.Metrics)
@@ -59,7 +59,7 @@
 	}
 }
 
-func (s *servers) serve(server *http.Server, listener net.Listener) {
+func (s *servers) serve(server *drain.Server, listener net.Listener) {
 	s.serving.Go(func() { _ = server.Serve(listener) })
 }
 
@@ -74,23 +74,33 @@
 
 func (s *servers) inFlight() int64 { return s.callsInProgress.Load() }
 
-// drain shuts down the callers' and operators' servers after the not-ready delay and waits
-// for the calls in progress. It returns the number of calls still in progress when ctx
-// ended.
-func (s *servers) drain(ctx context.Context) int64 {
-	select {
-	case <-time.After(s.notReadyDelay):
-	case <-ctx.Done():
+// drain stops the callers' and the operators' servers at the same time. It returns the
+// number of calls that were cut off.
+func (s *servers) drain(limits drain.Limits, log *events.Logger) int64 {
+	var draining sync.WaitGroup
+	var cut atomic.Int64
+	for name, server := range map[string]*drain.Server{"callers": s.callers, "operators": s.operators} {
+		draining.Go(func() {
+			o := server.Drain(limits)
+			log.Log(events.ServerDrained, name, o.Took.String(), o.AtClose.Requests, o.AtClose.Oldest.String(),
+				o.AtClose.Idle, o.AtClose.Unused, o.Cancelled, o.Cut)
+			cut.Add(int64(o.Cut))
+		})
 	}
-	_ = s.callers.Shutdown(ctx)
-	_ = s.operators.Shutdown(ctx)
-	return s.inFlight()
+	draining.Wait()
+	return cut.Load()
 }
 
-// close closes all servers and their connections.
+// close drains the metrics' server, which serves until the end of a stop, and closes all
+// servers and their connections.
 func (s *servers) close() {
+	s.metrics.Drain(drain.Limits{Answer: metricsTime, Cut: metricsTime})
+	s.cut()
+	s.serving.Wait()
+}
+
+// cut closes the callers' and the operators' servers with all their connections.
+func (s *servers) cut() {
 	_ = s.callers.Close()
 	_ = s.operators.Close()
-	_ = s.metrics.Close()
-	s.serving.Wait()
 }
--- a/process/requests/service.go
+++ b/process/requests/service.go
@@ -95,6 +95,10 @@
 	mu          sync.Mutex
 	dispatchers map[string]*dispatch.Dispatcher
 	ctx         context.Context
+
+	// ending ends when the requests in progress are to be answered with what is known.
+	ending context.Context
+	end    context.CancelFunc
 }
 
 // New returns a service whose dispatchers run until ctx ends.
@@ -107,6 +111,7 @@
 		ctx:         ctx,
 	}
 	s.replicator = dedupe.NewReplicator(s.replicate)
+	s.ending, s.end = context.WithCancel(context.Background())
 	return s
 }
 
@@ -124,6 +129,10 @@
 
 // Do runs the request and returns its outcome. ctx ends when the caller has left.
 func (s *Service) Do(ctx context.Context, r *attempt.Request) attempt.Outcome {
+	return s.untilEnd(ctx, func(ctx context.Context) attempt.Outcome { return s.do(ctx, r) })
+}
+
+func (s *Service) do(ctx context.Context, r *attempt.Request) attempt.Outcome {
 	kind, refusal := s.kind(r)
 	if refusal != nil {
 		return *refusal
@@ -210,7 +219,7 @@
 	}
 	outcome, ok := flight.Wait(ctx)
 	if !ok {
-		return attempt.Unknown("the caller left before the answer")
+		return leftOutcome(ctx)
 	}
 	return outcome
 }
@@ -304,7 +313,7 @@
 	if _, owned := s.o.Ownership.HoldsLease(shard); !owned {
 		return homeNotReached(api.CodeMoved, errMoved), nil
 	}
-	return s.runHere(ctx, &r, kind, shard), nil
+	return s.untilEnd(ctx, func(ctx context.Context) attempt.Outcome { return s.runHere(ctx, &r, kind, shard) }), nil
 }
 
 // handlePlace starts a request on a worker of this entry at once, or refuses it.
@@ -325,17 +334,19 @@
 	if !ok {
 		return attempt.NotRun(api.CodeNoCapacity, "no room here", retryAfter), nil
 	}
-	sendCtx, cancel := context.WithDeadline(context.WithoutCancel(ctx), r.Deadline)
+	return s.untilEnd(ctx, func(ctx context.Context) attempt.Outcome { return s.sendReserved(ctx, reservation, &r, kind) }), nil
+}
+
+// sendReserved sends a request to a worker of this entry. It goes on if ctx ends.
+func (s *Service) sendReserved(ctx context.Context, reservation dispatch.Reservation, r *attempt.Request, kind *version.Kind) attempt.Outcome {
+	ctx, cancel := context.WithDeadline(context.WithoutCancel(ctx), r.Deadline)
 	defer cancel()
-	outcome := reservation.Send(sendCtx, &r, kind)
+	outcome := reservation.Send(ctx, r, kind)
 	reservation.Release(outcome)
 	s.Dispatcher(kind.Upstream).Wake()
-	return outcome, nil
+	return outcome
 }
 
-// Drain refuses further requests of other entries and waits for those in progress.
-func (s *Service) Drain(ctx context.Context) error { return s.forwarded.drain(ctx) }
-
 // dispatchedIDs is the message that witnesses store.
 type dispatchedIDs struct {
 	Requests []string `json:"requests"`
