Daemon: ignore SIGHUP, which ended the process with requests in progress

Cause: the project's own daemon had no handler for SIGHUP, so that the signal's default ended it at once, also in the middle of a stop.

Change: daemon.NotifyStop ignores it and ends its context at the first SIGTERM or SIGINT. Further ones were and are without effect.

The soak's second signals now come sooner, since most came after the end of the process.

--- a/cmd/kingcuplatchd/main.go
+++ b/cmd/kingcuplatchd/main.go
@@ -4,8 +4,6 @@
 import (
 	"context"
 	"os"
-	"os/signal"
-	"syscall"
 
 	"github.com/kingcuplatch/kingcuplatch/platform"
 	"github.com/kingcuplatch/kingcuplatch/process/daemon"
@@ -19,7 +17,7 @@
 	if len(os.Args) > 1 && os.Args[1] == platformCommand {
 		os.Exit(platform.Main(os.Args[2:], os.Stdout, os.Stderr))
 	}
-	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	ctx, stop := daemon.NotifyStop(context.Background())
 	defer stop()
 	os.Exit(daemon.Main(ctx, os.Args[1:], os.Stderr))
 }
--- a/internal/soak/main.go
+++ b/internal/soak/main.go
@@ -57,11 +57,11 @@
 }
 
 func main() {
-	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
-	defer stop()
 	if len(os.Args) > 1 && os.Args[1] == entryRole {
-		os.Exit(daemon.Main(ctx, os.Args[2:], os.Stderr))
+		os.Exit(runEntry(os.Args[2:]))
 	}
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
 	var s options
 	flag.IntVar(&s.entries, "entries", 9, "number of entries, each a process")
 	flag.IntVar(&s.workers, "workers", 50, "number of worker stand-ins")
@@ -84,6 +84,13 @@
 	}
 }
 
+// runEntry runs an entry until it is stopped and returns the exit code.
+func runEntry(args []string) int {
+	ctx, stop := daemon.NotifyStop(context.Background())
+	defer stop()
+	return daemon.Main(ctx, args, os.Stderr)
+}
+
 func soak(ctx context.Context, s options) error {
 	c, err := startReadyCluster(ctx, s)
 	if err != nil {
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -31,15 +31,19 @@
 	second, pause time.Duration
 }
 
-// maxGap is the longest time between two steps of a series, maxRest that between two series.
 const (
+	// maxGap is the longest time between two steps of a series, maxRest that between two
+	// series.
 	maxGap  = time.Second
 	maxRest = 6 * time.Second
+	// maxSecond is the longest time to the second signal of a step. It is about the length of
+	// a stop without long requests, so that the signal often comes before its end.
+	maxSecond = 1200 * time.Millisecond
 )
 
 // planRestarts returns series of steps over all entries, in random order and with random
 // gaps, until length. Series begin before the entries of the last one have restarted.
-func planRestarts(seed int64, entries int, length, drain time.Duration) []step {
+func planRestarts(seed int64, entries int, length time.Duration) []step {
 	random := rand.New(rand.NewPCG(uint64(seed), uint64(entries)))
 	var steps []step
 	for at := time.Second; at < length; at += randomBelow(random, maxRest) {
@@ -47,7 +51,7 @@
 		for _, entry := range random.Perm(entries) {
 			steps = append(steps, step{
 				at: at, entry: entry, action: randomAction(random),
-				second: randomBelow(random, drain), pause: randomBelow(random, maxGap),
+				second: randomBelow(random, maxSecond), pause: randomBelow(random, maxGap),
 			})
 			at += randomBelow(random, longest)
 		}
--- a/internal/soak/restarts.go
+++ b/internal/soak/restarts.go
@@ -41,7 +41,7 @@
 	defer cancel()
 	all := startCallers(sendCtx, c, found)
 	r := &restarter{c: c, found: found, busy: make(map[int]bool)}
-	r.run(ctx, planRestarts(s.seed, s.entries, s.length, s.drain))
+	r.run(ctx, planRestarts(s.seed, s.entries, s.length))
 	cancel()
 	all.wait()
 	readyCtx, cancelReady := context.WithTimeout(ctx, readyTimeout)
