--- a/internal/soak/cluster.go
+++ b/internal/soak/cluster.go
@@ -134,7 +134,7 @@
 		return err
 	}
 	p := entryProcess{
-		command:   exec.Command(program, entryRole, "-config", path, "-addresses", addresses),
+		command:   exec.Command(program, c.role, "-config", path, "-addresses", addresses),
 		addresses: make(map[string]string), exited: make(chan struct{}), killed: new(atomic.Bool),
 	}
 	p.command.Stderr = log
--- a/internal/soak/main.go
+++ b/internal/soak/main.go
@@ -54,6 +54,8 @@
 	seed     int64
 	// callers is the number of callers that keep connections open during the restarts.
 	callers int
+	// role is the first argument of the entries' processes.
+	role string
 }
 
 func main() {
@@ -62,7 +64,7 @@
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
-	var s options
+	s := options{role: entryRole}
 	flag.IntVar(&s.entries, "entries", 9, "number of entries, each a process")
 	flag.IntVar(&s.workers, "workers", 50, "number of worker stand-ins")
 	flag.DurationVar(&s.length, "for", time.Minute, "how long callers send work")
--- a/scenarios/scenarios_test.go
+++ b/scenarios/scenarios_test.go
@@ -6,9 +6,7 @@
 	"context"
 	"errors"
 	"os"
-	"os/signal"
 	"path/filepath"
-	"syscall"
 	"testing"
 
 	"github.com/rogpeppe/go-internal/testscript"
@@ -25,12 +23,12 @@
 func TestMain(m *testing.M) {
 	testscript.Main(m, map[string]func(){
 		"kingcuplatchd": func() {
-			ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM)
+			ctx, stop := daemon.NotifyStop(context.Background())
 			defer stop()
 			os.Exit(daemon.Main(ctx, os.Args[1:], os.Stderr))
 		},
 		scenario.ProgramWithout: func() {
-			ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM)
+			ctx, stop := daemon.NotifyStop(context.Background())
 			defer stop()
 			os.Exit(daemon.MainWith(ctx, os.Args[2:], os.Stderr, without(os.Args[1])))
 		},
