--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -103,6 +103,13 @@
 	}
 }
 
+func (w *wanted) what() string {
+	if w.job {
+		return "job"
+	}
+	return "request"
+}
+
 // summary counts the tries by verdict and the jobs.
 func (a *callers) summary() string {
 	counts, codes, reused, jobs, done := make(map[verdict]int), make(map[string]int), 0, 0, 0
@@ -110,7 +117,7 @@
 		for _, t := range w.tries {
 			counts[t.verdict]++
 			if t.code != "" {
-				codes[string(t.verdict)+" "+t.code]++
+				codes[w.what()+" "+string(t.verdict)+" "+t.code]++
 			}
 			if t.reused {
 				reused++
