conn/drain: accept the queue and close the listener without a wait between

Cause: the deadline of the listener may expire before the process has seen connections that have arrived; they were reset at the close with the requests sent on them.

Change: once the deadline has expired, accept takes what waits and shuts the listening socket down, both without waiting.

Tests: TestConnectionsInQueueAtTheDeadlineAreAccepted fails before (reset by peer).

--- a/conn/drain/drain_test.go
+++ b/conn/drain/drain_test.go
@@ -61,9 +61,22 @@
 
 func (l *pipeListener) Close() error {
 	l.once.Do(func() { close(l.closed) })
+	l.resetQueue()
 	return nil
 }
 
+// resetQueue ends the connections that nobody has accepted, as the kernel does.
+func (l *pipeListener) resetQueue() {
+	for {
+		select {
+		case c := <-l.queue:
+			_ = c.Close()
+		default:
+			return
+		}
+	}
+}
+
 func (l *pipeListener) Addr() net.Addr { return &net.TCPAddr{} }
 
 func (l *pipeListener) SetDeadline(at time.Time) error {
@@ -84,6 +97,11 @@
 	}
 	client, server := net.Pipe()
 	l.queue <- server
+	select {
+	case <-l.closed:
+		l.resetQueue()
+	default:
+	}
 	return client, true
 }
 
--- a/conn/drain/server.go
+++ b/conn/drain/server.go
@@ -121,18 +121,15 @@
 type listener struct {
 	net.Listener
 	server *Server
+	// ended is set once the deadline has expired; queue holds what waited then.
+	ended bool
+	queue []net.Conn
 }
 
 // Accept implements net.Listener. An expired deadline ends it when no connection waits in
 // the queue any more.
 func (l *listener) Accept() (net.Conn, error) {
-	accepted, err := l.Listener.Accept()
-	if isTimeout(err) && extendAccept(l.Listener) {
-		accepted, err = l.Listener.Accept()
-	}
-	if isTimeout(err) {
-		return nil, net.ErrClosed
-	}
+	accepted, err := l.next()
 	if err != nil {
 		return nil, err
 	}
@@ -143,6 +140,27 @@
 	return c, nil
 }
 
+// next returns the next connection, from the listener or, once its deadline has expired, from
+// its queue.
+func (l *listener) next() (net.Conn, error) {
+	if !l.ended {
+		accepted, err := l.Listener.Accept()
+		if isTimeout(err) && extendAccept(l.Listener) {
+			accepted, err = l.Listener.Accept()
+		}
+		if !isTimeout(err) {
+			return accepted, err
+		}
+		l.ended, l.queue = true, takeQueue(l.Listener)
+	}
+	if len(l.queue) == 0 {
+		return nil, net.ErrClosed
+	}
+	accepted := l.queue[0]
+	l.queue = l.queue[1:]
+	return accepted, nil
+}
+
 // extendAccept lets a listener accept for lastAcceptTime. It returns false if the listener
 // has no deadlines or is closed.
 func extendAccept(l net.Listener) bool {
