--- a/process/cluster/acquire.go
+++ b/process/cluster/acquire.go
@@ -14,7 +14,7 @@
 func (n *Node) yield(ctx context.Context, r *leadership) {
 	n.mu.Lock()
 	var successor string
-	staying := n.stayingLocked()
+	staying, _ := n.candidatesLocked()
 	due := !n.leaving && time.Since(r.began) > yieldAfter && time.Since(n.yieldedAt) > yieldInterval &&
 		len(staying) > 0 && staying[0].Cores > yieldFactor*n.config.Cores
 	if due {
@@ -22,7 +22,7 @@
 		n.yieldedAt = time.Now()
 	}
 	n.mu.Unlock()
-	if due {
+	if due && n.offerLease(ctx, successor) {
 		n.log.Log(events.HandoverDecided, r.fence, successor, "the entry is larger", time.Since(r.began).String())
 		n.handOver(ctx, r, successor)
 	}
@@ -55,7 +55,7 @@
 // and starts scheduling.
 func (n *Node) acquire(ctx context.Context, version uint64, reason string) {
 	began := time.Now()
-	if n.isLeaving() {
+	if !n.takesLease() {
 		return
 	}
 	value, err := json.Marshal(n.ownLease())
@@ -75,9 +75,13 @@
 	if err != nil || fence == 0 {
 		return
 	}
+	loadCtx, cancel := context.WithTimeout(ctx, loadTimeout)
+	defer cancel()
+	// From the notifications on, calls of other entries arrive.
+	n.startLoad(fence, cancel)
 	n.log.Log(events.CellLeaseAcquired, fence, reason, time.Since(began).String())
 	n.notify(n.knownEntries(), methodAcquired, seenReply{leaseRow: n.ownLease(), Fence: fence})
-	n.begin(ctx, fence, began)
+	n.begin(loadCtx, fence, began)
 }
 
 // readBackLease finds out whether a lease write with unknown outcome took effect, and
@@ -112,10 +116,7 @@
 // begin loads the cell and starts scheduling. If the cell cannot be loaded, or this entry
 // leaves meanwhile and gives the load up, it releases the lease.
 func (n *Node) begin(ctx context.Context, fence uint64, since time.Time) {
-	loadCtx, cancel := context.WithTimeout(ctx, loadTimeout)
-	defer cancel()
-	n.startLoad(fence, cancel)
-	r, err := newLeadership(loadCtx, n, fence, since)
+	r, err := newLeadership(ctx, n, fence, since)
 	if err != nil {
 		n.loadFailed(context.WithoutCancel(ctx), fence, err)
 		return
@@ -175,6 +176,7 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.loading, n.loaded, n.abortLoad, n.abandoned = fence, make(chan struct{}), abort, handover{}
+	n.offer = acceptedOffer{}
 }
 
 // endLoadLocked notes that the load has ended. n.mu must be held.
