--- a/process/dispatch/dispatch.go
+++ b/process/dispatch/dispatch.go
@@ -109,8 +109,8 @@
 
 // Do sends the request to a worker and returns its outcome. prepare is called before
 // each dispatch; if it returns an error, the request isn't dispatched, and an
-// *api.Error becomes the outcome. ctx ends when the caller has left; it is ignored
-// once the request is dispatched.
+// *api.Error becomes the outcome. ctx ends when the caller has left, or with an *api.Error as
+// its cause, which becomes the outcome; it is ignored once the request is dispatched.
 func (d *Dispatcher) Do(ctx context.Context, r *attempt.Request, kind *version.Kind, prepare func(context.Context) error) attempt.Outcome {
 	started := time.Now()
 	observed := Observation{Team: r.Team, Kind: r.Kind}
--- a/process/requests/home.go
+++ b/process/requests/home.go
@@ -23,6 +23,10 @@
 
 // Do runs the request and returns its outcome. ctx ends when the caller has left.
 func (s *Service) Do(ctx context.Context, r *attempt.Request) attempt.Outcome {
+	return s.untilEnd(ctx, func(ctx context.Context) attempt.Outcome { return s.do(ctx, r) })
+}
+
+func (s *Service) do(ctx context.Context, r *attempt.Request) attempt.Outcome {
 	kind, refusal := s.kind(r)
 	if refusal != nil {
 		return *refusal
@@ -109,7 +113,7 @@
 	}
 	outcome, ok := flight.Wait(ctx)
 	if !ok {
-		return attempt.Unknown("the caller left before the answer")
+		return leftOutcome(ctx)
 	}
 	return outcome
 }
