cluster: repeat calls at a scheduler that doesn't know yet that it is one

Change: a call that a new scheduler refuses, or whose link breaks, is repeated each 50 ms for at most 1 s in all; forward says when a call is to be repeated. A refused heartbeat doesn't stop calls to a scheduler in its first second.

--- a/process/cluster/fakes_test.go
+++ b/process/cluster/fakes_test.go
@@ -125,6 +125,7 @@
 	if err := t.reach(ctx); err != nil {
 		return 0, err
 	}
+	defer t.delayReply(ctx)
 	t.w.mu.Lock()
 	defer t.w.mu.Unlock()
 	if t.w.lostReplies > 0 {
@@ -141,6 +142,14 @@
 	return t.w.apply(txn)
 }
 
+// delayReply waits until a write is answered.
+func (t *nodeTable) delayReply(ctx context.Context) {
+	t.w.mu.Lock()
+	delay := t.w.commitReplyDelay
+	t.w.mu.Unlock()
+	sleep(ctx, delay)
+}
+
 // apply executes a transaction. w.mu must be held.
 func (w *simulation) apply(txn platform.Txn) (uint64, error) {
 	for _, c := range txn.Conditions {
--- a/process/cluster/forward.go
+++ b/process/cluster/forward.go
@@ -23,6 +23,11 @@
 	successorWindow = 1500 * time.Millisecond
 	successorWait   = 600 * time.Millisecond
 	callWait        = time.Second
+	// newSchedulerTime is how long after it became known a scheduler counts as new: others may
+	// read its name in the lease row before it knows that it has the lease. A call that a
+	// new scheduler refuses is repeated there each callRetryPeriod.
+	newSchedulerTime = time.Second
+	callRetryPeriod  = 50 * time.Millisecond
 	// loadWait is how long a call waits while the cell is being loaded.
 	loadWait = callWait
 )
@@ -48,22 +53,14 @@
 		n.mu.Lock()
 		r, view, changed := n.leadership, n.view, n.changed
 		n.mu.Unlock()
-		reply, lost := n.try(ctx, r, view, call.timed(ctx))
-		if !lost {
+		reply, next := n.try(ctx, r, view, call.timed(ctx))
+		if next == noRepeat {
 			return reply
 		}
 		if reply.Result == ResultUnknown {
 			unknown = &reply
 		}
-		lastContact := maxTime(view.lastHeard, view.since)
-		if reply.Ended || view.Holder == n.config.Name {
-			lastContact = time.Now()
-		}
-		until := waitUntil
-		if limit := time.Now().Add(successorWait); view.fence != 0 && limit.Before(until) {
-			until = limit
-		}
-		if !awaitSuccessor(ctx, lastContact, until, changed) {
+		if !awaitRepeat(ctx, view, next, waitUntil, changed) {
 			if unknown != nil {
 				return *unknown
 			}
@@ -72,56 +69,91 @@
 	}
 }
 
+// repeat says when a call that was not answered is to be repeated.
+type repeat int
+
+const (
+	// noRepeat: the call was answered, or its time is over.
+	noRepeat repeat = iota
+	// repeatAtSuccessor: once there is another scheduler.
+	repeatAtSuccessor
+	// repeatSoon: also at the same scheduler, which was alive just now.
+	repeatSoon
+)
+
+// isNew reports whether the scheduler may not know yet that it is the scheduler.
+func (v leaderView) isNew() bool { return v.fence != 0 && time.Since(v.since) < newSchedulerTime }
+
 // try makes a call here if this entry is the scheduler and doesn't hand over, else at the
-// scheduler. lost is set if the call is to be repeated at the next scheduler.
-func (n *Node) try(ctx context.Context, r *leadership, view leaderView, call Call) (reply Reply, lost bool) {
-	if r != nil && !r.over() && r.calls.enter() {
-		defer r.calls.exit()
-		reply = r.do(ctx, call)
-		return reply, reply.Ended
+// scheduler.
+func (n *Node) try(ctx context.Context, r *leadership, view leaderView, call Call) (Reply, repeat) {
+	if r == nil || r.over() || !r.calls.enter() {
+		return n.forward(ctx, view, call)
 	}
-	return n.forward(ctx, view, call)
+	defer r.calls.exit()
+	reply := r.do(ctx, call)
+	if reply.Ended {
+		return reply, repeatSoon
+	}
+	return reply, noRepeat
 }
 
-// awaitSuccessor waits for a change of scheduler if one is expected soon, at most until a
-// given time, and reports whether there was one.
-func awaitSuccessor(ctx context.Context, lastContact, until time.Time, changed <-chan struct{}) bool {
-	if time.Since(lastContact) > successorWindow {
+// awaitRepeat waits until a call is to be repeated, at most until a given time, and reports
+// whether it is. changed is closed when the scheduler changes; the wait for that is
+// shorter if the scheduler is silent, and there is none if one is not expected soon.
+func awaitRepeat(ctx context.Context, view leaderView, next repeat, until time.Time, changed <-chan struct{}) bool {
+	if next != repeatSoon && time.Since(maxTime(view.lastHeard, view.since)) > successorWindow {
 		return false
 	}
+	if limit := time.Now().Add(successorWait); view.fence != 0 && limit.Before(until) {
+		until = limit
+	}
 	ctx, cancel := context.WithDeadline(ctx, until)
 	defer cancel()
-	select {
-	case <-changed:
-		return true
-	default:
+	var again <-chan time.Time
+	if next == repeatSoon {
+		again = time.After(callRetryPeriod)
 	}
 	select {
 	case <-changed:
+		return ctx.Err() == nil
+	case <-again:
 		return true
 	case <-ctx.Done():
 		return false
 	}
 }
 
-// forward sends a call to the scheduler. lost is set if the scheduler seems to be down.
-func (n *Node) forward(ctx context.Context, view leaderView, call Call) (reply Reply, lost bool) {
-	if view.Holder == "" || view.Holder == n.config.Name {
-		return unavailable("no scheduler is known", 0), true
+// forward sends a call to the scheduler.
+func (n *Node) forward(ctx context.Context, view leaderView, call Call) (reply Reply, next repeat) {
+	switch {
+	case view.Holder == n.config.Name:
+		// This entry has just handed over.
+		return unavailable("no scheduler is known", 0), repeatSoon
+	case view.Holder == "":
+		return unavailable("no scheduler is known", 0), repeatAtSuccessor
 	}
-	if unreachableFor := time.Since(view.lastHeard); view.refused || unreachableFor > unreachableAfter+n.heartbeatInterval(view)-heartbeatPeriod {
-		return unavailable("the scheduler is silent", unreachableFor), true
+	refused := view.refused && !view.isNew()
+	if unreachableFor := time.Since(view.lastHeard); refused || unreachableFor > unreachableAfter+n.heartbeatInterval(view)-heartbeatPeriod {
+		return unavailable("the scheduler is silent", unreachableFor), repeatAtSuccessor
 	}
 	ctx, cancel := context.WithTimeout(ctx, forwardTimeout)
 	defer cancel()
 	defer context.AfterFunc(view.ctx, cancel)()
 	err := n.config.Peers.Call(ctx, view.Address, methodCall, call, &reply)
-	if err == nil {
-		return reply, reply.Ended
+	switch {
+	case err == nil && reply.Ended:
+		return reply, repeatSoon
+	case err == nil:
+		return reply, noRepeat
+	case ctx.Err() != nil && view.ctx.Err() == nil:
+		return forwardFailed(call, err), noRepeat
+	case view.isNew() || errors.Is(err, peer.ErrUnknown):
+		// The scheduler may not know yet that it is the scheduler, or the link was closed.
+		return forwardFailed(call, err), repeatSoon
+	default:
+		return forwardFailed(call, err), repeatAtSuccessor
 	}
-	var remote *peer.RemoteError
-	lost = errors.Is(err, peer.ErrNotSent) || errors.As(err, &remote) || view.ctx.Err() != nil
-	return forwardFailed(call, err), lost
 }
 
 // forwardFailed returns the answer to a call that the scheduler did not answer.
--- a/process/cluster/leave_test.go
+++ b/process/cluster/leave_test.go
@@ -516,7 +516,18 @@
 // that arrives in between must wait for the scheduler like a later one, rather than be
 // refused and wait in vain for a change of scheduler.
 func TestCallsFollowNewSchedulerAtOnce(t *testing.T) {
+	for _, delay := range []time.Duration{0, 100 * time.Millisecond, 200 * time.Millisecond} {
+		t.Run(delay.String(), func(t *testing.T) { callsFollow(t, delay) })
+	}
+}
+
+// callsFollow checks that calls around handovers are served, with a table whose answers to
+// writes arrive late: other entries read the new scheduler's name before it knows itself.
+func callsFollow(t *testing.T, commitReplyDelay time.Duration) {
 	simulateFleet(t, 2, 30, func(w *fleet) {
+		w.simulation.mu.Lock()
+		w.commitReplyDelay = commitReplyDelay
+		w.simulation.mu.Unlock()
 		for range 10 {
 			leader := w.awaitLeader(time.Second, "")
 			ended := make(chan struct{})
--- a/process/cluster/simulation_test.go
+++ b/process/cluster/simulation_test.go
@@ -35,6 +35,8 @@
 	// serialWrites, if not nil, is a semaphore that makes the table execute writes one
 	// after the other, even if the caller has stopped waiting.
 	serialWrites chan struct{}
+	// commitReplyDelay is how long after its execution a write is answered.
+	commitReplyDelay time.Duration
 	// scanTime is added to the duration of each scan.
 	scanTime time.Duration
 	// lostReplies is how many writes are left without a reply; each is applied
--- a/process/cluster/takeover_test.go
+++ b/process/cluster/takeover_test.go
@@ -244,3 +244,34 @@
 		assert.Equal(t, reply.Result, ResultUnavailable, "%+v", reply)
 	})
 }
+
+// The link to the scheduler breaks while a call is on it. Since a call may be made twice, it
+// is repeated, and the caller receives its outcome instead of an unknown result.
+func TestCallRepeatedAfterBrokenLink(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		tries := 0
+		peers := stubPeers{"s1": func() error {
+			tries++
+			if tries < 3 {
+				return peer.ErrUnknown
+			}
+			return nil
+		}}
+		n := NewNode(Config{Name: "n0", Peers: peers})
+		n.mu.Lock()
+		n.setView(newView(1, leaseRow{Holder: "s1", Address: "s1"}, nil))
+		n.view.since = time.Now().Add(-time.Minute)
+		n.mu.Unlock()
+		began := time.Now()
+		reply := n.Do(context.Background(), testJob("a", 1))
+		assert.Equal(t, reply.Result, Result(""), "%+v", reply)
+		assert.Equal(t, tries, 3)
+		assert.Assert(t, time.Since(began) < successorWait)
+
+		peers["s1"] = func() error { return peer.ErrUnknown }
+		began = time.Now()
+		reply = n.Do(context.Background(), testJob("a", 1))
+		assert.Equal(t, reply.Result, ResultUnknown, "%+v", reply)
+		assert.Assert(t, time.Since(began) <= callWait+callRetryPeriod)
+	})
+}
