--- a/process/cluster/doc.go
+++ b/process/cluster/doc.go
@@ -11,6 +11,9 @@
 // entry can reach the scheduler, or when the scheduler reports that it cannot reach
 // the table.
 //
+// A scheduler that leaves, or gives way to a larger entry, hands the cell over: it offers
+// the lease to a successor, answers the calls in progress, and releases the lease.
+//
 // A replaced scheduler finds out at its next write or read of the lease row, which
 // happens several times a second, or from a worker that has seen a higher fence.
 //
