--- a/version/records/fields.go
+++ b/version/records/fields.go
@@ -165,7 +165,7 @@
 		},
 		{
 			Key: "teams", At: func(k *Kind) any { return &k.Teams }, Check: tomlcheck.CheckName, DefaultText: "all teams",
-			Doc: "Teams that may hand the work in.",
+			Doc: "Teams that may hand the work in, each once.",
 		},
 	},
 }
