--- a/process/dispatch/queue.go
+++ b/process/dispatch/queue.go
@@ -38,12 +38,22 @@
 	case <-ctx.Done():
 	}
 	if d.remove(item) {
-		return nil, attempt.NotRun(api.CodeDeadline, "the caller left before the start", 0)
+		return nil, endedOutcome(ctx)
 	}
 	v := <-w.result
 	return v.reservation, v.outcome
 }
 
+// endedOutcome returns the outcome of a request whose ctx ended while it waited: the cause if
+// that is an *api.Error, else that the caller has left.
+func endedOutcome(ctx context.Context) attempt.Outcome {
+	var cause *api.Error
+	if errors.As(context.Cause(ctx), &cause) {
+		return attempt.Outcome{Err: cause}
+	}
+	return attempt.NotRun(api.CodeDeadline, "the caller left before the start", 0)
+}
+
 // push queues the request. Requests that are shed to make room, or the request itself if
 // the queue refuses it, get their final outcome.
 func (d *Dispatcher) push(w *waiter) *queue.Item {
--- a/process/requests/handlers.go
+++ b/process/requests/handlers.go
@@ -7,6 +7,7 @@
 
 	"github.com/kingcuplatch/kingcuplatch/conn/api"
 	"github.com/kingcuplatch/kingcuplatch/conn/peer"
+	"github.com/kingcuplatch/kingcuplatch/process/dispatch"
 	"github.com/kingcuplatch/kingcuplatch/process/ownership"
 	"github.com/kingcuplatch/kingcuplatch/request/attempt"
 	"github.com/kingcuplatch/kingcuplatch/version"
@@ -59,7 +60,7 @@
 	if _, owned := s.o.Ownership.HoldsLease(shard); !owned {
 		return homeNotReached(api.CodeMoved, errMoved), nil
 	}
-	return s.runHere(ctx, r, kind, shard), nil
+	return s.untilEnd(ctx, func(ctx context.Context) attempt.Outcome { return s.runHere(ctx, r, kind, shard) }), nil
 }
 
 // handlePlace starts a request on a worker of this entry at once, or refuses it.
@@ -76,12 +77,17 @@
 	if !ok {
 		return attempt.NotRun(api.CodeNoCapacity, "no room here", retryAfter), nil
 	}
-	sendCtx, cancel := context.WithDeadline(context.WithoutCancel(ctx), r.Deadline)
+	return s.untilEnd(ctx, func(ctx context.Context) attempt.Outcome { return s.sendReserved(ctx, reservation, r, kind) }), nil
+}
+
+// sendReserved sends a request to a worker of this entry. It goes on if ctx ends.
+func (s *Service) sendReserved(ctx context.Context, reservation dispatch.Reservation, r *attempt.Request, kind *version.Kind) attempt.Outcome {
+	ctx, cancel := context.WithDeadline(context.WithoutCancel(ctx), r.Deadline)
 	defer cancel()
-	outcome := reservation.Send(sendCtx, r, kind)
+	outcome := reservation.Send(ctx, r, kind)
 	reservation.Release(outcome)
 	s.Dispatcher(kind.Upstream).Wake()
-	return outcome, nil
+	return outcome
 }
 
 // handleRemember stores the request ids that another entry dispatched. It confirms them
@@ -92,6 +98,3 @@
 	}
 	return struct{}{}, nil
 }
-
-// Drain refuses further requests of other entries and waits for those in progress.
-func (s *Service) Drain(ctx context.Context) error { return s.forwarded.drain(ctx) }
--- a/process/requests/service.go
+++ b/process/requests/service.go
@@ -80,6 +80,10 @@
 	mu sync.Mutex
 	// dispatchers holds the dispatchers, by upstream.
 	dispatchers map[string]*dispatch.Dispatcher
+
+	// ending ends when the requests in progress are to be answered with what is known.
+	ending context.Context
+	end    context.CancelFunc
 }
 
 // New returns a service whose dispatchers run until ctx ends.
@@ -92,6 +96,7 @@
 		ctx:         ctx,
 	}
 	s.replicator = dedupe.NewReplicator(s.replicate)
+	s.ending, s.end = context.WithCancel(context.Background())
 	return s
 }
 
