Learn the share of allowed workers from unknown workers only

Cause: every reply of the advisory service moved the estimated share of allowed workers of its queue, also replies that renew tickets of workers known to be allowed. Change: only workers on which nothing was known count.

--- a/process/cell/advice.go
+++ b/process/cell/advice.go
@@ -226,7 +226,7 @@
 		s.advice.retryAt = now.Add(adviceRetryDelay)
 		return
 	}
-	c.updateAllowedShare(request.Queue, len(tickets), len(request.Workers))
+	c.learnAllowedShare(s, request, tickets)
 	for _, id := range request.Workers {
 		if w := c.workers[id]; w != nil {
 			s.advice.setRefused(w)
@@ -240,6 +240,25 @@
 	}
 }
 
+// learnAllowedShare updates the estimated share of allowed workers of a queue from a reply. Only
+// workers on which nothing was known count: calls that renew tickets name workers that are
+// known to be allowed.
+func (c *Cell) learnAllowedShare(s *step, request AdviceRequest, tickets []Ticket) {
+	asked := make(map[string]bool, len(request.Workers))
+	for _, id := range request.Workers {
+		if w := c.workers[id]; w != nil && !s.advice.known(w) {
+			asked[id] = true
+		}
+	}
+	allowed := 0
+	for _, ticket := range tickets {
+		if asked[ticket.Worker] {
+			allowed++
+		}
+	}
+	c.updateAllowedShare(request.Queue, allowed, len(asked))
+}
+
 func (c *Cell) updateAllowedShare(queue string, allowed, total int) {
 	if total == 0 {
 		return
--- a/process/cell/ticket_test.go
+++ b/process/cell/ticket_test.go
@@ -42,3 +42,28 @@
 		assert.Assert(t, task.current == nil, "only two of the four tasks fit on the only allowed worker")
 	}
 }
+
+// Replies that renew tickets must not raise the estimated share of allowed workers: with too
+// high a share a call for a gang names too few workers, and the gang has to ask again and
+// again.
+func TestRenewalsDoNotRaiseAllowedShare(t *testing.T) {
+	queues, _ := fakeQueues()
+	w := newSimulation(t, 1, 20, 1, queues, nil)
+	w.run(100 * time.Millisecond)
+	job := queues[0].Policy
+	c := w.cell
+	spec := JobSpec{ID: "a", Queue: "roster", Team: "team", Upstream: "desk", Policy: job, Steps: []StepSpec{
+		{Count: 4, Need: resource.Amount{MilliCPU: 9000, MemoryMB: 100}, Gang: true, Estimate: time.Second},
+	}}
+	assert.Equal(t, c.Submit(w.now, spec, func(Recorded) {}).Verdict, Recording)
+	first := AdviceRequest{Step: "a.0.0", Queue: "roster", Workers: w.order[:10], Decide: job.Advice.Decide}
+	allowed := []Ticket{{Worker: w.order[0]}, {Worker: w.order[1]}}
+	c.Advised(w.now, w.now, first, allowed, false)
+	share := c.allowedShare("roster")
+	assert.Assert(t, share < initialAllowedShare, "%.2f after 2 of 10 were allowed", share)
+	renewal := AdviceRequest{Step: "a.0.0", Queue: "roster", Workers: w.order[:2], Decide: job.Advice.Decide}
+	for range 10 {
+		c.Advised(w.now, w.now, renewal, allowed, false)
+	}
+	assert.Equal(t, c.allowedShare("roster"), share)
+}
