Claim the workers that a gang asks about

Cause: each gang without advice asked about the workers with most slots, and all gangs that waited at that time asked about the same ones. The first that was answered took them, or reserved them; the others had spent a call of 0.5 to 0.9 s for nothing and asked about the next workers, together again. A burst of gangs, or their next steps, waited for 6 s while most of the fleet was free, and used up the calls that may be in progress. Change: until the reply a call for a gang claims the capacity that the gang may take of each worker named. Other gangs count what is left, so they ask about other workers.

--- a/process/cell/advice.go
+++ b/process/cell/advice.go
@@ -181,9 +181,13 @@
 	}
 	s.advice.calls++
 	c.countCall(job.Policy.Advice.Decide, 1)
-	c.actions.AdviceRequests = append(c.actions.AdviceRequests, AdviceRequest{
+	request := AdviceRequest{
 		Step: s.name(), Queue: job.Queue, Workers: ids, Estimate: job.Policy.Advice.CallTime(len(ids)), Decide: job.Policy.Advice.Decide,
-	})
+	}
+	if s.spec.Gang {
+		request.claims = claimFor(s, candidates)
+	}
+	c.actions.AdviceRequests = append(c.actions.AdviceRequests, request)
 }
 
 // countCall adds delta to the number of slow or quick calls in progress.
@@ -207,6 +211,7 @@
 // answered is the earliest time at which the service can have replied.
 func (c *Cell) Advised(now, answered time.Time, request AdviceRequest, tickets []Ticket, failed bool) {
 	c.countCall(request.Decide, -1)
+	request.releaseClaims()
 	ref, err := parseTask(request.Step + ".0")
 	if err != nil {
 		c.note(Note{Kind: NoteRunUnknown, Task: request.Step, Error: err})
--- a/process/cell/cell.go
+++ b/process/cell/cell.go
@@ -142,6 +142,8 @@
 	// depend on the number of workers.
 	Estimate time.Duration
 	Decide   time.Duration
+	// claims holds what a gang may take of the workers once it has the reply.
+	claims []claim
 }
 
 // TakeActions returns the actions accumulated since the last call.
--- a/process/cell/gangadvice.go
+++ b/process/cell/gangadvice.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"github.com/kingcuplatch/kingcuplatch/process/resource"
 )
 
 // gangForecast is what a gang that found too little capacity can expect of the workers
@@ -94,7 +96,7 @@
 		if !s.eligible(upstream, w) || s.advice.known(w) || r.reservedForOther(w, s) || s.slotsIn(w.Capacity) == 0 {
 			continue
 		}
-		n := s.slotsIn(w.expectedFree(soon))
+		n := s.slotsIn(w.expectedFree(soon).Sub(w.claimed))
 		free += n
 		unknown = append(unknown, workerSlots{worker: w, tasks: max(n, 1)})
 	}
@@ -119,3 +121,29 @@
 		c.queueCall(s, candidates[i*n/calls:(i+1)*n/calls])
 	}
 }
+
+// claim is the capacity of a worker that a gang may take once a call for advice is answered.
+type claim struct {
+	worker *Worker
+	amount resource.Amount
+}
+
+// claimFor claims the capacity that s would take on each of the candidates of a call, until
+// the reply. Gangs that explore meanwhile then ask about other workers; otherwise all of them
+// would ask about those with most slots, and find them taken by the first that is answered.
+func claimFor(s *step, candidates []workerSlots) []claim {
+	claims := make([]claim, 0, len(candidates))
+	for _, slot := range candidates {
+		one := claim{slot.worker, s.spec.Need.Times(int64(s.slotsIn(slot.worker.Capacity)))}
+		one.worker.claimed = one.worker.claimed.Add(one.amount)
+		claims = append(claims, one)
+	}
+	return claims
+}
+
+// releaseClaims ends the claims of a call that is over.
+func (r AdviceRequest) releaseClaims() {
+	for _, one := range r.claims {
+		one.worker.claimed = one.worker.claimed.Sub(one.amount)
+	}
+}
--- a/process/cell/worker.go
+++ b/process/cell/worker.go
@@ -124,6 +124,9 @@
 	// readyIn is the number of the last round in which the worker accepted new work.
 	readyIn  uint64
 	reserved reservation
+	// claimed is the capacity that gangs may take here once their calls for advice in progress
+	// are answered.
+	claimed  resource.Amount
 	forecast runForecast
 }
 
