Estimate ends of runs from their progress since the first reply

Cause: the expected end of a run was worked out from its whole progress over the time since it was first listed. Workers list their runs about once a second, so a run that had done a quarter of its work at its first listing seemed to have done it in no time, and its worker counted as free from then on. Members of a gang that have done their part also counted as about to end, though they end with the slowest. Change: the rate counts progress since the first listing; before that, the step's estimate of what is left. A gang's members end with its slowest member. Long-running tasks, whose estimate is 0, don't count as about to end (the same class).

--- a/process/cell/fleet_test.go
+++ b/process/cell/fleet_test.go
@@ -157,9 +157,25 @@
 // begin starts the run's work and schedules its end.
 func (w *simulation) begin(r *fakeRun) {
 	r.startedAt = w.now
+	if w.failsOnItsOwn(r) {
+		return
+	}
 	w.after(r.length-r.done, func() { w.finishRun(r) })
 }
 
+// failsOnItsOwn decides whether the run fails before it is done, and schedules that.
+func (w *simulation) failsOnItsOwn(r *fakeRun) bool {
+	if w.failureShare == 0 || w.rand.Float64() >= w.failureShare {
+		return false
+	}
+	w.after(time.Duration(w.rand.Float64()*float64(r.length-r.done)), func() {
+		if r.worker.running[r.RunKey] == r && !r.worker.hang {
+			w.endRun(r, EndFailed)
+		}
+	})
+	return true
+}
+
 func (w *simulation) finishRun(r *fakeRun) {
 	f := r.worker
 	if f.running[r.RunKey] != r || f.hang {
@@ -204,6 +220,9 @@
 			longest = m
 		}
 	}
+	for _, m := range sortedMembers(g) {
+		w.failsOnItsOwn(m)
+	}
 	w.after(longest.length-longest.done, func() { w.finishGang(longest) })
 }
 
--- a/process/cell/gang.go
+++ b/process/cell/gang.go
@@ -177,6 +177,7 @@
 
 // placeGang plans all tasks of s with one run number.
 func (c *Cell) placeGang(now time.Time, s *step, chosen []workerSlots) {
+	s.gangEnd = time.Time{}
 	last := 0
 	for _, t := range s.tasks {
 		last = max(last, t.lastRun)
--- a/process/cell/job.go
+++ b/process/cell/job.go
@@ -150,7 +150,11 @@
 	failedRuns map[int]bool
 	// checkpoint is the last checkpoint of a gang.
 	checkpoint string
-	advice     adviceState
+	// gangEnd is when a gang is expected to end, as of gangEndAt; zero before its runs are
+	// listed.
+	gangEnd   time.Time
+	gangEndAt time.Time
+	advice    adviceState
 	// durations holds the run times of completed tasks.
 	durations []taskDuration
 }
--- a/process/cell/list.go
+++ b/process/cell/list.go
@@ -74,6 +74,7 @@
 		running[listed.RunKey] = true
 		c.updateRun(now, w, listed)
 	}
+	w.updateGangEnds(now)
 	if l.More {
 		return
 	}
@@ -133,7 +134,7 @@
 	}
 	if r.state != runListed {
 		r.state = runListed
-		r.listedAt, r.progressAt = now, now
+		r.listedAt, r.progressAt, r.firstPercent = now, now, listed.Percent
 		r.task.step.occ.job.started = true
 	}
 	r.lastListedAt = now
--- a/process/cell/runs.go
+++ b/process/cell/runs.go
@@ -67,17 +67,65 @@
 	return free
 }
 
-// minRateSample is the progress of a run, in percent, from which its rate is used.
+// minRateSample is the progress of a run since it was first listed, in percent, from which
+// its rate is used.
 const minRateSample = 10
 
-// endEstimate returns when the run is expected to end: by its own rate once it is known,
-// otherwise by its step's estimate.
+// longRunningTime is the assumed run time of long-running tasks, far beyond that of others.
+const longRunningTime = 24 * time.Hour
+
+// endEstimate returns when the run is expected to end. The members of a gang end together,
+// with the slowest of them.
 func (r *Run) endEstimate() time.Time {
-	if r.percent < minRateSample || r.listedAt.IsZero() {
-		return r.plannedAt.Add(r.task.step.spec.Estimate)
+	end := r.workEndEstimate()
+	if s := r.task.step; s.spec.Gang {
+		return maxTime(end, s.gangEnd)
+	}
+	return end
+}
+
+// workEndEstimate returns when the run's own work is expected to be done: by its rate since
+// it was first listed once that is known, otherwise by its step's estimate. A run may have
+// done much of its work, or have resumed from a checkpoint, when it is first listed.
+func (r *Run) workEndEstimate() time.Time {
+	estimate := r.task.step.spec.Estimate
+	if r.task.step.spec.LongRunning {
+		return r.plannedAt.Add(longRunningTime)
+	}
+	if r.listedAt.IsZero() {
+		return r.plannedAt.Add(estimate)
+	}
+	left, gained := time.Duration(100-r.percent), time.Duration(r.percent-r.firstPercent)
+	if gained < minRateSample {
+		return r.progressAt.Add(estimate * left / 100)
+	}
+	return r.progressAt.Add(r.progressAt.Sub(r.listedAt) * left / gained)
+}
+
+// gangEndInterval is the minimum time between two estimates of the end of a gang, which go
+// over all its members.
+const gangEndInterval = 100 * time.Millisecond
+
+// updateGangEnds estimates anew when the gangs with members on w are expected to end.
+func (w *Worker) updateGangEnds(now time.Time) {
+	for _, r := range w.runList {
+		if s := r.task.step; s.spec.Gang {
+			s.updateGangEnd(now)
+		}
+	}
+}
+
+// updateGangEnd estimates anew when the gang is expected to end.
+func (s *step) updateGangEnd(now time.Time) {
+	if now.Sub(s.gangEndAt) < gangEndInterval {
+		return
+	}
+	s.gangEnd, s.gangEndAt = time.Time{}, now
+	for _, t := range s.tasks {
+		if t.current != nil {
+			s.gangEnd = maxTime(s.gangEnd, t.current.workEndEstimate())
+		}
 	}
-	passed := r.progressAt.Sub(r.listedAt)
-	return r.progressAt.Add(passed * time.Duration(100-r.percent) / time.Duration(r.percent))
 }
 
 // sortedRuns returns the runs of w in a fixed order.
--- a/process/cell/simulation_test.go
+++ b/process/cell/simulation_test.go
@@ -48,6 +48,8 @@
 	// reply, lostAdvice that of advice calls without a reply.
 	lostStops  float64
 	lostAdvice float64
+	// failureShare is the share of runs that fail by themselves.
+	failureShare float64
 	// halfAllowed allows every step on at least half of the workers, so that each step has
 	// workers to run on.
 	halfAllowed bool
--- a/process/cell/widestep_test.go
+++ b/process/cell/widestep_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -51,7 +52,7 @@
 // on the same workers: the first one that is answered takes them, and each further call takes
 // most of a second. Each gang of 15 tasks is followed by one of 33.
 func TestGangsThatExploreTogether(t *testing.T) {
-	for _, gangs := range []int{1, 10} {
+	for _, gangs := range []int{1, 10, 25} {
 		for _, seed := range []uint64{1, 2, 3} {
 			t.Run(fmt.Sprintf("%d gangs, seed %d", gangs, seed), func(t *testing.T) {
 				t.Parallel()
@@ -75,3 +76,58 @@
 		}
 	}
 }
+
+// largeDay returns the load of a large fleet on which memory binds too: gangs and batch jobs
+// of up to 80 tasks, whose later steps have widths of their own, and urgent jobs. A fiftieth of
+// the tasks fail.
+func largeDay(w *simulation) []fakeKind {
+	kinds := setLargeAdvice(w)
+	kinds[0].perSecond, kinds[0].count, kinds[0].length, kinds[0].steps, kinds[0].maxTasks = 6.66, 16, 6200*time.Millisecond, 1.3, 80
+	kinds[1].perSecond, kinds[1].count, kinds[1].cpu, kinds[1].steps, kinds[1].maxTasks = 11.1, 15, 5500, 1.6, 76
+	kinds[2].perSecond, kinds[2].count, kinds[2].cpu, kinds[2].length = 123, 3.1, 7900, 640*time.Millisecond
+	kinds[0].cpuSpread, kinds[1].cpuSpread, kinds[2].cpuSpread = 0.4, 0.45, 0.45
+	w.failureShare = 0.02
+	memory := map[string]struct{ mean, most float64 }{"roster": {17000, 33000}, "provision": {5600, 17000}, "quote": {15000, 44000}}
+	random := rand.New(rand.NewPCG(99, 1))
+	w.varyJob = func(j *fakeJob) {
+		m := memory[j.kind]
+		mb := int64(min(lognormal(random, m.mean, 0.5), m.most))
+		for i := range j.spec.Steps {
+			j.spec.Steps[i].Need.MemoryMB = mb
+			if i > 0 {
+				j.setWidth(i, max(1, min(80, int(lognormal(random, 16, 0.6)))))
+			}
+		}
+	}
+	return kinds
+}
+
+// setWidth sets the number of tasks of a step, which all take as long as the job's first one.
+func (j *fakeJob) setWidth(step, count int) {
+	j.spec.Steps[step].Count = count
+	j.times[step] = make([]time.Duration, count)
+	for i := range j.times[step] {
+		j.times[step][i] = j.times[0][0]
+	}
+}
+
+// The load of a large day that begins with many gangs at once. While most of the fleet is free,
+// no job may wait for long, whatever its width, and most gangs must be in time.
+func TestWideStepsOnLargeDay(t *testing.T) {
+	w := newSimulation(t, 51, 540, 97, nil, nil)
+	kinds := largeDay(w)
+	w.generateJobs(kinds, 16*time.Second, func(kind string, at time.Duration) float64 {
+		if kind == "roster" && at < 2*time.Second {
+			return 3
+		}
+		return 1
+	})
+	idle := w.watchIdle()
+	w.run(50 * time.Second)
+	w.logResults()
+	t.Logf("idle for at most %s: %s; gangs in time by work %.3f", idle.longest, idle.step, w.byWork("roster"))
+	assert.Equal(t, len(w.violations), 0, "%v", w.violations)
+	assert.Assert(t, idle.longest <= maxIdle, "idle for %s: %s", idle.longest, idle.step)
+	rosters, _ := w.onTimeShare("roster")
+	assert.Assert(t, rosters >= 0.92, "%.3f of the gangs in time", rosters)
+}
--- a/process/cell/worker.go
+++ b/process/cell/worker.go
@@ -61,9 +61,11 @@
 	answeredAt time.Time
 	checkpoint string
 	percent    int
-	// progressAt is when percent last changed; listedAt is when the run was first listed.
-	progressAt time.Time
-	listedAt   time.Time
+	// progressAt is when percent last changed; listedAt is when the run was first listed, and
+	// firstPercent its progress then.
+	progressAt   time.Time
+	listedAt     time.Time
+	firstPercent int
 	// lastListedAt is when a reply last included the run; duration is how long it took.
 	lastListedAt time.Time
 	duration     time.Duration
