--- a/process/cell/explain.go
+++ b/process/cell/explain.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 )
 
@@ -18,20 +19,20 @@
 		return
 	}
 	c.explainedAt = now
-	var oldest *step
 	waiting := c.waiting(now)
-	for _, u := range waiting {
-		if oldest == nil || u.step.occ.due.Before(oldest.occ.due) {
-			oldest = u.step
-		}
+	if len(waiting) == 0 {
+		return
 	}
-	if oldest == nil || now.Sub(oldest.occ.due) < explainAfter {
+	longest := slices.MinFunc(waiting, func(a, b waitingStep) int { return a.step.waitingSince.Compare(b.step.waitingSince) })
+	s := longest.step
+	waited := now.Sub(s.waitingSince)
+	if waited < explainAfter {
 		return
 	}
-	job := oldest.occ.job
+	job := s.occ.job
 	c.note(Note{
-		Kind: NoteStepWaiting, Job: job.ID, Team: job.Team, Task: oldest.name(), Age: now.Sub(oldest.occ.due),
-		Runs: len(waiting), Reason: c.whyWaits(now, oldest),
+		Kind: NoteStepWaiting, Job: job.ID, Team: job.Team, Task: s.name(), Age: now.Sub(s.occ.due), Wait: waited,
+		Runs: len(waiting), Reason: longest.tier.String() + "; " + c.whyWaits(now, s),
 	})
 }
 
@@ -46,7 +47,7 @@
 	if !c.withinCap(job.Team, s.spec.charge().Times(int64(count))) {
 		return fmt.Sprintf("the team's quota is used up: %+v in use", c.usage[job.Team])
 	}
-	var usable, eligible, advised, ticketed, slots int
+	var usable, eligible, advised, ticketed, slots, reserved int
 	for _, w := range c.workerOrder {
 		if w.usable(now) {
 			usable++
@@ -62,8 +63,12 @@
 			continue
 		}
 		ticketed++
-		slots += s.slotsIn(w.free())
+		n := s.slotsIn(w.free())
+		slots += n
+		if w.reserved.round == c.rounds && w.reserved.step != s {
+			reserved += n
+		}
 	}
-	return fmt.Sprintf("of %d workers %d usable, %d eligible, %d advised, %d with a ticket; capacity for %d of %d tasks; advice requests in flight: %d",
-		len(c.workerOrder), usable, eligible, advised, ticketed, slots, count, s.advice.calls)
+	return fmt.Sprintf("of %d workers %d usable, %d eligible, %d advised, %d with a ticket; capacity for %d of %d tasks, %d of it reserved for other steps; advice requests in flight: %d",
+		len(c.workerOrder), usable, eligible, advised, ticketed, slots, count, reserved, s.advice.calls)
 }
--- a/process/cell/job.go
+++ b/process/cell/job.go
@@ -154,7 +154,10 @@
 	// listed.
 	gangEnd   time.Time
 	gangEndAt time.Time
-	advice    adviceState
+	// waitingSince is when the step was first found waiting for placement; zero while nothing
+	// of it waits.
+	waitingSince time.Time
+	advice       adviceState
 	// durations holds the run times of completed tasks.
 	durations []taskDuration
 }
--- a/process/cell/notes.go
+++ b/process/cell/notes.go
@@ -44,8 +44,8 @@
 	Workers []string
 	End     EndKind
 	State   State
-	// Age is the age of the job or run, or how long a step has waited or a run has made no
-	// progress. Wait is the retry delay of a refusal.
+	// Age is the age of the job or run, or how long a run has made no progress. Wait is the
+	// retry delay of a refusal, or how long the step has waited for placement.
 	Age  time.Duration
 	Wait time.Duration
 	// Runs is the number of runs, for NoteStepWaiting that of waiting steps.
--- a/process/cell/order.go
+++ b/process/cell/order.go
@@ -22,6 +22,20 @@
 	expired
 )
 
+// String returns the tier as it appears in logs.
+func (t tier) String() string {
+	switch t {
+	case guaranteed:
+		return "within the guaranteed share"
+	case late:
+		return "late"
+	case overShare:
+		return "over the guaranteed share"
+	default:
+		return "expired"
+	}
+}
+
 // waitingStep is a step that waits for placement, with its sort keys.
 type waitingStep struct {
 	step *step
@@ -56,6 +70,9 @@
 		if u.latest.IsZero() {
 			u = o.queuePosition(now)
 		}
+		if s.waitingSince.IsZero() {
+			s.waitingSince = now
+		}
 		u.step = s
 		pending = append(pending, u)
 	}
--- a/process/cell/place.go
+++ b/process/cell/place.go
@@ -105,11 +105,14 @@
 		return
 	}
 	job := s.occ.job
-	n := Note{Kind: NotePlaced, Job: job.ID, Team: job.Team, Task: placed[0].Task, Run: placed[0].Number, Runs: len(placed), Age: now.Sub(job.FirstSeen)}
+	n := Note{Kind: NotePlaced, Job: job.ID, Team: job.Team, Task: placed[0].Task, Run: placed[0].Number, Runs: len(placed), Age: now.Sub(job.FirstSeen), Wait: now.Sub(s.waitingSince)}
 	for _, r := range placed {
 		n.Workers = append(n.Workers, r.worker.ID)
 	}
 	c.note(n)
+	if !s.awaitsPlacement(now) {
+		s.waitingSince = time.Time{}
+	}
 }
 
 // bestWorker returns the worker with the lowest score among those with enough free
--- a/process/cluster/log.go
+++ b/process/cluster/log.go
@@ -30,7 +30,7 @@
 func logRun(log *events.Logger, n cell.Note) {
 	switch n.Kind {
 	case cell.NotePlaced:
-		log.Log(events.RunPlaced, n.Task, n.Run, n.Runs, strings.Join(n.Workers, " "), n.Age.String())
+		log.Log(events.RunPlaced, n.Task, n.Run, n.Runs, strings.Join(n.Workers, " "), n.Age.String(), n.Wait.String())
 	case cell.NoteRunWithdrawn:
 		log.Log(events.RunWithdrawn, n.Task, n.Run, n.Worker, n.Reason)
 	case cell.NoteStartFailed:
@@ -40,7 +40,7 @@
 	case cell.NoteRunStalled:
 		log.Log(events.RunStalled, n.Task, n.Run, n.Worker, n.Age.String(), n.Reason)
 	case cell.NoteStepWaiting:
-		log.Log(events.StepWaiting, n.Task, n.Team, n.Age.String(), n.Reason, n.Runs)
+		log.Log(events.StepWaiting, n.Task, n.Team, n.Age.String(), n.Wait.String(), n.Reason, n.Runs)
 	case cell.NoteRunUnknown:
 		log.Log(events.RunUnknown, n.Task, n.Run, n.Worker, n.Error)
 	}
--- a/process/events/catalogue.go
+++ b/process/events/catalogue.go
@@ -59,14 +59,14 @@
 
 	JobSetAside = &Event{7106, logrus.ErrorLevel, "job set aside, nothing of it is started or recorded", []string{"job", "team", "reason"}, "Report it with the job's rows; other jobs are not affected."}
 
-	RunPlaced              = &Event{7201, logrus.InfoLevel, "runs of a step placed, one worker per run; task and run are those of the first", []string{"task", "run", "runs", "workers", "age"}, nothing}
+	RunPlaced              = &Event{7201, logrus.InfoLevel, "runs of a step placed, one worker per run; task and run are those of the first", []string{"task", "run", "runs", "workers", "age", "waited"}, nothing}
 	RunWithdrawn           = &Event{7202, logrus.InfoLevel, "run withdrawn, its worker does not have it", []string{"task", "run", "worker", "reason"}, nothing}
 	StartFailed            = &Event{7203, logrus.WarnLevel, "start command rejected or not answered", []string{"task", "run", "worker", "answer", "age"}, nothing}
 	RunEnded               = &Event{7204, logrus.InfoLevel, "run ended without success", []string{"task", "run", "worker", "end", "age"}, nothing}
 	RunStalled             = &Event{7205, logrus.WarnLevel, "run stopped: no progress within the stall timeout", []string{"task", "run", "worker", "still_for", "percents"}, "Check the worker if it repeats; percents is the progress of all runs of the step."}
 	RunUnknown             = &Event{7206, logrus.WarnLevel, "unknown run on a worker stopped", []string{"task", "run", "worker", "error"}, nothing}
 	AdviceFailed           = &Event{7207, logrus.WarnLevel, "advice call failed", []string{"step", "entry", "workers", "error"}, "Retried; check the advisory service if it persists."}
-	StepWaiting            = &Event{7208, logrus.InfoLevel, "step with the longest wait", []string{"step", "team", "age", "reason", "steps"}, "The reason counts the workers that remain after each condition."}
+	StepWaiting            = &Event{7208, logrus.InfoLevel, "step with the longest wait", []string{"step", "team", "age", "waited", "reason", "steps"}, "The reason counts the workers that remain after each condition."}
 	CellWorkerAdopted      = &Event{7301, logrus.InfoLevel, "worker adopted by this scheduler", []string{"worker", "runs"}, nothing}
 	CellWorkerUnreachable  = &Event{7302, logrus.WarnLevel, "worker unreachable", []string{"worker", "runs"}, "Its runs continue under its lease and start elsewhere once the lease has expired."}
 	CellWorkerReachable    = &Event{7303, logrus.InfoLevel, "worker reachable again", []string{"worker"}, nothing}
