--- a/process/cell/advice.go
+++ b/process/cell/advice.go
@@ -181,9 +181,13 @@
 	}
 	s.advice.calls++
 	c.countCall(job.Policy.Advice.Decide, 1)
-	c.actions.AdviceRequests = append(c.actions.AdviceRequests, AdviceRequest{
+	request := AdviceRequest{
 		Step: s.name(), Queue: job.Queue, Workers: ids, Estimate: job.Policy.Advice.CallTime(len(ids)), Decide: job.Policy.Advice.Decide,
-	})
+	}
+	if s.spec.Gang {
+		request.claims = claimFor(s, candidates)
+	}
+	c.actions.AdviceRequests = append(c.actions.AdviceRequests, request)
 }
 
 // countCall adds delta to the number of slow or quick calls in progress.
@@ -207,6 +211,7 @@
 // answered is the earliest time at which the service can have replied.
 func (c *Cell) Advised(now, answered time.Time, request AdviceRequest, tickets []Ticket, failed bool) {
 	c.countCall(request.Decide, -1)
+	request.releaseClaims()
 	ref, err := parseTask(request.Step + ".0")
 	if err != nil {
 		c.note(Note{Kind: NoteRunUnknown, Task: request.Step, Error: err})
@@ -226,7 +231,7 @@
 		s.advice.retryAt = now.Add(adviceRetryDelay)
 		return
 	}
-	c.updateAllowedShare(request.Queue, len(tickets), len(request.Workers))
+	c.learnAllowedShare(s, request, tickets)
 	for _, id := range request.Workers {
 		if w := c.workers[id]; w != nil {
 			s.advice.setRefused(w)
@@ -240,6 +245,25 @@
 	}
 }
 
+// learnAllowedShare updates the estimated share of allowed workers of a queue from a reply. Only
+// workers on which nothing was known count: calls that renew tickets name workers that are
+// known to be allowed.
+func (c *Cell) learnAllowedShare(s *step, request AdviceRequest, tickets []Ticket) {
+	asked := make(map[string]bool, len(request.Workers))
+	for _, id := range request.Workers {
+		if w := c.workers[id]; w != nil && !s.advice.known(w) {
+			asked[id] = true
+		}
+	}
+	allowed := 0
+	for _, ticket := range tickets {
+		if asked[ticket.Worker] {
+			allowed++
+		}
+	}
+	c.updateAllowedShare(request.Queue, allowed, len(asked))
+}
+
 func (c *Cell) updateAllowedShare(queue string, allowed, total int) {
 	if total == 0 {
 		return
--- a/process/cell/job.go
+++ b/process/cell/job.go
@@ -150,7 +150,14 @@
 	failedRuns map[int]bool
 	// checkpoint is the last checkpoint of a gang.
 	checkpoint string
-	advice     adviceState
+	// gangEnd is when a gang is expected to end, as of gangEndAt; zero before its runs are
+	// listed.
+	gangEnd   time.Time
+	gangEndAt time.Time
+	// waitingSince is when the step was first found waiting for placement; zero while nothing
+	// of it waits.
+	waitingSince time.Time
+	advice       adviceState
 	// durations holds the run times of completed tasks.
 	durations []taskDuration
 }
--- a/process/cell/worker.go
+++ b/process/cell/worker.go
@@ -61,9 +61,11 @@
 	answeredAt time.Time
 	checkpoint string
 	percent    int
-	// progressAt is when percent last changed; listedAt is when the run was first listed.
-	progressAt time.Time
-	listedAt   time.Time
+	// progressAt is when percent last changed; listedAt is when the run was first listed, and
+	// firstPercent its progress then.
+	progressAt   time.Time
+	listedAt     time.Time
+	firstPercent int
 	// lastListedAt is when a reply last included the run; duration is how long it took.
 	lastListedAt time.Time
 	duration     time.Duration
@@ -124,6 +126,9 @@
 	// readyIn is the number of the last round in which the worker accepted new work.
 	readyIn  uint64
 	reserved reservation
+	// claimed is the capacity that gangs may take here once their calls for advice in progress
+	// are answered.
+	claimed  resource.Amount
 	forecast runForecast
 }
 
