Stop the whole gang when the start of a member gets no reply

Such a run was stopped alone. Only the end of the unanswered run stopped the rest. Ruled out: starts sent too far apart (the unanswered ones left within 4 ms of each other); refused tickets and refused starts (47 there: these did stop the gang at once); a takeover in between (derwent-1 scheduled from 37.7 s to the end). Change: an unanswered start stops all members. The age in a log line of a run that an earlier scheduler planned was 292 years; it is 0 now. Tests: TestGangDoesNotWaitForLostMember (virtual time; 10 members timed out before, none now) and TestUnansweredStartStopsWholeGang; both seen to fail without the change.

--- a/process/cell/ends.go
+++ b/process/cell/ends.go
@@ -15,7 +15,7 @@
 		checkpoint = r.checkpoint
 	}
 	if kind != EndDone {
-		c.note(Note{Kind: NoteRunEnded, Job: job.ID, Team: job.Team, Task: r.Task, Run: r.Number, Worker: r.worker.ID, End: kind, Age: now.Sub(r.plannedAt)})
+		c.note(Note{Kind: NoteRunEnded, Job: job.ID, Team: job.Team, Task: r.Task, Run: r.Number, Worker: r.worker.ID, End: kind, Age: r.age(now)})
 	}
 	if t.current == r {
 		t.current = nil
--- a/process/cell/faults_test.go
+++ b/process/cell/faults_test.go
@@ -62,6 +62,32 @@
 	w.checkClean()
 }
 
+// Some members' starts are lost with the connection to their workers, so that neither the
+// start nor the stop that follows is confirmed for seconds. The other members of the gang
+// must not wait that long for them.
+func TestGangDoesNotWaitForLostMember(t *testing.T) {
+	queues, kinds := fakeQueues()
+	w := newSimulation(t, 16, 48, 6, queues, nil)
+	n := 0
+	w.dropStart = func(command StartCommand) (bool, time.Duration) {
+		ref, _ := parseTask(command.Task)
+		if !w.jobs[ref.job].spec.Steps[ref.step].Gang || w.now.Sub(w.started) > 8*time.Second {
+			return false, 0
+		}
+		if n++; n%20 != 0 {
+			return false, 0
+		}
+		f := w.workers[command.Worker]
+		f.partitioned = true
+		w.after(fakeGangWait+time.Second, func() { f.partitioned = false })
+		return true, time.Hour
+	}
+	w.generateJobs(kinds, 20*time.Second, halfLoad)
+	w.run(70 * time.Second)
+	w.checkClean()
+	assert.Equal(t, w.gangTimeouts, 0)
+}
+
 // Workers crash and restart as new incarnations with the same ids: their tasks must run
 // again and complete.
 func TestWorkersRestart(t *testing.T) {
@@ -118,8 +144,27 @@
 	assert.Equal(t, stops[0].RunKey, keys[1])
 }
 
+// If a member's start gets no reply, the gang won't run: the members that have started must
+// be stopped at once, before they have waited for the others as long as a worker lets them.
+func TestUnansweredStartStopsWholeGang(t *testing.T) {
+	c, starts, now := plannedGangOfTwo(t)
+	first, second := starts[0].RunKey, starts[1].RunKey
+	c.StartAnswered(now, "w0", first, StartOK)
+	c.StartAnswered(now, "w0", second, StartNoReply)
+	assert.DeepEqual(t, c.TakeActions().Stops, []StopCommand{{Worker: "w0", RunKey: second}, {Worker: "w0", RunKey: first}})
+}
+
 // gangOfTwo returns a cell with one worker on which a gang of two runs.
 func gangOfTwo(t *testing.T) (*Cell, *step, time.Time) {
+	c, starts, now := plannedGangOfTwo(t)
+	for _, o := range starts {
+		c.StartAnswered(now, o.Worker, o.RunKey, StartOK)
+	}
+	return c, c.jobs["gang"].occurrences[0].steps[0], now
+}
+
+// plannedGangOfTwo returns a cell with one worker and the start commands of a gang of two.
+func plannedGangOfTwo(t *testing.T) (*Cell, []StartCommand, time.Time) {
 	now := time.Unix(1_700_000_000, 0)
 	c := New(Settings{KeepEnded: time.Minute}, catalog.New(1, nil, nil, nil, catalog.Limits{}))
 	c.SetWorkers(now, []WorkerInfo{{ID: "w0", Upstream: "desk", Capacity: resource.Amount{MilliCPU: 8000, MemoryMB: 8000}}})
@@ -132,10 +177,7 @@
 	record(t, c, now)
 	starts := c.TakeActions().Starts
 	assert.Equal(t, len(starts), 2)
-	for _, o := range starts {
-		c.StartAnswered(now, o.Worker, o.RunKey, StartOK)
-	}
-	return c, c.jobs["gang"].occurrences[0].steps[0], now
+	return c, starts, now
 }
 
 // recordVersion numbers the row versions in tests of single events.
--- a/process/cell/fleet_test.go
+++ b/process/cell/fleet_test.go
@@ -191,6 +191,7 @@
 	g.members[r.Task] = r
 	w.after(fakeGangWait, func() {
 		if r.worker.running[r.RunKey] == r && r.startedAt.IsZero() {
+			w.gangTimeouts++
 			w.endRun(r, EndGangTimeout)
 		}
 	})
--- a/process/cell/place.go
+++ b/process/cell/place.go
@@ -203,12 +203,16 @@
 		job.started = true
 		return
 	}
-	c.note(Note{Kind: NoteStartFailed, Job: job.ID, Task: key.Task, Run: key.Number, Worker: id, Reason: answer.String(), Age: now.Sub(r.plannedAt)})
+	c.note(Note{Kind: NoteStartFailed, Job: job.ID, Task: key.Task, Run: key.Number, Worker: id, Reason: answer.String(), Age: r.age(now)})
 	switch answer {
 	case StartOK:
 	case StartNoReply:
 		r.state = runOutcomeUnknown
 		c.stopRun(now, r)
+		if r.task.step.spec.Gang {
+			// The others would wait for this one until the worker's limit.
+			c.stopGang(now, r.task.step)
+		}
 	case StartTicketRejected:
 		r.task.step.advice.forget(w)
 		c.withdraw(now, r, answer.String())
--- a/process/cell/simulation_test.go
+++ b/process/cell/simulation_test.go
@@ -69,6 +69,8 @@
 	// runningTasks counts the runs of each task on workers that are up.
 	runningTasks map[string]int
 	gangs        map[string]*fakeGang
+	// gangTimeouts counts the members that waited fakeGangWait for the others.
+	gangTimeouts int
 	// doneEver holds the tasks that ended with success, doneAcked those whose end was
 	// acknowledged, failedAcked the runs of tasks and gangs whose failure was
 	// acknowledged.
--- a/process/cell/worker.go
+++ b/process/cell/worker.go
@@ -79,6 +79,14 @@
 	stop stopState
 }
 
+// age returns how long ago the run was planned; 0 if an earlier scheduler planned it.
+func (r *Run) age(now time.Time) time.Duration {
+	if r.plannedAt.IsZero() {
+		return 0
+	}
+	return now.Sub(r.plannedAt)
+}
+
 // stopState is the state of the stop command of a run.
 type stopState struct {
 	wanted     bool
