Repeat a stop command only after the one before has failed

An overloaded scheduler so had up to six copies of the same stop in progress, which made all of them later. Change: the runtime tells the cell that a stop got no reply (StopUnanswered), and only then it is repeated, with the next tick. The timeout of a stop is 0.4 s and the lag's allowance, so an unloaded scheduler repeats it as soon as before. Tests: TestStopIsNotRepeatedWhileInProgress. The simulation can charge the scheduler for each command (commandTime).

--- a/process/cell/cell.go
+++ b/process/cell/cell.go
@@ -17,8 +17,6 @@
 	missingGrace = 2 * time.Second
 	// forgetWorkerAfter is how long a worker that left the directory is kept.
 	forgetWorkerAfter = 30 * time.Second
-	// stopRetryInterval is the pause before a stop command without a reply is sent again.
-	stopRetryInterval = 400 * time.Millisecond
 	// unhealthyPause is how long a worker that replied "unhealthy" gets no new work.
 	unhealthyPause = 500 * time.Millisecond
 	// ticketMargin is the minimum time between sending a start and the expiry of its
@@ -279,13 +277,19 @@
 		if r.task.done && r.task.step.spec.Gang && now.Sub(r.plannedAt) > r.task.step.spec.Estimate+gangStopGrace && r.listedTooLong(now) {
 			c.stopRun(now, r)
 		}
-		if r.stop.wanted && r.state != runPlanned && r.stop.answeredAt.IsZero() && now.Sub(r.stop.sentAt) >= stopRetryInterval {
-			c.sendStop(now, r)
+		if r.stopDue() {
+			c.sendStop(r)
 		}
 		c.checkProgress(now, r)
 	}
 }
 
+// stopDue reports whether a stop command is to be sent again. Another one beside a command in
+// progress would only add to the load that makes it late.
+func (r *Run) stopDue() bool {
+	return r.stop.wanted && r.state != runPlanned && r.stop.answeredAt.IsZero() && !r.stop.inProgress
+}
+
 // gangStopGrace is how much longer than their step's estimate members of a completed gang
 // may still appear in the worker's list of runs before they are stopped.
 const gangStopGrace = 2 * time.Second
--- a/process/cell/ends.go
+++ b/process/cell/ends.go
@@ -144,11 +144,11 @@
 	if r.state == runPlanned {
 		return
 	}
-	c.sendStop(now, r)
+	c.sendStop(r)
 }
 
-func (c *Cell) sendStop(now time.Time, r *Run) {
-	r.stop.sentAt = now
+func (c *Cell) sendStop(r *Run) {
+	r.stop.inProgress = true
 	c.actions.Stops = append(c.actions.Stops, StopCommand{Worker: r.worker.ID, RunKey: r.RunKey})
 }
 
@@ -159,7 +159,18 @@
 		return
 	}
 	if r := w.runs[key]; r != nil {
-		r.stop.answeredAt = now
+		r.stop.answeredAt, r.stop.inProgress = now, false
+	}
+}
+
+// StopUnanswered handles a stop command that got no acknowledgement. Tick repeats it.
+func (c *Cell) StopUnanswered(id string, key RunKey) {
+	w := c.workers[id]
+	if w == nil {
+		return
+	}
+	if r := w.runs[key]; r != nil {
+		r.stop.inProgress = false
 	}
 }
 
--- a/process/cell/faults_test.go
+++ b/process/cell/faults_test.go
@@ -359,3 +359,22 @@
 	assert.Equal(t, acked, int64(1))
 	assert.Assert(t, c.jobs["new99"].accepted)
 }
+
+// A stop command without reply must be repeated, but not while it is in progress: to a
+// scheduler that is late because it is overloaded, the copies are further load.
+func TestStopIsNotRepeatedWhileInProgress(t *testing.T) {
+	c, s, now := gangOfTwo(t)
+	key := s.tasks[0].current.RunKey
+	c.stopRun(now, s.tasks[0].current)
+	want := []StopCommand{{Worker: "w0", RunKey: key}}
+	assert.DeepEqual(t, c.TakeActions().Stops, want)
+	now = now.Add(3 * time.Second)
+	c.Tick(now)
+	assert.Equal(t, len(c.TakeActions().Stops), 0)
+	c.StopUnanswered("w0", key)
+	c.Tick(now)
+	assert.DeepEqual(t, c.TakeActions().Stops, want)
+	c.StopAnswered(now, "w0", key)
+	c.Tick(now)
+	assert.Equal(t, len(c.TakeActions().Stops), 0)
+}
--- a/process/cell/runtime_test.go
+++ b/process/cell/runtime_test.go
@@ -11,7 +11,9 @@
 
 // Timings of the simulated runtime around a cell.
 const (
-	startReplyTimeout = 600 * time.Millisecond
+	commandReplyTimeout = 600 * time.Millisecond
+	// stopReplyTimeout replaces it for stop commands.
+	stopReplyTimeout = 400 * time.Millisecond
 	// leaseExpiry is the time after the last extension of a lease from which it is certain
 	// to have expired; predecessorLeaseExpiry is the time after a takeover from which that
 	// holds for all leases extended by earlier schedulers.
@@ -105,7 +107,8 @@
 func (w *simulation) sendStart(command StartCommand) {
 	c, fence := w.cell, w.fence
 	noReply := func() {
-		w.after(startReplyTimeout, func() { w.deliver(c, func() { c.StartAnswered(w.now, command.Worker, command.RunKey, StartNoReply) }) })
+		w.unansweredStarts++
+		w.after(commandReplyTimeout, func() { w.deliver(c, func() { c.StartAnswered(w.now, command.Worker, command.RunKey, StartNoReply) }) })
 	}
 	incarnation := w.workers[command.Worker].incarnation
 	reachable := func() bool {
@@ -123,7 +126,12 @@
 			return
 		}
 	}
-	w.after(networkDelay, func() {
+	queued, ok := w.handleCommand()
+	if !ok {
+		noReply()
+		return
+	}
+	w.after(queued+networkDelay, func() {
 		if !reachable() {
 			noReply()
 			return
@@ -133,6 +141,18 @@
 	})
 }
 
+// handleCommand returns after which time the scheduler's processor has handled one more
+// command. ok is false if that is so late that the command is given up.
+func (w *simulation) handleCommand() (queued time.Duration, ok bool) {
+	w.commandsDoneAt = maxTime(w.now, w.commandsDoneAt)
+	queued = w.commandsDoneAt.Sub(w.now) + w.commandTime
+	if queued > commandReplyTimeout {
+		return 0, false
+	}
+	w.commandsDoneAt = w.commandsDoneAt.Add(w.commandTime)
+	return queued, true
+}
+
 // startCommandExpiry is the age from which a start command is discarded.
 const startCommandExpiry = 1500 * time.Millisecond
 
@@ -155,14 +175,25 @@
 		}
 		return true
 	}
+	unanswered := func() {
+		w.after(stopReplyTimeout, func() { w.deliver(c, func() { c.StopUnanswered(command.Worker, command.RunKey) }) })
+	}
+	queued, ok := w.handleCommand()
+	if !ok {
+		unanswered()
+		return
+	}
 	if w.lostStops > 0 && w.rand.Float64() < w.lostStops {
+		unanswered()
 		w.after(time.Duration(2+w.rand.IntN(10))*time.Second, func() { carryOut() })
 		return
 	}
-	w.after(networkDelay, func() {
-		if carryOut() {
-			w.after(networkDelay, func() { w.deliver(c, func() { c.StopAnswered(w.now, command.Worker, command.RunKey) }) })
+	w.after(queued+networkDelay, func() {
+		if !carryOut() {
+			unanswered()
+			return
 		}
+		w.after(networkDelay, func() { w.deliver(c, func() { c.StopAnswered(w.now, command.Worker, command.RunKey) }) })
 	})
 }
 
--- a/process/cell/simulation_test.go
+++ b/process/cell/simulation_test.go
@@ -66,6 +66,12 @@
 	// dropStart decides whether a start command gets no reply, and when it is carried
 	// out.
 	dropStart func(command StartCommand) (lost bool, after time.Duration)
+	// commandTime is the processor time of the scheduler for each start and stop command;
+	// commandsDoneAt is when it has handled those so far.
+	commandTime    time.Duration
+	commandsDoneAt time.Time
+	// unansweredStarts counts the start commands whose reply the scheduler didn't read in time.
+	unansweredStarts int
 	// runningTasks counts the runs of each task on workers that are up.
 	runningTasks map[string]int
 	gangs        map[string]*fakeGang
--- a/process/cell/worker.go
+++ b/process/cell/worker.go
@@ -89,8 +89,9 @@
 
 // stopState is the state of the stop command of a run.
 type stopState struct {
-	wanted     bool
-	sentAt     time.Time
+	wanted bool
+	// inProgress is set while a command has been sent and its outcome isn't known.
+	inProgress bool
 	answeredAt time.Time
 }
 
--- a/process/cluster/worker.go
+++ b/process/cluster/worker.go
@@ -18,6 +18,9 @@
 	unreachablePollDelay = 150 * time.Millisecond
 	// ackWait bounds the wait, before the next poll, for the records of ended runs.
 	ackWait = 120 * time.Millisecond
+	// stopTimeout bounds a stop command. It is shorter than commandTimeout since a stop may be
+	// repeated, and the repetition waits for the outcome.
+	stopTimeout = 400 * time.Millisecond
 )
 
 // fencedReason is logged when a worker rejects this leadership's fence. The fence is the
@@ -195,21 +198,28 @@
 // sendStop commands the end of a run. If the worker does not answer, the cell repeats the
 // command.
 func (r *leadership) sendStop(command cell.StopCommand) {
-	r.send(command.Worker, func(ctx context.Context, to Target) error {
+	r.send(command.Worker, stopTimeout, func(ctx context.Context, to Target) error {
 		return r.node.config.Workers.Stop(ctx, to, r.fence, command.RunKey)
-	}, func(now time.Time, c *cell.Cell) { c.StopAnswered(now, command.Worker, command.RunKey) })
+	}, func(now time.Time, c *cell.Cell) {
+		c.StopAnswered(now, command.Worker, command.RunKey)
+	}, func(_ time.Time, c *cell.Cell) {
+		c.StopUnanswered(command.Worker, command.RunKey)
+	})
 }
 
 // sendPace sets the pace of a run. If the worker does not answer, the cell repeats the
 // command.
 func (r *leadership) sendPace(command cell.PaceCommand) {
-	r.send(command.Worker, func(ctx context.Context, to Target) error {
+	r.send(command.Worker, commandTimeout, func(ctx context.Context, to Target) error {
 		return r.node.config.Workers.Pace(ctx, to, r.fence, command)
-	}, func(_ time.Time, c *cell.Cell) { c.Paced(command.Worker, command.RunKey, command.Percent) })
+	}, func(_ time.Time, c *cell.Cell) {
+		c.Paced(command.Worker, command.RunKey, command.Percent)
+	}, func(time.Time, *cell.Cell) {})
 }
 
-// send calls a worker and updates the cell if the call succeeded.
-func (r *leadership) send(id string, call func(context.Context, Target) error, answered func(time.Time, *cell.Cell)) {
+// send calls a worker, with a timeout to which the lag's allowance is added, and updates the
+// cell by answered or failed.
+func (r *leadership) send(id string, timeout time.Duration, call func(context.Context, Target) error, answered, failed func(time.Time, *cell.Cell)) {
 	r.mu.Lock()
 	w := r.workers[id]
 	var target Target
@@ -218,9 +228,10 @@
 	}
 	r.mu.Unlock()
 	if w == nil {
+		r.change(failed)
 		return
 	}
-	ctx, cancel := context.WithTimeout(r.ctx, commandTimeout+r.node.lag.allowance())
+	ctx, cancel := context.WithTimeout(r.ctx, timeout+r.node.lag.allowance())
 	defer cancel()
 	err := call(ctx, target)
 	switch {
@@ -228,6 +239,7 @@
 		r.stepDown(fencedReason)
 	case err != nil:
 		r.node.metrics.commandFailures.Inc()
+		r.change(failed)
 	default:
 		r.change(answered)
 	}
