Limit the starts in progress to what the scheduler can handle

Each costs a stop, often several, a poll, a new connection and another start, so the more was placed the less was done; heartbeats and the table's answers were read late as well, and other entries took over (3 to 8 takeovers), each of which read the cell and polled all workers anew. What waits does so in the plan, in its order, and a gang's starts leave together. TestStartLimitFollowsReplies.

--- a/process/cell/batch.go
+++ b/process/cell/batch.go
@@ -286,7 +286,7 @@
 		c.withdraw(now, r, reason)
 		return
 	}
-	r.state = runStarting
+	r.state, r.sentAt = runStarting, now
 	t := r.task
 	checkpoint := t.checkpoint
 	if t.step.spec.Gang {
--- a/process/cell/cell.go
+++ b/process/cell/cell.go
@@ -60,6 +60,7 @@
 	// adviceLimits bounds. A request is slow if its base duration is at least SlowAdvice.
 	slowAdviceCalls, quickAdviceCalls int
 	adviceLimits                      AdviceLimits
+	starts                            *startLimiter
 
 	// seq numbers the changes of jobs; markDirty increments it.
 	seq uint64
@@ -92,7 +93,7 @@
 		jobs: make(map[string]*Job), workers: make(map[string]*Worker),
 		usage: make(map[string]resource.Amount), teams: make(map[string]*tokenBucket),
 		allowedShares: make(map[string]float64), refused: newRefusedJobs(), placementRates: make(map[string]*placementRate),
-		health: health.New(), adviceLimits: AdviceLimits{Slow: 1, Quick: 2},
+		health: health.New(), adviceLimits: AdviceLimits{Slow: 1, Quick: 2}, starts: newStartLimiter(),
 	}
 }
 
--- a/process/cell/explain.go
+++ b/process/cell/explain.go
@@ -64,6 +64,6 @@
 		ticketed++
 		slots += s.slotsIn(w.free())
 	}
-	return fmt.Sprintf("of %d workers %d usable, %d eligible, %d advised, %d with a ticket; capacity for %d of %d tasks; advice requests in flight: %d",
-		len(c.workerOrder), usable, eligible, advised, ticketed, slots, count, s.advice.calls)
+	return fmt.Sprintf("of %d workers %d usable, %d eligible, %d advised, %d with a ticket; capacity for %d of %d tasks; advice requests in flight: %d; %d starts in progress, limit %.0f",
+		len(c.workerOrder), usable, eligible, advised, ticketed, slots, count, s.advice.calls, len(c.starts.inProgress), c.starts.limit)
 }
--- a/process/cell/place.go
+++ b/process/cell/place.go
@@ -23,9 +23,10 @@
 // Plan places waiting steps. It is called after any change that may have freed capacity.
 func (c *Cell) Plan(now time.Time) {
 	c.markProbesDue(now)
+	c.starts.beginRound()
 	r := c.newRound(now)
 	for _, u := range c.waiting(now) {
-		if r.misses >= maxMisses {
+		if r.misses >= maxMisses || c.starts.full() {
 			return
 		}
 		c.planStep(r, u)
@@ -60,7 +61,7 @@
 			missing++
 			continue
 		}
-		if !c.withinCap(job.Team, s.spec.charge()) || !r.keepsGuaranteed(u) {
+		if !c.withinCap(job.Team, s.spec.charge()) || !r.keepsGuaranteed(u) || c.starts.full() {
 			break
 		}
 		w := c.bestWorker(t, workers)
@@ -88,6 +89,7 @@
 	t.lastRun++
 	r := c.addRun(t, w, runPlanned)
 	r.plannedAt = now
+	c.starts.add(r)
 	c.countFirstPlaced(now, t.step.occ.job)
 	if v, ok := t.step.advice.byWorker[w]; ok {
 		r.ticket, r.ticketUntil = v.ticket, v.until
@@ -198,6 +200,7 @@
 		return
 	}
 	job := r.task.step.occ.job
+	c.starts.answered(now, now.Sub(r.sentAt), answer != StartNoReply && answer != StartNotSent)
 	if answer == StartOK {
 		r.state, r.answeredAt = runStarted, now
 		job.started = true
--- /dev/null
+++ b/process/cell/startlimit_test.go
@@ -0,0 +1,46 @@
+package cell
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// A scheduler whose processor handles 40 commands a second gets more work at once than that.
+// Starts that it sends all the same wait in its own queue until they count as unanswered;
+// then each of them is stopped and started again, and little gets done. Work beyond what it
+// can send must wait in the plan instead.
+func TestOverloadedSchedulerSendsNoMoreStartsThanItHandles(t *testing.T) {
+	queues, kinds := fakeQueues()
+	w := newSimulation(t, 21, 48, 6, queues, nil)
+	w.commandTime = 25 * time.Millisecond
+	w.generateJobs(kinds, 10*time.Second, steadyLoad)
+	w.run(90 * time.Second)
+	w.logResults()
+	t.Logf("%d unanswered starts, limit %.0f", w.unansweredStarts, w.cell.starts.limit)
+	assert.Assert(t, w.unansweredStarts < 300, "%d", w.unansweredStarts)
+	assert.Equal(t, len(w.violations), 0, "%v", w.violations)
+	assert.Equal(t, w.gangTimeouts, 0)
+	w.checkCompleted()
+}
+
+// The limit falls once per promptStart of late replies, rises with prompt ones only while it
+// is reached, and never falls below its minimum.
+func TestStartLimitFollowsReplies(t *testing.T) {
+	now := time.Unix(1_700_000_000, 0)
+	l := newStartLimiter()
+	l.answered(now, time.Millisecond, true)
+	assert.Equal(t, l.limit, float64(initialStartLimit))
+	l.answered(now, 2*promptStart, true)
+	l.answered(now, 0, false)
+	assert.Equal(t, l.limit, initialStartLimit*startLimitDecrease)
+	for range 100 {
+		now = now.Add(promptStart)
+		l.answered(now, 0, false)
+	}
+	assert.Equal(t, l.limit, float64(minStartLimit))
+	l.reached = true
+	l.answered(now, time.Millisecond, true)
+	assert.Equal(t, l.limit, minStartLimit+startLimitIncrease)
+}
--- a/process/cell/worker.go
+++ b/process/cell/worker.go
@@ -57,7 +57,8 @@
 	ticket      string
 	ticketUntil time.Time
 	plannedAt   time.Time
-	// answeredAt is when the worker confirmed the start.
+	// sentAt is when the start command was sent, answeredAt when the worker confirmed it.
+	sentAt     time.Time
 	answeredAt time.Time
 	checkpoint string
 	percent    int
