Wake only the poll loops whose ends have been recorded

Cause: after each write the scheduler signalled the poll loops of all workers; those that waited for their own ends woke up, found them not yet recorded and went on waiting. With 540 workers and a hundred writes a second that is 54,000 signals a second. Change: a loop says that it waits (awaitsAcks), and is signalled once nothing of its worker waits any more.

--- a/process/cell/faults_test.go
+++ b/process/cell/faults_test.go
@@ -44,6 +44,7 @@
 		}
 	}
 	w.checkClean()
+	assert.Equal(t, w.gangTimeouts, 0)
 }
 
 // Some start commands get no reply; the worker carries out some of these late and
--- a/process/cluster/record.go
+++ b/process/cluster/record.go
@@ -123,9 +123,7 @@
 		c.SetTableSlow(took > slowWrite)
 		c.SetTableUnavailable(r.refusingFor())
 		c.BatchRecorded(now, batch, version)
-		for _, w := range r.workers {
-			signal(w.acks)
-		}
+		r.signalAcks(c)
 	})
 }
 
--- a/process/cluster/worker.go
+++ b/process/cluster/worker.go
@@ -34,7 +34,9 @@
 	lease       workerLease
 	incarnation int64
 	acks        chan struct{}
-	cancel      context.CancelFunc
+	// awaitsAcks is set while the loop waits for acks.
+	awaitsAcks bool
+	cancel     context.CancelFunc
 }
 
 // addWorker starts a worker's poll loop, or updates its address. The leadership's lock
@@ -151,7 +153,8 @@
 	defer limit.Stop()
 	for {
 		r.mu.Lock()
-		_, waiting := r.cell.Acked(w.target.ID)
+		_, w.awaitsAcks = r.cell.Acked(w.target.ID)
+		waiting := w.awaitsAcks
 		r.mu.Unlock()
 		if !waiting {
 			return
@@ -166,6 +169,19 @@
 	}
 }
 
+// signalAcks wakes the poll loops that wait for a record which has been written. The
+// leadership's lock must be held.
+func (r *leadership) signalAcks(c *cell.Cell) {
+	for _, w := range r.workers {
+		if !w.awaitsAcks {
+			continue
+		}
+		if _, waiting := c.Acked(w.target.ID); !waiting {
+			signal(w.acks)
+		}
+	}
+}
+
 // sendStart commands the start of a run whose record has been written.
 func (r *leadership) sendStart(command cell.StartCommand) {
 	r.mu.Lock()
