Refuse a job that the backlog of starts would make late

Cause: with the limit of starts the backlog waits in the plan, and the lag, by which a tight job is refused, no longer shows it. Change: while the limit is reached, a job waits for the tasks placed before it, at the measured rate of replies to starts. If that alone makes it late, it is refused with that time to come back ("the scheduler is overloaded").

--- a/process/cell/admit.go
+++ b/process/cell/admit.go
@@ -197,7 +197,11 @@
 	if slack := job.objective() - job.fullCriticalPath(); c.decisionTime > slack {
 		return "the scheduler is overloaded", retryAfter(c.decisionTime)
 	}
-	wait, useful := c.expectedWait(now, job), deadlineFactor*job.objective()
+	wait, startWait := c.expectedWait(now, job)
+	if over := now.Sub(job.FirstSeen) + startWait + job.fullCriticalPath() - job.objective(); startWait > 0 && over > 0 {
+		return "the scheduler is overloaded", retryAfter(min(over, max(startWait, minRetryAfter)))
+	}
+	useful := deadlineFactor * job.objective()
 	if job.OverShare {
 		wait, useful = c.overShareWait(now, job.Queue), job.objective()
 	}
--- a/process/cell/overshare.go
+++ b/process/cell/overshare.go
@@ -7,10 +7,10 @@
 const rateWindow = time.Second
 
 // placementRate measures the rate at which over-share jobs of a queue, which are beyond
-// their team's guaranteed share, are placed.
+// their team's guaranteed share, are placed, or that of replies to start commands.
 type placementRate struct {
-	// windowStart is the start of the current window, placed the number of jobs placed in
-	// it, perSecond the rate of the previous window.
+	// windowStart is the start of the current window, placed the number of jobs placed or
+	// replies in it, perSecond the rate of the previous window.
 	windowStart time.Time
 	placed      int
 	perSecond   float64
@@ -26,8 +26,8 @@
 	p.windowStart, p.placed = now, 0
 }
 
-// rate returns the larger of the rates of the previous and the current window, in jobs
-// a second, and at least 1.
+// rate returns the larger of the rates of the previous and the current window, a second,
+// and at least 1.
 func (p *placementRate) rate(now time.Time) float64 {
 	p.roll(now)
 	return max(p.perSecond, float64(p.placed)/rateWindow.Seconds(), 1)
--- a/process/cell/place.go
+++ b/process/cell/place.go
@@ -26,7 +26,7 @@
 	c.starts.beginRound()
 	r := c.newRound(now)
 	for _, u := range c.waiting(now) {
-		if r.misses >= maxMisses || c.starts.full() {
+		if r.misses >= maxMisses || c.starts.full(now) {
 			return
 		}
 		c.planStep(r, u)
@@ -61,7 +61,7 @@
 			missing++
 			continue
 		}
-		if !c.withinCap(job.Team, s.spec.charge()) || !r.keepsGuaranteed(u) || c.starts.full() {
+		if !c.withinCap(job.Team, s.spec.charge()) || !r.keepsGuaranteed(u) || c.starts.full(r.now) {
 			break
 		}
 		w := c.bestWorker(t, workers)
--- a/process/cell/startlimit.go
+++ b/process/cell/startlimit.go
@@ -21,6 +21,10 @@
 	reached bool
 	// loweredAt is when the limit was last lowered.
 	loweredAt time.Time
+	// reachedAt is when the limit last kept a step from its placement.
+	reachedAt time.Time
+	// replies measures the rate of replies to start commands.
+	replies placementRate
 }
 
 const (
@@ -50,17 +54,30 @@
 }
 
 // full reports whether no further run may be planned now.
-func (l *startLimiter) full() bool {
+func (l *startLimiter) full(now time.Time) bool {
 	if float64(len(l.inProgress)) < l.limit {
 		return false
 	}
-	l.reached = true
+	l.reached, l.reachedAt = true, now
 	return true
 }
 
+// wait returns how long it takes to start the given number of tasks; 0 unless the limit was
+// reached lately.
+func (l *startLimiter) wait(now time.Time, tasks int) time.Duration {
+	if now.Sub(l.reachedAt) > rateWindow {
+		return 0
+	}
+	return time.Duration(float64(tasks) / l.replies.rate(now) * float64(time.Second))
+}
+
 // answered adjusts the limit to the reply to a start command that was sent took ago; replied
 // is false if none came.
 func (l *startLimiter) answered(now time.Time, took time.Duration, replied bool) {
+	if replied {
+		l.replies.roll(now)
+		l.replies.placed++
+	}
 	if replied && took <= promptStart {
 		if l.reached {
 			l.limit += startLimitIncrease
--- a/process/cell/startlimit_test.go
+++ b/process/cell/startlimit_test.go
@@ -1,6 +1,7 @@
 package cell
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -44,3 +45,31 @@
 	l.answered(now, time.Millisecond, true)
 	assert.Equal(t, l.limit, minStartLimit+startLimitIncrease)
 }
+
+// While a scheduler starts fewer tasks than arrive, a job that has to wait behind too many of them
+// to meet its objective must be refused at once with a time to come back: accepted, it
+// would only make those behind it late as well.
+func TestBacklogOfStartsRefusesJobs(t *testing.T) {
+	queues, kinds := fakeQueues()
+	w := newSimulation(t, 22, 48, 6, queues, nil)
+	w.run(time.Second)
+	c := w.cell
+	c.starts.replies = placementRate{windowStart: w.now, perSecond: 20}
+	c.starts.limit = 0
+	submit := func(id string) Admission {
+		return c.Submit(w.now, kinds[2].job(w.traffic, id).spec, func(Recorded) {})
+	}
+	accepted := 0
+	for ; accepted < 1000; accepted++ {
+		c.Plan(w.now)
+		a := submit(fmt.Sprintf("quote%d", accepted))
+		if a.Verdict == Refused {
+			assert.Equal(t, a.Reason, "the scheduler is overloaded")
+			assert.Assert(t, a.RetryAfter >= time.Second)
+			break
+		}
+	}
+	assert.Assert(t, accepted > 0 && accepted < 1000, "%d accepted", accepted)
+	later := w.now.Add(2 * rateWindow)
+	assert.Equal(t, c.starts.wait(later, 1000), time.Duration(0), "the limit isn't reached any more")
+}
--- a/process/cell/wait.go
+++ b/process/cell/wait.go
@@ -2,21 +2,39 @@
 
 import "time"
 
-// expectedWait estimates the queueing time of the job: the remaining work of live
-// jobs that are placed before it, divided by the processors of all workers.
-func (c *Cell) expectedWait(now time.Time, job *Job) time.Duration {
+// expectedWait estimates the queueing time of the job: the remaining work of live jobs that
+// are placed before it, divided by the processors of all workers. startWait is the part of
+// it that this scheduler takes to start their tasks; it may be longer.
+func (c *Cell) expectedWait(now time.Time, job *Job) (wait, startWait time.Duration) {
 	capacity := c.capacity(now, c.upstreamOf(job))
 	if capacity <= 0 {
-		return 0
+		return 0, 0
 	}
 	due := job.FirstSeen.Add(job.objective())
 	var ahead float64
+	starts := 0
 	for _, other := range c.live {
 		if !other.outcome.Ended() && other.comesBefore(now, job, due) {
 			ahead += other.remainingWork()
+			starts += other.startsLeft()
 		}
 	}
-	return time.Duration(ahead / capacity * float64(time.Second))
+	return time.Duration(ahead / capacity * float64(time.Second)), c.starts.wait(now, starts)
+}
+
+// startsLeft returns the number of tasks that are neither done nor have a run.
+func (j *Job) startsLeft() int {
+	left := 0
+	for _, o := range j.occurrences {
+		for _, s := range o.steps {
+			for _, t := range s.tasks {
+				if !t.done && t.current == nil {
+					left++
+				}
+			}
+		}
+	}
+	return left
 }
 
 // comesBefore reports whether j's work is placed before that of a new job with the
