--- a/process/cell/explain.go
+++ b/process/cell/explain.go
@@ -69,6 +69,7 @@
 			reserved += n
 		}
 	}
-	return fmt.Sprintf("of %d workers %d usable, %d eligible, %d advised, %d with a ticket; capacity for %d of %d tasks, %d of it reserved for other steps; advice requests in flight: %d",
-		len(c.workerOrder), usable, eligible, advised, ticketed, slots, count, reserved, s.advice.calls)
+	return fmt.Sprintf("of %d workers %d usable, %d eligible, %d advised, %d with a ticket; capacity for %d of %d tasks, %d of it reserved for other steps; "+
+		"advice requests in flight: %d; %d starts in progress, limit %.0f",
+		len(c.workerOrder), usable, eligible, advised, ticketed, slots, count, reserved, s.advice.calls, len(c.starts.inProgress), c.starts.limit)
 }
--- a/process/cell/simulation_test.go
+++ b/process/cell/simulation_test.go
@@ -55,6 +55,8 @@
 	halfAllowed bool
 	// planScheduled is set while a call of Plan is scheduled.
 	planScheduled bool
+	// planTime is the real time that all calls of Plan took.
+	planTime time.Duration
 	// advisers holds the time at which each entry's calls are finished; the first two
 	// thirds of the entries make the slow calls.
 	advisers    []time.Time
@@ -68,9 +70,17 @@
 	// dropStart decides whether a start command gets no reply, and when it is carried
 	// out.
 	dropStart func(command StartCommand) (lost bool, after time.Duration)
+	// commandTime is the processor time of the scheduler for each start and stop command;
+	// commandsDoneAt is when it has handled those so far.
+	commandTime    time.Duration
+	commandsDoneAt time.Time
+	// unansweredStarts counts the start commands whose reply the scheduler didn't read in time.
+	unansweredStarts int
 	// runningTasks counts the runs of each task on workers that are up.
 	runningTasks map[string]int
 	gangs        map[string]*fakeGang
+	// gangTimeouts counts the members that waited fakeGangWait for the others.
+	gangTimeouts int
 	// doneEver holds the tasks that ended with success, doneAcked those whose end was
 	// acknowledged, failedAcked the runs of tasks and gangs whose failure was
 	// acknowledged.
@@ -236,7 +246,9 @@
 		w.after(4*time.Millisecond, func() {
 			w.planScheduled = false
 			if w.cell == c {
+				began := time.Now()
 				c.Plan(w.now)
+				w.planTime += time.Since(began)
 				w.applyActions()
 			}
 		})
--- a/process/cell/worker.go
+++ b/process/cell/worker.go
@@ -57,7 +57,8 @@
 	ticket      string
 	ticketUntil time.Time
 	plannedAt   time.Time
-	// answeredAt is when the worker confirmed the start.
+	// sentAt is when the start command was sent, answeredAt when the worker confirmed it.
+	sentAt     time.Time
 	answeredAt time.Time
 	checkpoint string
 	percent    int
@@ -81,10 +82,19 @@
 	stop stopState
 }
 
+// age returns how long ago the run was planned; 0 if an earlier scheduler planned it.
+func (r *Run) age(now time.Time) time.Duration {
+	if r.plannedAt.IsZero() {
+		return 0
+	}
+	return now.Sub(r.plannedAt)
+}
+
 // stopState is the state of the stop command of a run.
 type stopState struct {
-	wanted     bool
-	sentAt     time.Time
+	wanted bool
+	// inProgress is set while a command has been sent and its outcome isn't known.
+	inProgress bool
 	answeredAt time.Time
 }
 
