--- a/conn/drain/conn.go
+++ b/conn/drain/conn.go
@@ -23,6 +23,8 @@
 	used bool
 	// closing is set when the connection is to be closed unless a request arrives.
 	closing bool
+	// ended is set when the connection is being closed after a response.
+	ended bool
 }
 
 // Read implements net.Conn.
@@ -46,12 +48,21 @@
 // One on which nothing was in progress is closed at once: a request that crosses the close
 // isn't read, and its client learns of it by the reset.
 func (c *conn) Close() error {
-	if c.server.lingers() && !c.isClosing() {
+	if c.server.lingers() && c.endAfterResponse() {
 		c.linger()
 	}
 	return c.Conn.Close()
 }
 
+// endAfterResponse records that no request is in progress any more. It returns false if
+// there was none.
+func (c *conn) endAfterResponse() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.requestAt, c.ended = time.Time{}, true
+	return !c.closing
+}
+
 // linger closes the connection for writing and waits until the client closes it.
 func (c *conn) linger() {
 	writer, ok := c.Conn.(interface{ CloseWrite() error })
@@ -101,7 +112,7 @@
 func (c *conn) closeUnlessRead() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if !c.requestAt.IsZero() || !c.used && time.Since(c.acceptedAt) < firstRequestTime {
+	if c.ended || !c.requestAt.IsZero() || !c.used && time.Since(c.acceptedAt) < firstRequestTime {
 		return
 	}
 	c.closing = true
--- a/conn/drain/doc.go
+++ b/conn/drain/doc.go
@@ -9,8 +9,8 @@
 //  1. New connections are still accepted, since a load balancer takes time to notice that
 //     the process isn't ready. Each response closes its connection, so that clients move
 //     to other entries.
-//  2. The listener is closed. Requests in progress are answered. A connection is closed
-//     when nothing has arrived on it.
+//  2. The listener is closed once its queue is empty. Requests in progress are answered. A
+//     connection is closed when nothing has arrived on it.
 //  3. The contexts of requests in progress end, so that their handlers answer at once with
 //     what they know.
 //  4. Whatever is left is cut off and reported.
