Separate holdings and states from the workers of a tracker

process/capacity/tracker.go (316 lines) held the membership of workers, their states and their holdings, and asked nine times whether the worker is tracked. holdings.go and state.go hold the second and third; ifTracked asks once. The shard's maps and the functions without a comment say what they are.

No change of behaviour. Tests: go test -p 1 -count 2 ./process/capacity passes.

--- a/process/capacity/tracker.go
+++ b/process/capacity/tracker.go
@@ -2,9 +2,7 @@
 
 import (
 	"hash/maphash"
-	"maps"
 	"math/rand/v2"
-	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -13,16 +11,18 @@
 	"github.com/kingcuplatch/kingcuplatch/process/resource"
 )
 
-type holdingKey struct{ worker, id string }
-
+// shard holds a part of the workers.
 type shard struct {
-	mu      sync.Mutex
+	mu sync.Mutex
+	// ledgers holds the workers, by name.
 	ledgers map[string]*ledger
-	teams   map[string]resource.Amount
+	// teams holds what each team has on these workers.
+	teams map[string]resource.Amount
 	// expiring holds when each assumed, unconfirmed holding expires.
 	expiring map[holdingKey]time.Time
 }
 
+// addTeam adds an amount, which may be negative, to what the team has here.
 func (s *shard) addTeam(team string, a resource.Amount) {
 	sum := s.teams[team].Add(a)
 	if sum.IsZero() {
@@ -79,6 +79,15 @@
 	f(s, s.ledgers[worker])
 }
 
+// ifTracked runs f under the lock of the worker's shard if the worker is tracked.
+func (t *Tracker) ifTracked(worker string, f func(l *ledger)) {
+	t.with(worker, func(_ *shard, l *ledger) {
+		if l != nil {
+			f(l)
+		}
+	})
+}
+
 // AddWorker adds a worker, which is closed until Reconcile. A worker that is tracked
 // under another epoch is replaced; under the same epoch nothing changes.
 func (t *Tracker) AddWorker(w Worker) {
@@ -128,189 +137,8 @@
 	return held
 }
 
+// unindex removes the worker from the indexes.
 func (t *Tracker) unindex(l *ledger) {
 	t.all.remove(l)
 	t.upstream(l.worker.Upstream).remove(l)
 }
-
-// Reconcile opens a worker that was adopted at epoch, with the holdings that it
-// reported. requestsInFlight are requests without a holding: they are untracked and
-// occupy slots until a later report doesn't name them. It returns false if the worker
-// is not tracked at that epoch.
-func (t *Tracker) Reconcile(worker string, epoch uint64, holdings []Holding, requestsInFlight []string) bool {
-	var ok bool
-	t.with(worker, func(_ *shard, l *ledger) {
-		if l == nil || l.worker.Epoch != epoch {
-			return
-		}
-		l.clear()
-		for _, h := range holdings {
-			l.put(h)
-		}
-		l.untracked = make(map[string]struct{}, len(requestsInFlight))
-		for _, id := range requestsInFlight {
-			l.untracked[id] = struct{}{}
-		}
-		l.adopted = true
-		ok = true
-	})
-	return ok
-}
-
-// ReportRequests applies the ids of a worker's requests in flight from a later report.
-// Untracked requests that it doesn't name have ended.
-func (t *Tracker) ReportRequests(worker string, inFlight []string) {
-	t.with(worker, func(_ *shard, l *ledger) {
-		if l == nil {
-			return
-		}
-		maps.DeleteFunc(l.untracked, func(id string, _ struct{}) bool { return !slices.Contains(inFlight, id) })
-	})
-}
-
-// UntrackedRequests returns the number of requests in flight that occupy slots without
-// a holding.
-func (t *Tracker) UntrackedRequests(worker string) int {
-	count := 0
-	t.with(worker, func(_ *shard, l *ledger) {
-		if l != nil {
-			count = len(l.untracked)
-		}
-	})
-	return count
-}
-
-// Assume occupies capacity for work about to be dispatched. Errors: *FullError,
-// *ClosedError, *ExistsError.
-func (t *Tracker) Assume(worker string, h Holding) error {
-	var err error
-	t.with(worker, func(_ *shard, l *ledger) { err = assume(worker, l, h) })
-	return err
-}
-
-func assume(worker string, l *ledger, h Holding) error {
-	if l == nil || l.closed() {
-		return &ClosedError{Worker: worker}
-	}
-	if _, exists := l.holdings[h.ID]; exists {
-		return &ExistsError{Worker: worker, ID: h.ID}
-	}
-	if dimension, ok := l.fits(h); !ok {
-		return &FullError{Worker: worker, Dimension: dimension}
-	}
-	l.put(h)
-	return nil
-}
-
-// Confirm confirms an assumed holding: it no longer expires. It returns false if the
-// holding is unknown; the work must not be dispatched then, as no capacity is kept for it.
-func (t *Tracker) Confirm(worker, id string) bool { return t.confirm(worker, id, time.Time{}) }
-
-// ConfirmUnexpired is Confirm for a holding that has not expired at now. It returns
-// false if the holding has expired.
-func (t *Tracker) ConfirmUnexpired(worker, id string, now time.Time) bool {
-	return t.confirm(worker, id, now)
-}
-
-func (t *Tracker) confirm(worker, id string, now time.Time) bool {
-	var ok bool
-	t.with(worker, func(s *shard, l *ledger) {
-		if l == nil {
-			return
-		}
-		h, exists := l.holdings[id]
-		if !exists || (!h.Until.IsZero() && now.After(h.Until)) {
-			return
-		}
-		h.Until = time.Time{}
-		l.holdings[id] = h
-		delete(s.expiring, holdingKey{worker, id})
-		ok = true
-	})
-	return ok
-}
-
-// Release removes a holding, which frees its capacity, and returns it.
-func (t *Tracker) Release(worker, id string) (Holding, bool) {
-	var h Holding
-	var ok bool
-	t.with(worker, func(_ *shard, l *ledger) {
-		if l != nil {
-			h, ok = l.drop(id)
-		}
-	})
-	return h, ok
-}
-
-// Expire removes the assumed holdings that have expired at now and returns them.
-func (t *Tracker) Expire(now time.Time) []WorkerHolding {
-	var expired []WorkerHolding
-	for i := range t.shards {
-		expired = t.shards[i].expire(now, expired)
-	}
-	return expired
-}
-
-func (s *shard) expire(now time.Time, expired []WorkerHolding) []WorkerHolding {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	for key, until := range s.expiring {
-		if now.Before(until) {
-			continue
-		}
-		if h, ok := s.ledgers[key.worker].drop(key.id); ok {
-			expired = append(expired, WorkerHolding{Worker: key.worker, Holding: h})
-		}
-	}
-	return expired
-}
-
-// SetLeaving sets whether the worker is listed as leaving. A leaving worker is closed.
-func (t *Tracker) SetLeaving(worker string, leaving bool) {
-	t.with(worker, func(_ *shard, l *ledger) {
-		if l != nil {
-			l.leaving = leaving
-		}
-	})
-}
-
-// SetUnreachable sets whether the worker does not respond to its owner. An unreachable
-// worker is closed.
-func (t *Tracker) SetUnreachable(worker string, unreachable bool) {
-	t.with(worker, func(_ *shard, l *ledger) {
-		if l != nil {
-			l.unreachable = unreachable
-		}
-	})
-}
-
-// SetQuarantined sets whether the worker is quarantined because work fails on it. A
-// quarantined worker is closed.
-func (t *Tracker) SetQuarantined(worker string, quarantined bool) {
-	t.with(worker, func(_ *shard, l *ledger) {
-		if l != nil {
-			l.quarantined = quarantined
-		}
-	})
-}
-
-// Worker returns a tracked worker and whether it is open to new work.
-func (t *Tracker) Worker(name string) (w Worker, open, ok bool) {
-	t.with(name, func(_ *shard, l *ledger) {
-		if l != nil {
-			w, open, ok = l.worker, !l.closed(), true
-		}
-	})
-	return w, open, ok
-}
-
-// Holdings returns the holdings of a worker, sorted by id.
-func (t *Tracker) Holdings(worker string) []Holding {
-	var held []Holding
-	t.with(worker, func(_ *shard, l *ledger) {
-		if l != nil {
-			held = l.sorted()
-		}
-	})
-	return held
-}
