Keep short tasks off the workers that gangs wait for

Cause: reservations are made anew in each round, in the order of the steps, so short urgent tasks, which come first, were placed before any of them. They go to the tightest worker, which is one that they use already. A gang that knew some of these workers expected their short tasks to end, renewed their tickets, and found them filled anew each time, on a fleet of which a tenth was in use; as it knew enough workers it asked about no others. Change: work that may come first takes, and asks about, workers that no gang reserved in this round or the one before, if there are any.

--- a/process/cell/advice.go
+++ b/process/cell/advice.go
@@ -67,7 +67,11 @@
 			continue
 		}
 		if n := min(s.slotsIn(w.free()), s.perWorkerBound()-s.runsOn(w)); n > 0 {
-			slots = append(slots, workerSlots{worker: w, tasks: n, allowed: s.advice.allows(s, w), leftover: leftover(w, s.spec.Need)})
+			left := leftover(w, s.spec.Need)
+			if c.reservedLately(w, s) {
+				left += reservedPenalty
+			}
+			slots = append(slots, workerSlots{worker: w, tasks: n, allowed: s.advice.allows(s, w), leftover: left})
 		}
 	}
 	slices.SortStableFunc(slots, func(a, b workerSlots) int {
--- a/process/cell/gang.go
+++ b/process/cell/gang.go
@@ -41,6 +41,12 @@
 	return w.reserved.round == r.number && w.reserved.step != s
 }
 
+// reservedLately reports whether w is reserved for a step other than s in this round or was in
+// the one before. Steps that come before a gang are placed before it reserves workers.
+func (c *Cell) reservedLately(w *Worker, s *step) bool {
+	return w.reserved.step != nil && w.reserved.step != s && w.reserved.round+1 >= c.rounds
+}
+
 // reservedFromStep reports whether a reservation of w for another step keeps s from it. A
 // task that ends before the last of the worker's runs may still be placed there, since the
 // reserving step has to wait for that run anyway.
--- a/process/cell/place.go
+++ b/process/cell/place.go
@@ -13,6 +13,9 @@
 	offRackPenalty = 0.6
 	// failedPenalty is for the worker on which the task failed last.
 	failedPenalty = 5.0
+	// reservedPenalty is for a worker that a gang waits for. Work that may come first takes
+	// other workers if there are any.
+	reservedPenalty = 2.0
 	// slowPenalty is multiplied by the slowness of a worker beyond that of the fleet.
 	slowPenalty = 0.5
 )
@@ -175,6 +178,9 @@
 	if t.avoidWorker == w.ID {
 		left += failedPenalty
 	}
+	if c.reservedLately(w, t.step) {
+		left += reservedPenalty
+	}
 	return left + slowPenalty*max(0, c.slowness(w)-1)
 }
 
