--- a/process/cell/worker.go
+++ b/process/cell/worker.go
@@ -57,13 +57,16 @@
 	ticket      string
 	ticketUntil time.Time
 	plannedAt   time.Time
-	// answeredAt is when the worker confirmed the start.
+	// sentAt is when the start command was sent, answeredAt when the worker confirmed it.
+	sentAt     time.Time
 	answeredAt time.Time
 	checkpoint string
 	percent    int
-	// progressAt is when percent last changed; listedAt is when the run was first listed.
-	progressAt time.Time
-	listedAt   time.Time
+	// progressAt is when percent last changed; listedAt is when the run was first listed, and
+	// firstPercent its progress then.
+	progressAt   time.Time
+	listedAt     time.Time
+	firstPercent int
 	// lastListedAt is when a reply last included the run; duration is how long it took.
 	lastListedAt time.Time
 	duration     time.Duration
@@ -79,10 +82,19 @@
 	stop stopState
 }
 
+// age returns how long ago the run was planned; 0 if an earlier scheduler planned it.
+func (r *Run) age(now time.Time) time.Duration {
+	if r.plannedAt.IsZero() {
+		return 0
+	}
+	return now.Sub(r.plannedAt)
+}
+
 // stopState is the state of the stop command of a run.
 type stopState struct {
-	wanted     bool
-	sentAt     time.Time
+	wanted bool
+	// inProgress is set while a command has been sent and its outcome isn't known.
+	inProgress bool
 	answeredAt time.Time
 }
 
@@ -124,6 +136,9 @@
 	// readyIn is the number of the last round in which the worker accepted new work.
 	readyIn  uint64
 	reserved reservation
+	// claimed is the capacity that gangs may take here once their calls for advice in progress
+	// are answered.
+	claimed  resource.Amount
 	forecast runForecast
 }
 
