--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -65,7 +65,8 @@
 // run when a caller was told so and didn't run afterwards unless it was sent again.
 func (a *callers) checkRequest(w *wanted, runs []run) {
 	if len(runs) > 1 && w.kind == "quote" {
-		a.found.add("ran twice: %s on %s at %v and on %s at %v", w.id, runs[0].worker, runs[0].begin, runs[1].worker, runs[1].begin)
+		a.found.add("ran twice: %s on %s at %v and on %s at %v, tries: %+v", w.id,
+			runs[0].worker, runs[0].begin, runs[1].worker, runs[1].begin, w.tries)
 	}
 	for i, t := range w.tries {
 		if t.verdict == answered && len(runs) == 0 {
