--- a/process/cell/place.go
+++ b/process/cell/place.go
@@ -23,9 +23,10 @@
 // Plan places waiting steps. It is called after any change that may have freed capacity.
 func (c *Cell) Plan(now time.Time) {
 	c.markProbesDue(now)
+	c.starts.beginRound()
 	r := c.newRound(now)
 	for _, u := range c.waiting(now) {
-		if r.misses >= maxMisses {
+		if r.misses >= maxMisses || c.starts.full(now) {
 			return
 		}
 		c.planStep(r, u)
@@ -60,7 +61,7 @@
 			missing++
 			continue
 		}
-		if !c.withinCap(job.Team, s.spec.charge()) || !r.keepsGuaranteed(u) {
+		if !c.withinCap(job.Team, s.spec.charge()) || !r.keepsGuaranteed(u) || c.starts.full(r.now) {
 			break
 		}
 		w := c.bestWorker(t, workers)
@@ -88,6 +89,7 @@
 	t.lastRun++
 	r := c.addRun(t, w, runPlanned)
 	r.plannedAt = now
+	c.starts.add(r)
 	c.countFirstPlaced(now, t.step.occ.job)
 	if v, ok := t.step.advice.byWorker[w]; ok {
 		r.ticket, r.ticketUntil = v.ticket, v.until
@@ -105,11 +107,14 @@
 		return
 	}
 	job := s.occ.job
-	n := Note{Kind: NotePlaced, Job: job.ID, Team: job.Team, Task: placed[0].Task, Run: placed[0].Number, Runs: len(placed), Age: now.Sub(job.FirstSeen)}
+	n := Note{Kind: NotePlaced, Job: job.ID, Team: job.Team, Task: placed[0].Task, Run: placed[0].Number, Runs: len(placed), Age: now.Sub(job.FirstSeen), Wait: now.Sub(s.waitingSince)}
 	for _, r := range placed {
 		n.Workers = append(n.Workers, r.worker.ID)
 	}
 	c.note(n)
+	if !s.awaitsPlacement(now) {
+		s.waitingSince = time.Time{}
+	}
 }
 
 // bestWorker returns the worker with the lowest score among those with enough free
@@ -198,17 +203,22 @@
 		return
 	}
 	job := r.task.step.occ.job
+	c.starts.answered(now, now.Sub(r.sentAt), answer != StartNoReply && answer != StartNotSent)
 	if answer == StartOK {
 		r.state, r.answeredAt = runStarted, now
 		job.started = true
 		return
 	}
-	c.note(Note{Kind: NoteStartFailed, Job: job.ID, Task: key.Task, Run: key.Number, Worker: id, Reason: answer.String(), Age: now.Sub(r.plannedAt)})
+	c.note(Note{Kind: NoteStartFailed, Job: job.ID, Task: key.Task, Run: key.Number, Worker: id, Reason: answer.String(), Age: r.age(now)})
 	switch answer {
 	case StartOK:
 	case StartNoReply:
 		r.state = runOutcomeUnknown
 		c.stopRun(now, r)
+		if r.task.step.spec.Gang {
+			// The others would wait for this one until the worker's limit.
+			c.stopGang(now, r.task.step)
+		}
 	case StartTicketRejected:
 		r.task.step.advice.forget(w)
 		c.withdraw(now, r, answer.String())
