conn/drain: accept the queue also after a stall of the process

The time for the queue was over when the process resumed, so that the listener was closed at once and 36 connections with requests were reset.

Change: the time for the queue counts from when the listener is closed, not from the beginning of the drain.

Test: TestQueueIsAcceptedAfterAStall fails before (reset by peer), passes 10 times with -race after.

--- a/conn/drain/drain.go
+++ b/conn/drain/drain.go
@@ -1,6 +1,9 @@
 package drain
 
-import "time"
+import (
+	"net"
+	"time"
+)
 
 // Limits are the ends of the phases of a drain, as times since its beginning.
 type Limits struct {
@@ -50,7 +53,7 @@
 	began := time.Now()
 	s.draining.Store(true)
 	time.Sleep(l.Accept)
-	s.stopAccepting(began.Add(l.Accept + maxAcceptDelay))
+	s.stopAccepting()
 	outcome := Outcome{AtClose: s.Connections()}
 	if !s.awaitClosed(began.Add(l.Answer)) {
 		outcome.Cancelled = s.Connections().Requests
@@ -63,24 +66,30 @@
 	return outcome
 }
 
-// stopAccepting closes the listener after the connections in its queue were accepted, but
-// at the latest at limit.
-func (s *Server) stopAccepting(limit time.Time) {
-	s.mu.Lock()
-	l := s.listener
-	s.mu.Unlock()
+// stopAccepting closes the listener after the connections in its queue were accepted, which
+// takes at most maxAcceptDelay. The time counts from now: a process that got no processor has
+// a queue, however late it is.
+func (s *Server) stopAccepting() {
+	l := s.listening()
 	if l == nil {
 		return
 	}
 	if extendAccept(l) {
 		select {
 		case <-s.served:
-		case <-time.After(time.Until(limit)):
+		case <-time.After(maxAcceptDelay):
 		}
 	}
 	_ = l.Close()
 }
 
+// listening returns the listener, or nil before Serve.
+func (s *Server) listening() net.Listener {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.listener
+}
+
 // awaitClosed closes connections without a request in progress, and reports whether all
 // connections were closed before the limit.
 func (s *Server) awaitClosed(limit time.Time) bool {
--- a/conn/drain/queue_test.go
+++ b/conn/drain/queue_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"net"
 	"net/http"
+	"sync"
 	"testing"
 	"time"
 
@@ -45,3 +46,50 @@
 	}
 	assert.Equal(t, s.Drain(LimitsWithin(time.Second, 0)).Cut, 0)
 }
+
+// stalledListener accepts nothing until some time after its deadline was set, as in a process
+// that gets no processor.
+type stalledListener struct {
+	*net.TCPListener
+	once    sync.Once
+	resumed chan struct{}
+}
+
+// Accept implements net.Listener.
+func (l *stalledListener) Accept() (net.Conn, error) {
+	<-l.resumed
+	return l.TCPListener.Accept()
+}
+
+// SetDeadline implements the deadline of a listener.
+func (l *stalledListener) SetDeadline(time.Time) error {
+	err := l.TCPListener.SetDeadline(time.Unix(1, 0))
+	l.once.Do(func() {
+		time.Sleep(2 * maxAcceptDelay)
+		time.AfterFunc(maxAcceptDelay/4, func() { close(l.resumed) })
+	})
+	return err
+}
+
+// A process that resumed after the time for accepting was over closed its listener at once and
+// reset the connections that had arrived meanwhile.
+func TestQueueIsAcceptedAfterAStall(t *testing.T) {
+	tcp, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	l := &stalledListener{TCPListener: tcp.(*net.TCPListener), resumed: make(chan struct{})}
+	s := New(&http.Server{Handler: answerAfter(0), ReadHeaderTimeout: time.Second})
+	go func() { _ = s.Serve(l) }()
+	for s.listening() == nil {
+		time.Sleep(time.Millisecond)
+	}
+	c, err := net.Dial("tcp", l.Addr().String())
+	assert.NilError(t, err)
+	defer c.Close()
+	drained := make(chan Outcome, 1)
+	go func() { drained <- s.Drain(LimitsWithin(6*time.Second, time.Millisecond)) }()
+	status, _, sent, err := request(c)
+	assert.NilError(t, err)
+	assert.Assert(t, sent)
+	assert.Equal(t, status, http.StatusOK)
+	assert.Equal(t, (<-drained).Cut, 0)
+}
