--- a/process/entry/build.go
+++ b/process/entry/build.go
@@ -221,7 +221,7 @@
 // entryTakenOver imports the request ids that the witnesses of a dead entry returned, and
 // replicates them to this entry's own witnesses.
 func (e *Entry) entryTakenOver(dead ownership.Member, messages []json.RawMessage) {
-	e.Log.Log(events.EntryTakenOver, dead.Instance, dead.Incarnation)
+	e.Log.Log(events.EntryTakenOver, dead.Instance, dead.Incarnation, len(messages))
 	e.metrics.countTakeover()
 	e.requests.Import(messages)
 	ctx, cancel := context.WithTimeout(e.ctx, callTimeout)
--- a/process/events/catalogue.go
+++ b/process/events/catalogue.go
@@ -18,7 +18,7 @@
 	BlockGained     = &Event{2001, logrus.InfoLevel, "block acquired", []string{"block", "epoch"}, nothing}
 	BlockLost       = &Event{2002, logrus.InfoLevel, "block lost", []string{"block"}, nothing}
 	OwnershipFailed = &Event{2003, logrus.WarnLevel, "ownership operation failed", []string{"step", "error"}, "Check the platform's table if it persists."}
-	EntryTakenOver  = &Event{2004, logrus.WarnLevel, "blocks of another entry taken over", []string{"entry", "incarnation"}, "Check the instance of that entry."}
+	EntryTakenOver  = &Event{2004, logrus.WarnLevel, "blocks of another entry taken over", []string{"entry", "incarnation", "messages"}, "Check the instance of that entry. messages counts what its witnesses kept of its request ids."}
 	PeerFailed      = &Event{2005, logrus.WarnLevel, "peer unreachable", []string{"peer", "error"}, "If it persists, check the network between the two instances."}
 	ListFailed      = &Event{2006, logrus.WarnLevel, "cannot read the instance list", []string{"error"}, "The last list stays in use; check the platform."}
 
