Use a peer's capacity again once a request there is answered

The entry without a worker counted the peer's three slots as used until the next report although its requests took 5 ms, so 100 of them needed 3.9 to 4.6 s of their 5 s; a pause of the machine made the last ones late. Ruled out: slots or connections over capacity (no violation), refusals by the peer, the queue's limit. Change: an answered request frees its amount at the peer, up to what the peer reported last. Not after an unknown outcome, nor after a refusal until the next report; the peer still refuses what it has no room for. The scenario's bounds are unchanged. Conclusion: traced and mended. Found here: how long an entry without workers waits depended on the period of reports, not on the work.

--- a/process/requests/peer_capacity.go
+++ b/process/requests/peer_capacity.go
@@ -1,6 +1,7 @@
 package requests
 
 import (
+	"maps"
 	"sync"
 
 	"github.com/kingcuplatch/kingcuplatch/process/exchange"
@@ -14,11 +15,13 @@
 	peers map[string]*freeAtPeer
 }
 
-// freeAtPeer is the free capacity of one peer by upstream: the reported one less the
-// requests sent there since.
+// freeAtPeer is the free capacity of one peer by upstream.
 type freeAtPeer struct {
 	address string
-	free    map[string]resource.Amount
+	// reported is what the last report said, free the same less the requests sent there
+	// since and not yet answered.
+	reported map[string]resource.Amount
+	free     map[string]resource.Amount
 }
 
 // NewPeerCapacity returns a PeerCapacity without peers.
@@ -28,15 +31,16 @@
 
 // Update replaces the free capacity of a peer by that of its last message.
 func (r *PeerCapacity) Update(p exchange.Peer) {
-	reported := &freeAtPeer{address: p.Address, free: make(map[string]resource.Amount)}
+	next := &freeAtPeer{address: p.Address, reported: make(map[string]resource.Amount)}
 	for _, free := range p.State.Free {
 		if free.Upstream != "" {
-			reported.free[free.Upstream] = free.Total
+			next.reported[free.Upstream] = free.Total
 		}
 	}
+	next.free = maps.Clone(next.reported)
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.peers[p.Instance] = reported
+	r.peers[p.Instance] = next
 }
 
 // Forget drops a peer that is unreachable.
@@ -51,13 +55,13 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	var best *freeAtPeer
-	for name, reported := range r.peers {
-		free := reported.free[upstream]
+	for name, peer := range r.peers {
+		free := peer.free[upstream]
 		if !amount.Fits(free) {
 			continue
 		}
 		if best == nil || free.Slots > best.free[upstream].Slots {
-			best = reported
+			best = peer
 			instance = name
 		}
 	}
@@ -68,11 +72,26 @@
 	return best.address, instance, true
 }
 
-// Exhausted implements RemoteCapacity.
+// Freed implements RemoteCapacity. No more is free than the peer reported: its report may
+// be from after the end of the request, and may count work of other entries.
+func (r *PeerCapacity) Freed(instance, upstream string, amount resource.Amount) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	peer, ok := r.peers[instance]
+	if !ok {
+		return
+	}
+	if free, ok := peer.free[upstream]; ok {
+		peer.free[upstream] = free.Add(amount).Min(peer.reported[upstream])
+	}
+}
+
+// Exhausted implements RemoteCapacity. The upstream has nothing free at the peer until its
+// next report.
 func (r *PeerCapacity) Exhausted(instance, upstream string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if reported, ok := r.peers[instance]; ok {
-		delete(reported.free, upstream)
+	if peer, ok := r.peers[instance]; ok {
+		delete(peer.free, upstream)
 	}
 }
--- a/process/requests/placer.go
+++ b/process/requests/placer.go
@@ -35,8 +35,10 @@
 // RemoteCapacity chooses peers by the free capacity that they reported.
 type RemoteCapacity interface {
 	// Pick returns a peer that reported free capacity for the amount at the upstream.
-	// The amount is treated as used until the peer's next report.
+	// The amount is treated as used until the peer's next report, or Freed.
 	Pick(upstream string, amount resource.Amount) (address, instance string, ok bool)
+	// Freed records that a request for which Pick chose the peer was answered.
+	Freed(instance, upstream string, amount resource.Amount)
 	// Exhausted records that the peer refused a request for lack of capacity.
 	Exhausted(instance, upstream string)
 }
@@ -92,7 +94,7 @@
 	if !ok {
 		return nil, false
 	}
-	return &remoteReservation{placer: p, address: address, instance: instance, upstream: kind.Upstream}, true
+	return &remoteReservation{placer: p, address: address, instance: instance, upstream: kind.Upstream, amount: kind.Amount}, true
 }
 
 // FindLocal reserves capacity on a worker of this entry.
--- a/process/requests/reservation.go
+++ b/process/requests/reservation.go
@@ -8,6 +8,7 @@
 	"github.com/kingcuplatch/kingcuplatch/conn/api"
 	"github.com/kingcuplatch/kingcuplatch/conn/worker"
 	"github.com/kingcuplatch/kingcuplatch/process/capacity"
+	"github.com/kingcuplatch/kingcuplatch/process/resource"
 	"github.com/kingcuplatch/kingcuplatch/request/attempt"
 	"github.com/kingcuplatch/kingcuplatch/version"
 )
@@ -77,6 +78,7 @@
 	address  string
 	instance string
 	upstream string
+	amount   resource.Amount
 }
 
 // Worker implements dispatch.Reservation.
@@ -94,6 +96,10 @@
 	return outcome
 }
 
-// Release implements dispatch.Reservation. It does nothing, since the peer accounts for
-// its own capacity.
-func (res *remoteReservation) Release(attempt.Outcome) {}
+// Release implements dispatch.Reservation. The peer accounts for its own capacity; this
+// entry only takes it that an answered request has ended there.
+func (res *remoteReservation) Release(outcome attempt.Outcome) {
+	if outcome.Err == nil {
+		res.placer.o.Remote.Freed(res.instance, res.upstream, res.amount)
+	}
+}
