--- a/process/daemon/daemon.go
+++ b/process/daemon/daemon.go
@@ -63,6 +63,10 @@
 	if flags.Parse(args) != nil {
 		return exitUsage
 	}
+	if flags.NArg() > 0 {
+		fmt.Fprintf(stderr, "kingcuplatchd: unexpected argument %q\n", flags.Arg(0))
+		return exitUsage
+	}
 	if *path == "" {
 		fmt.Fprintln(stderr, "kingcuplatchd: -config FILE.toml is missing")
 		return exitUsage
