--- a/conn/drain/drain_test.go
+++ b/conn/drain/drain_test.go
@@ -180,6 +180,35 @@
 	})
 }
 
+// A request that was read in one piece with the one before is in progress like any other.
+func TestPipelinedRequestIsAnswered(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		calls := 0
+		s, l := startServer(func(w http.ResponseWriter, r *http.Request) {
+			calls++
+			if calls > 1 {
+				answerAfter(3*time.Second)(w, r)
+			}
+		})
+		c, ok := l.dial()
+		assert.Assert(t, ok)
+		get := "GET / HTTP/1.1\r\nHost: host\r\n\r\n"
+		_, err := io.WriteString(c, get+get)
+		assert.NilError(t, err)
+		reader := bufio.NewReader(c)
+		_, err = http.ReadResponse(reader, nil)
+		assert.NilError(t, err)
+		drained := make(chan Outcome, 1)
+		go func() { drained <- s.Drain(limits) }()
+		res, err := http.ReadResponse(reader, nil)
+		assert.NilError(t, err)
+		assert.Equal(t, res.StatusCode, http.StatusOK)
+		outcome := <-drained
+		assert.Equal(t, outcome.AtClose.Requests, 1)
+		assert.Equal(t, outcome.Cancelled, 0)
+	})
+}
+
 // A handler that doesn't return is cut off and counted.
 func TestStuckRequestIsCounted(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/conn/drain/queue.go
+++ b/conn/drain/queue.go
@@ -28,6 +28,7 @@
 	})
 	var conns []net.Conn
 	for _, fd := range taken {
+		// An error means that no descriptor is left for the duplicate; the connection is reset.
 		if c, err := fileConn(fd); err == nil {
 			conns = append(conns, c)
 		}
@@ -35,10 +36,14 @@
 	return conns
 }
 
-// acceptAll accepts until no connection waits. The listener's descriptor doesn't block.
+// maxQueue bounds the connections that are taken from a queue, since new ones may keep coming.
+const maxQueue = 4096
+
+// acceptAll accepts until no connection waits, at most maxQueue. The listener's descriptor
+// doesn't block.
 func acceptAll(listener int) []int {
 	var taken []int
-	for {
+	for len(taken) < maxQueue {
 		fd, _, err := syscall.Accept(listener)
 		if errors.Is(err, syscall.EINTR) || errors.Is(err, syscall.ECONNABORTED) {
 			continue
@@ -49,6 +54,7 @@
 		syscall.CloseOnExec(fd)
 		taken = append(taken, fd)
 	}
+	return taken
 }
 
 // fileConn returns a connection with a duplicate of the descriptor and closes that.
--- a/conn/drain/server.go
+++ b/conn/drain/server.go
@@ -46,13 +46,15 @@
 }
 
 // New returns a server that takes over the timeouts, limits and handler of server. The
-// fields BaseContext and ConnState of server must not be set; ReadHeaderTimeout must be.
+// fields BaseContext, ConnContext and ConnState of server must not be set; ReadHeaderTimeout
+// must be.
 func New(server *http.Server) *Server {
 	s := &Server{server: server, served: make(chan struct{}), conns: make(map[*conn]struct{})}
 	s.ctx, s.cancel = context.WithCancel(context.Background())
 	server.Handler = s.closeAfterResponse(server.Handler)
 	server.BaseContext = func(net.Listener) context.Context { return s.ctx }
 	server.ConnState = s.connState
+	server.ConnContext = withConn
 	return s
 }
 
@@ -176,9 +178,21 @@
 	return ok && d.SetDeadline(time.Now().Add(lastAcceptTime)) == nil
 }
 
+// connKey is the key of a request's connection in its context.
+type connKey struct{}
+
+// withConn implements http.Server.ConnContext.
+func withConn(ctx context.Context, c net.Conn) context.Context {
+	return context.WithValue(ctx, connKey{}, c)
+}
+
 // closeAfterResponse makes responses close their connections while the server drains.
 func (s *Server) closeAfterResponse(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if c, ok := r.Context().Value(connKey{}).(*conn); ok {
+			// A pipelined request was read together with the one before.
+			c.requestRead()
+		}
 		next.ServeHTTP(&closingWriter{ResponseWriter: w, server: s}, r)
 	})
 }
--- a/process/cluster/forward.go
+++ b/process/cluster/forward.go
@@ -147,7 +147,8 @@
 	case err == nil:
 		return reply, noRepeat
 	case ctx.Err() != nil && view.ctx.Err() == nil:
-		return forwardFailed(call, err), noRepeat
+		// Do gives an unknown outcome of an earlier try, if there is one, precedence.
+		return forwardFailed(call, err), repeatAtSuccessor
 	case view.isNew() || errors.Is(err, peer.ErrUnknown):
 		// The scheduler may not know yet that it is the scheduler, or the link was closed.
 		return forwardFailed(call, err), repeatSoon
--- a/process/cluster/leave.go
+++ b/process/cluster/leave.go
@@ -25,7 +25,7 @@
 const (
 	leaveMinFraction   = 0.3
 	leaveHoldFraction  = 0.65
-	leaveFinalFraction = 0.75
+	leaveFinalFraction = 0.7
 )
 
 // LeaveLimitsWithin returns the limits of a process that is killed after the grace period.
