process/ownership: skip rows that can't be decoded

Cause: one undecodable block or entry row made each scan fail, and with it the claims and takeovers of all others, without a line in the log. Nobody claims its block: its owner may live.

--- a/process/entry/build.go
+++ b/process/entry/build.go
@@ -42,6 +42,7 @@
 		Blocks: e.blocks, Members: e.members,
 		ShortTerm: e.Timings.QuickTerm, LongTerm: e.Timings.LongTerm, Heartbeat: e.Timings.Heartbeat,
 		OnGain: e.blockGained, OnLoss: e.blockLost, OnTakeover: e.entryTakenOver, OnRejoin: e.rejoined, Idle: e.blockIdle,
+		OnUnusableRow: func(key string, err error) { e.Log.Log(events.RowIgnored, "ownership", key, err) },
 	})
 }
 
--- a/process/ownership/manager.go
+++ b/process/ownership/manager.go
@@ -49,6 +49,8 @@
 	contacts map[string]contact
 	// blocks holds the last known row of each block, by block.
 	blocks map[string]seenBlock
+	// unusable holds the versions of the rows that could not be decoded, by key.
+	unusable map[string]uint64
 	// refreshedAt is when RefreshBlock last read each block's row.
 	refreshedAt map[string]time.Time
 	// deltas are the deltas of the last RetainFor; deltaSeq numbers them.
@@ -82,6 +84,7 @@
 		entries:     make(map[string]observedEntry),
 		blocks:      make(map[string]seenBlock),
 		contacts:    make(map[string]contact),
+		unusable:    make(map[string]uint64),
 		refreshedAt: make(map[string]time.Time),
 	}
 	m.grants.Store(&map[string]Grant{})
--- a/process/ownership/options.go
+++ b/process/ownership/options.go
@@ -41,6 +41,9 @@
 	// OnRejoin is called when the lease was lost and this process continues
 	// under a new incarnation, after OnLoss for every block.
 	OnRejoin func(self Member)
+	// OnUnusableRow is called once for each version of a row that can't be decoded. Such a
+	// row is skipped: nobody claims its block or takes its entry's blocks over.
+	OnUnusableRow func(key string, err error)
 	// Idle reports whether a block may be released to another entry now. Nothing
 	// can be started in the block during the call. Nil means always.
 	Idle func(block string) bool
@@ -74,6 +77,9 @@
 	if o.OnRejoin == nil {
 		o.OnRejoin = func(Member) {}
 	}
+	if o.OnUnusableRow == nil {
+		o.OnUnusableRow = func(string, error) {}
+	}
 	if o.Idle == nil {
 		o.Idle = func(string) bool { return true }
 	}
--- a/process/ownership/scan.go
+++ b/process/ownership/scan.go
@@ -54,7 +54,8 @@
 	})
 }
 
-// scan reads all rows with the prefix and passes each to visit, under m.mu.
+// scan reads all rows with the prefix and passes each to visit, under m.mu. A row that visit
+// can't decode is skipped.
 func (m *Manager) scan(ctx context.Context, prefix string, visit func(platform.Row, time.Time) error) error {
 	after := ""
 	for {
@@ -62,21 +63,31 @@
 		if err != nil {
 			return err
 		}
-		now := time.Now()
-		m.mu.Lock()
-		for _, r := range rows {
-			if err == nil {
-				err = visit(r, now)
-			}
-		}
-		m.mu.Unlock()
-		if err != nil || len(rows) < scanPage {
-			return err
+		m.visitRows(rows, visit)
+		if len(rows) < scanPage {
+			return nil
 		}
 		after = rows[len(rows)-1].Key
 	}
 }
 
+// visitRows passes rows to visit and reports those that can't be decoded.
+func (m *Manager) visitRows(rows []platform.Row, visit func(platform.Row, time.Time) error) {
+	now := time.Now()
+	unusable := make(map[string]error)
+	m.mu.Lock()
+	for _, r := range rows {
+		if err := visit(r, now); err != nil && m.unusable[r.Key] != r.Version {
+			m.unusable[r.Key] = r.Version
+			unusable[r.Key] = err
+		}
+	}
+	m.mu.Unlock()
+	for key, err := range unusable {
+		m.OnUnusableRow(key, err)
+	}
+}
+
 func (m *Manager) scanPage(ctx context.Context, prefix, after string) ([]platform.Row, error) {
 	ctx, cancel := m.tableContext(ctx)
 	defer cancel()
