Refuse by the backlog of starts only while late replies keep the limit low

Change: the wait for starts counts only while the limit is at most half of its initial value. Late replies lower it, prompt ones raise it. Test: TestBacklogOfStartsRefusesJobs has the case.

--- a/process/cell/startlimit.go
+++ b/process/cell/startlimit.go
@@ -28,9 +28,11 @@
 }
 
 const (
-	// initialStartLimit and minStartLimit are numbers of runs.
+	// initialStartLimit, overloadedStartLimit and minStartLimit are numbers of runs.
 	initialStartLimit = 128
-	minStartLimit     = 8
+	// overloadedStartLimit is the limit up to which the scheduler counts as overloaded.
+	overloadedStartLimit = initialStartLimit / 2
+	minStartLimit        = 8
 	// promptStart is the time to a start's reply up to which the limit rises, and beyond
 	// which it falls. It is half of the least time after which a start counts as unanswered.
 	promptStart = 300 * time.Millisecond
@@ -63,9 +65,10 @@
 }
 
 // wait returns how long it takes to start the given number of tasks; 0 unless the limit was
-// reached lately.
+// reached lately and late replies have lowered it far. While replies are prompt, planned runs
+// wait for something else, such as a slow table.
 func (l *startLimiter) wait(now time.Time, tasks int) time.Duration {
-	if now.Sub(l.reachedAt) > rateWindow {
+	if now.Sub(l.reachedAt) > rateWindow || l.limit > overloadedStartLimit {
 		return 0
 	}
 	return time.Duration(float64(tasks) / l.replies.rate(now) * float64(time.Second))
--- a/process/cell/startlimit_test.go
+++ b/process/cell/startlimit_test.go
@@ -70,6 +70,9 @@
 		}
 	}
 	assert.Assert(t, accepted > 0 && accepted < 1000, "%d accepted", accepted)
+	assert.Assert(t, c.starts.wait(w.now, 1000) > 0)
 	later := w.now.Add(2 * rateWindow)
 	assert.Equal(t, c.starts.wait(later, 1000), time.Duration(0), "the limit isn't reached any more")
+	c.starts.limit = initialStartLimit
+	assert.Equal(t, c.starts.wait(w.now, 1000), time.Duration(0), "replies are prompt")
 }
