cluster: Leave ends soon after its context

Cause: once its context had ended, Leave waited for the end of a load or for the election's turn without a pause, so it took a processor for itself while the table didn't answer; seen in TestLeaveEndsWithItsContext, whose virtual time stood still (60 s of real time, then stopped). An entry that gave up reading the cell offered the lease again each 20 ms.

--- a/process/cluster/leave.go
+++ b/process/cluster/leave.go
@@ -36,8 +36,12 @@
 		n.suspected = true
 	}
 	n.mu.Unlock()
-	for !n.leaveStep(ctx) {
-		sleep(ctx, leavePeriod)
+	bounded, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	defer cancel()
+	// After ctx the lease is still to be released.
+	defer context.AfterFunc(ctx, func() { time.AfterFunc(releaseTimeout, cancel) })()
+	for bounded.Err() == nil && !n.leaveStep(ctx) {
+		sleep(bounded, leavePeriod)
 	}
 }
 
@@ -45,13 +49,16 @@
 // schedule no more.
 func (n *Node) leaveStep(ctx context.Context) (left bool) {
 	n.mu.Lock()
-	r, loading := n.leadership, n.loading
+	r, loading, abandoned := n.leadership, n.loading, n.abandoned.now
 	state := n.leaveStateLocked()
 	n.mu.Unlock()
 	scheduling := r != nil && !r.over()
 	if !scheduling && loading == 0 {
 		return n.acquiresNoMore()
 	}
+	if !scheduling && abandoned {
+		return false
+	}
 	decision := state.decide()
 	if ctx.Err() != nil {
 		decision = handover{now: true, reason: "the time to leave has ended"}
--- a/process/cluster/leave_test.go
+++ b/process/cluster/leave_test.go
@@ -580,3 +580,34 @@
 		assert.Equal(t, acquired, 1)
 	})
 }
+
+// The time to leave ends while the entry reads the cell, or while its turn of the election
+// waits for a table that doesn't answer. Leave must return soon, and release the lease if
+// the table takes it.
+func TestLeaveEndsWithItsContext(t *testing.T) {
+	for _, hang := range []bool{false, true} {
+		simulateFleet(t, 2, 0, func(w *fleet) {
+			leader := w.awaitLeader(time.Second, "")
+			other := w.other(leader)
+			w.simulation.mu.Lock()
+			w.scanTime = 4 * time.Second
+			w.simulation.mu.Unlock()
+			w.kill(leader)
+			for other.loadingFence() == 0 {
+				time.Sleep(10 * time.Millisecond)
+			}
+			w.setTableUnavailable(hang, true)
+			ctx, cancel := context.WithTimeout(context.Background(), 300*time.Millisecond)
+			defer cancel()
+			began := time.Now()
+			other.Leave(ctx)
+			assert.Assert(t, time.Since(began) <= 300*time.Millisecond+releaseTimeout+leavePeriod, "%s", time.Since(began))
+			assert.Assert(t, !other.Schedules())
+			time.Sleep(100 * time.Millisecond)
+			w.simulation.mu.Lock()
+			defer w.simulation.mu.Unlock()
+			released := string(w.rows[leaseKey].Value) == "{}"
+			assert.Equal(t, released, !hang)
+		})
+	}
+}
