cluster: hand over also when the lease was accepted after SIGTERM

Changes: Leave lasts while an offer may be accepted; others count as leaving by the list of the former scheduler, and a load is given up after 0.6 s at the earliest; a small entry is handed the cell early only while nobody schedules; at the last limit the lease is released without an accepted offer; write and notifications of a release share 0.8 s. Each process of the fleet tests must now end without the lease.

--- a/process/cluster/acquire.go
+++ b/process/cluster/acquire.go
@@ -80,7 +80,7 @@
 	// From the notifications on, calls of other entries arrive.
 	n.startLoad(fence, cancel)
 	n.log.Log(events.CellLeaseAcquired, fence, reason, time.Since(began).String())
-	n.notify(n.knownEntries(), methodAcquired, seenReply{leaseRow: n.ownLease(), Fence: fence})
+	n.notify(n.knownEntries(), methodAcquired, seenReply{leaseRow: n.ownLease(), Fence: fence}, releaseTimeout)
 	n.begin(loadCtx, fence, began)
 }
 
@@ -122,6 +122,7 @@
 		return
 	}
 	jobs, live, _, _ := r.cell.Counts()
+	r.goroutines.Add(1)
 	n.mu.Lock()
 	n.leadership = r
 	n.inherit(n.view)
@@ -176,6 +177,7 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.loading, n.loaded, n.abortLoad, n.abandoned = fence, make(chan struct{}), abort, handover{}
+	n.loadingSince = time.Now()
 	n.offer = acceptedOffer{}
 }
 
--- a/process/cluster/elect.go
+++ b/process/cluster/elect.go
@@ -217,7 +217,7 @@
 		view.cancel()
 	}
 	if n.tableReach.slow() {
-		n.notify(view.members, methodAcquiring, seenReply{Fence: view.fence})
+		n.notify(view.members, methodAcquiring, seenReply{Fence: view.fence}, releaseTimeout)
 	}
 	if row, err := n.readSuccessor(ctx, view); err == nil {
 		n.acquire(ctx, row.version, "the scheduler is unreachable")
--- a/process/cluster/handover.go
+++ b/process/cluster/handover.go
@@ -17,6 +17,8 @@
 const (
 	// handoverDrain bounds the wait for the calls and writes in progress at a handover.
 	handoverDrain = 300 * time.Millisecond
+	// minNotifyTime is the least time for the notification that the lease is released.
+	minNotifyTime = 200 * time.Millisecond
 	// drainCheckPeriod is the interval between checks whether writes have ended.
 	drainCheckPeriod = 5 * time.Millisecond
 	// offerTimeout bounds the offer of the lease to an entry.
@@ -140,15 +142,17 @@
 }
 
 // releaseLease clears the lease row and notifies the other entries. It returns when all
-// have answered, or after releaseTimeout.
+// have answered, or after releaseTimeout and minNotifyTime.
 func (n *Node) releaseLease(ctx context.Context, fence uint64, successor string) {
+	began := time.Now()
 	n.writeRelease(ctx, fence)
 	n.mu.Lock()
 	members := n.knownEntriesLocked()
 	// If this entry stays, it leaves the lease to the successor for a while.
 	n.acquireFrom = time.Now().Add(afterSuccessor)
 	n.mu.Unlock()
-	n.notify(members, methodReleased, seenReply{Fence: fence, Successor: successor}).Wait()
+	left := max(minNotifyTime, releaseTimeout-time.Since(began))
+	n.notify(members, methodReleased, seenReply{Fence: fence, Successor: successor}, left).Wait()
 }
 
 // acceptedOffer is an offer of the lease that this entry has accepted: it acquires the lease
--- a/process/cluster/leave.go
+++ b/process/cluster/leave.go
@@ -34,6 +34,10 @@
 	return LeaveLimits{Min: part(leaveMinFraction), Hold: part(leaveHoldFraction), Final: part(leaveFinalFraction)}
 }
 
+// loadPatience is how long a leaving entry goes on reading the cell before it looks for a
+// successor, which would have to read it anew.
+const loadPatience = 600 * time.Millisecond
+
 // leavePeriod is the interval between checks of a leaving scheduler for a successor.
 const leavePeriod = 20 * time.Millisecond
 
@@ -81,7 +85,11 @@
 		return false
 	}
 	if decision.successor != "" && !n.offerLease(ctx, decision.successor) {
-		return false
+		if !state.final() {
+			return false
+		}
+		// Whoever reads the released lease first takes it.
+		decision.successor = ""
 	}
 	if scheduling {
 		n.log.Log(events.HandoverDecided, r.fence, decision.successor, decision.reason, state.now.Sub(state.since).String())
@@ -92,8 +100,8 @@
 	return false
 }
 
-// acquiresNoMore reports whether no attempt to acquire the lease is under way or to come. A
-// later one finds that this entry leaves.
+// acquiresNoMore reports whether no attempt to acquire the lease is under way or to come, and
+// no offer of it may be accepted any more.
 func (n *Node) acquiresNoMore() bool {
 	select {
 	case <-n.leaseLock:
@@ -103,7 +111,10 @@
 	defer func() { n.leaseLock <- struct{}{} }()
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	return (n.leadership == nil || n.leadership.over()) && !n.offer.open()
+	if n.leadership != nil && !n.leadership.over() {
+		return false
+	}
+	return !n.offer.open() && !n.config.Timings.Leave.mayAccept(time.Since(n.leavingSince))
 }
 
 // candidate is an entry that may take the cell over.
@@ -122,6 +133,8 @@
 	since  time.Time
 	cores  float64
 	limits LeaveLimits
+	// loadingFor is how long the cell has been being read, or 0 once it has been.
+	loadingFor time.Duration
 	// othersLeave is set if other entries leave too.
 	othersLeave bool
 	// staying are the live entries that don't leave and can schedule, leaving those that
@@ -138,7 +151,7 @@
 }
 
 // decide decides whether to hand the cell over now. A single entry that leaves hands over
-// soon to the largest one. When entries are restarted one after the other, whoever hasn't
+// soon to one that is about as large. When entries are restarted one after the other, whoever hasn't
 // been restarted yet soon will be, and would hand over again: each handover interrupts
 // scheduling for as long as it takes to read the cell. So a scheduler holds on until an
 // entry that has started since it began to leave can take over, and is about as large, since
@@ -149,7 +162,11 @@
 	if held < s.limits.Min {
 		return handover{}
 	}
-	if !s.othersLeave && len(s.staying) > 0 {
+	if s.loadingFor > 0 && s.loadingFor < loadPatience && !s.final() {
+		return handover{}
+	}
+	// While the cell is read nobody schedules, so a small entry is better than none.
+	if !s.othersLeave && len(s.staying) > 0 && (s.large(s.staying[0]) || s.loadingFor > 0) {
 		return handover{now: true, successor: s.staying[0].Name, reason: "no other entry leaves"}
 	}
 	for _, c := range s.staying {
@@ -162,9 +179,12 @@
 			return handover{now: true, successor: c.Name, reason: "no large entry has been restarted in time"}
 		}
 	}
-	return handover{now: held >= s.limits.Final, reason: "no entry can take the lease"}
+	return handover{now: s.final(), reason: "no entry can take the lease"}
 }
 
+// final reports whether the lease is to be released in any case.
+func (s leaveState) final() bool { return s.now.Sub(s.since) >= s.limits.Final }
+
 // large reports whether an entry is about as large as this one.
 func (s leaveState) large(c candidate) bool { return c.Cores*yieldFactor >= s.cores }
 
@@ -192,6 +212,13 @@
 // leaveStateLocked returns the state for decide. n.mu must be held.
 func (n *Node) leaveStateLocked() leaveState {
 	s := leaveState{now: time.Now(), since: n.leavingSince, cores: n.config.Cores, limits: n.config.Timings.Leave}
+	if n.loading != 0 {
+		s.loadingFor = max(1, time.Since(n.loadingSince))
+	}
+	// Shortly after the cell was acquired, few have sent heartbeats to this entry.
+	for _, m := range n.view.members {
+		s.othersLeave = s.othersLeave || (m.Leaving && m.Name != n.config.Name && time.Since(n.view.since) < memberTimeout)
+	}
 	for _, m := range n.standbys {
 		if m.live() && m.Name != n.config.Name {
 			s.othersLeave = s.othersLeave || m.Leaving
--- a/process/cluster/leave_test.go
+++ b/process/cluster/leave_test.go
@@ -109,6 +109,9 @@
 	defer cancel()
 	n.Leave(ctx)
 	time.Sleep(processLife - time.Since(began))
+	if n.Schedules() || n.loadingFence() != 0 {
+		w.t.Errorf("the process of %s ends while it holds the lease, %s after its SIGTERM", name, time.Since(began))
+	}
 	w.mu.Lock()
 	busy := w.busy[name]
 	w.closed[name] = true
@@ -611,3 +614,43 @@
 		})
 	}
 }
+
+// An entry whose clients are still being drained accepts the lease after its own SIGTERM. It
+// must hand over like any scheduler that leaves: its process ended with the lease.
+func TestLeavingEntryThatAcceptsHandsOver(t *testing.T) {
+	simulateFleet(t, 2, 6, func(w *fleet) {
+		leader, other := w.awaitLeader(time.Second, ""), "n1"
+		if leader == other {
+			other = "n0"
+		}
+		go w.terminate(leader)
+		time.Sleep(300 * time.Millisecond)
+		go w.restart("n5")
+		time.Sleep(time.Second)
+		go w.restart("n6")
+		time.Sleep(testLimits.Hold - 1300*time.Millisecond - testLimits.Hold/3)
+		w.terminate(other)
+		w.awaitLeader(2*time.Second, other)
+	})
+}
+
+// Peers that answer offers too late, but send heartbeats, must not keep the lease with an
+// entry beyond its last limit.
+func TestUnansweredOffersDoNotDelayTheRelease(t *testing.T) {
+	simulateFleet(t, 2, 6, func(w *fleet) {
+		leader := w.awaitLeader(time.Second, "")
+		w.simulation.mu.Lock()
+		for name := range w.cores {
+			if name != leader {
+				w.replyDelay[name] = offerTimeout + 50*time.Millisecond
+			}
+		}
+		w.simulation.mu.Unlock()
+		began := time.Now()
+		ctx, cancel := context.WithTimeout(context.Background(), killAfter)
+		defer cancel()
+		w.node(leader).Leave(ctx)
+		bound := testLimits.Final + offerTimeout + handoverDrain + releaseTimeout + minNotifyTime
+		assert.Assert(t, time.Since(began) <= bound, "%s", time.Since(began))
+	})
+}
--- a/process/cluster/node.go
+++ b/process/cluster/node.go
@@ -67,10 +67,11 @@
 
 	mu        sync.Mutex
 	published Publication
-	// loading is the fencing token of the leadership whose cell is being loaded, or 0. loaded is
-	// closed when the load ends.
-	loading uint64
-	loaded  chan struct{}
+	// loading is the fencing token of the leadership whose cell is being loaded, or 0, and
+	// loadingSince when the load began. loaded is closed when it ends.
+	loading      uint64
+	loadingSince time.Time
+	loaded       chan struct{}
 	// abortLoad cancels the load; abandoned is why and to whom the lease then goes.
 	abortLoad context.CancelFunc
 	abandoned handover
--- a/process/cluster/standby.go
+++ b/process/cluster/standby.go
@@ -134,14 +134,14 @@
 
 // notify sends a message to all members except this entry, and returns at once. The
 // returned group is done when every call has ended.
-func (n *Node) notify(members []Member, method string, message seenReply) *sync.WaitGroup {
+func (n *Node) notify(members []Member, method string, message seenReply, timeout time.Duration) *sync.WaitGroup {
 	var calls sync.WaitGroup
 	for _, m := range members {
 		if m.Name == n.config.Name {
 			continue
 		}
 		calls.Go(func() {
-			ctx, cancel := context.WithTimeout(context.Background(), releaseTimeout)
+			ctx, cancel := context.WithTimeout(context.Background(), timeout)
 			defer cancel()
 			if err := n.config.Peers.Call(ctx, m.Address, method, message, nil); err != nil {
 				n.log.Log(events.PeerFailed, m.Address, err)
