Entry: run requests on a shard once the saved ids were read

Change: an entry reads the rows when it has gained a shard, and holds its lease for requests only after that.

--- a/process/entry/build.go
+++ b/process/entry/build.go
@@ -180,6 +180,7 @@
 	e.Log.Log(events.BlockGained, g.Block, g.Epoch)
 	e.metrics.countBlockChange("gained")
 	if ownership.IsShard(g.Block) {
+		e.shardIDs.add(g)
 		e.loop(func() { e.loadShard(g.Block) })
 	}
 	e.requestSync()
--- a/process/entry/entry.go
+++ b/process/entry/entry.go
@@ -55,6 +55,8 @@
 	peerIncarnations sync.Map
 	// loggedAdmitting is the admission state that was last logged.
 	loggedAdmitting atomic.Bool
+	// shardIDs holds the shards whose request ids were read.
+	shardIDs *shardsWithIDs
 	// syncRequested wakes syncLoop.
 	syncRequested chan struct{}
 	servers       servers
@@ -63,7 +65,7 @@
 // New returns an entry. It is inactive until Run is called.
 func New(c Config) *Entry {
 	c.applyOmissions()
-	e := &Entry{Config: c, syncRequested: make(chan struct{}, 1)}
+	e := &Entry{Config: c, syncRequested: make(chan struct{}, 1), shardIDs: newShardsWithIDs()}
 	e.ctx, e.cancel = context.WithCancel(context.Background())
 	e.links = peer.NewCountedLinks(&c.Traffic.Peers)
 	e.server = peer.NewServer()
@@ -128,9 +130,9 @@
 	e.loop(func() { e.owner.Run(e.ctx) })
 	e.loop(func() { e.coordinator.Run(e.ctx) })
 	e.loop(e.syncLoop)
+	e.loop(e.readIDsLoop)
 	e.loop(e.housekeeping)
 	e.loop(func() {
-		e.importSaved(e.ctx)
 		if err := e.owners.Run(e.ctx); err != nil {
 			failed <- err
 		}
--- a/process/entry/omit.go
+++ b/process/entry/omit.go
@@ -17,6 +17,7 @@
 	if e.Omit.LeaseCheck {
 		o = uncheckedLease{o}
 	}
+	o = withIDs{o, e.shardIDs}
 	if e.Omit.Replication {
 		o = noReplication{o}
 	}
--- a/process/entry/savedids.go
+++ b/process/entry/savedids.go
@@ -4,12 +4,15 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"sync"
 	"time"
 
 	"github.com/rotisserie/eris"
 
 	"github.com/kingcuplatch/kingcuplatch/process/events"
+	"github.com/kingcuplatch/kingcuplatch/process/ownership"
 	"github.com/kingcuplatch/kingcuplatch/process/platform"
+	"github.com/kingcuplatch/kingcuplatch/process/requests"
 )
 
 const (
@@ -32,8 +35,8 @@
 
 func (e *Entry) savedIDsKeys() string { return savedIDsPrefix + e.Region + "/" }
 
-// saveDispatched writes the dispatched request ids to the table. Entries that start later read
-// them, since no other entry may be left to pass them on.
+// saveDispatched writes the dispatched request ids to the table. The next owners of this entry's
+// shards read them: they may have joined too late to get them from it.
 func (e *Entry) saveDispatched(ctx context.Context, message json.RawMessage) error {
 	value, err := json.Marshal(savedIDs{SavedAt: time.Now(), Message: message})
 	if err != nil {
@@ -45,17 +48,99 @@
 	return eris.Wrap(err, "save request ids")
 }
 
+// shardsWithIDs holds the shards of which this entry has the request ids that its former owner
+// saved, with the epoch of the ownership. A former owner saves them before it releases the
+// shard, so that they are read after the shard was gained.
+type shardsWithIDs struct {
+	mu     sync.Mutex
+	epochs map[string]uint64
+	// gained are those for which the rows are yet to be read. wake has room for one.
+	gained []ownership.Grant
+	wake   chan struct{}
+}
+
+func newShardsWithIDs() *shardsWithIDs {
+	return &shardsWithIDs{epochs: make(map[string]uint64), wake: make(chan struct{}, 1)}
+}
+
+// add adds a shard for which the rows are to be read.
+func (s *shardsWithIDs) add(g ownership.Grant) {
+	s.mu.Lock()
+	s.gained = append(s.gained, g)
+	s.mu.Unlock()
+	select {
+	case s.wake <- struct{}{}:
+	default:
+	}
+}
+
+func (s *shardsWithIDs) take() []ownership.Grant {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	gained := s.gained
+	s.gained = nil
+	return gained
+}
+
+// set records that the ids of the shards were read.
+func (s *shardsWithIDs) set(grants []ownership.Grant) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, g := range grants {
+		s.epochs[g.Block] = g.Epoch
+	}
+}
+
+func (s *shardsWithIDs) has(g ownership.Grant) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	epoch, read := s.epochs[g.Block]
+	return read && epoch == g.Epoch
+}
+
+// readIDsLoop imports the saved request ids whenever shards were gained.
+func (e *Entry) readIDsLoop() {
+	for {
+		select {
+		case <-e.ctx.Done():
+			return
+		case <-e.shardIDs.wake:
+		}
+		gained := e.shardIDs.take()
+		if e.importSaved(e.ctx) {
+			e.shardIDs.set(gained)
+		}
+	}
+}
+
 // importSaved imports the request ids that stopped entries of the region saved. It retries
-// until that succeeds or ctx ends: without them this entry must not own a shard.
-func (e *Entry) importSaved(ctx context.Context) {
+// until that succeeds or ctx ends.
+func (e *Entry) importSaved(ctx context.Context) bool {
 	for ctx.Err() == nil {
 		err := e.readSaved(ctx, time.Now())
 		if err == nil {
-			return
+			return true
 		}
 		e.Log.Log(events.OwnershipFailed, "read saved request ids", err)
 		e.sleep(e.Timings.Heartbeat)
 	}
+	return false
+}
+
+// withIDs treats the lease on a shard as held once the request ids of its former owner were
+// read.
+type withIDs struct {
+	requests.Ownership
+	shards *shardsWithIDs
+}
+
+// HoldsLease implements ownership.Owners.
+func (w withIDs) HoldsLease(block string) (ownership.Grant, bool) {
+	g, owned := w.Ownership.HoldsLease(block)
+	if owned && ownership.IsShard(block) && !w.shards.has(g) {
+		return ownership.Grant{}, false
+	}
+	return g, owned
 }
 
 func (e *Entry) readSaved(ctx context.Context, now time.Time) error {
