Soak: count resets of unread connections apart, at most one a run

A connection that arrives between the last accept and the close of the listening socket is never read by the process and can't be saved.

Everything else stays a finding at once.

--- a/internal/soak/callers.go
+++ b/internal/soak/callers.go
@@ -9,6 +9,7 @@
 	"math/rand/v2"
 	"net/http"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/kingcuplatch/kingcuplatch/conn/api"
@@ -28,6 +29,9 @@
 	// jobsTimeout bounds the wait for the end of accepted jobs after the restarts.
 	jobsTimeout = time.Minute
 	redialPause = 20 * time.Millisecond
+	// maxUnaccepted is the number of new connections of a run that may be reset. The moment
+	// between a last accept and a close can't be avoided; a queue that isn't accepted gives more.
+	maxUnaccepted = 1
 )
 
 // verdict is what a caller knows after a try.
@@ -41,6 +45,9 @@
 	cut verdict = "cut by a kill"
 	// unsent is a request that wasn't sent whole.
 	unsent verdict = "not sent whole"
+	// unaccepted is the first request on a connection that was reset. It may have arrived
+	// between the process's last accept and the close of its listener, unread.
+	unaccepted verdict = "reset unread"
 	// lost is a request that was sent whole and got no answer around planned work.
 	lost verdict = "no answer"
 )
@@ -177,6 +184,9 @@
 		t.verdict = unsent
 	case err != nil && open.to.killed.Load():
 		t.verdict = cut
+	case err != nil && !t.reused && errors.Is(err, syscall.ECONNRESET):
+		t.verdict, t.detail = unaccepted, err.Error()
+		a.found.note("reset: %s on a new connection to entry-%d %d", w.id, open.entry+1, open.to.command.Process.Pid)
 	case err != nil:
 		t.verdict, t.detail = lost, err.Error()
 		a.found.add("no answer: %s to entry-%d %d, sent %s, connection used %d times, pause %v: %v", w.id, open.entry+1,
--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -51,6 +51,9 @@
 
 // check compares what the callers were told with the runs on the workers.
 func (a *callers) check() {
+	if n := a.count(unaccepted); n > maxUnaccepted {
+		a.found.add("no answer: %d requests on new connections that were reset", n)
+	}
 	runs := runsOf(a.c.workers)
 	for _, w := range a.sent {
 		if w.job {
@@ -61,6 +64,19 @@
 	}
 }
 
+// count counts the tries with a verdict.
+func (a *callers) count(v verdict) int {
+	n := 0
+	for _, w := range a.sent {
+		for _, t := range w.tries {
+			if t.verdict == v {
+				n++
+			}
+		}
+	}
+	return n
+}
+
 // checkRequest checks that a request ran once, unless it is idempotent, and that it had not
 // run when a caller was told so and didn't run afterwards unless it was sent again.
 func (a *callers) checkRequest(w *wanted, runs []run) {
@@ -132,7 +148,7 @@
 		}
 	}
 	text := fmt.Sprintf("calls %d", len(a.sent))
-	for _, v := range []verdict{answered, notRun, unknown, unsent, cut, lost} {
+	for _, v := range []verdict{answered, notRun, unknown, unsent, cut, unaccepted, lost} {
 		text += fmt.Sprintf(", %s %d", v, counts[v])
 	}
 	return text + fmt.Sprintf(", on used connections %d, jobs accepted %d, done %d, codes %v", reused, jobs, done, codes)
