Don't query owners about starts that are being recorded

The owner freed the reservation and returned "absent", so the task was requeued. The write of the row (then "pending") succeeded, which the waiting batch took as the record of its attempt, and it started the withdrawn attempt. The owner normally refuses that start for lack of a reservation. Here an earlier coordinator, not yet aware of the takeover, had reserved under the same task and attempt number meanwhile. So the attempt ran, and the next attempt of the task was started beside it.

Ruled out: the checker (both attempts were running), the fence (after the takeover no job row of the earlier coordinator was written), the owner's restart (one epoch throughout).

Open: a reservation is identified by task and attempt, not by coordinator, so after "absent" an earlier coordinator can still reserve the same attempt anew (process/tasks). No failure is known that comes from this alone.

--- a/process/jobs/coordinator.go
+++ b/process/jobs/coordinator.go
@@ -88,6 +88,8 @@
 	ackAtOnce bool
 	// retryUnknown treats an unknown outcome of a start as not executed.
 	retryUnknown bool
+	// queryRecording queries owners about attempts whose record is being written.
+	queryRecording bool
 	// unfenced writes without conditions on the fence and the row version.
 	unfenced bool
 	// trustOwners does not query tasks again that an owner has confirmed.
--- a/process/jobs/coordinator_test.go
+++ b/process/jobs/coordinator_test.go
@@ -12,7 +12,10 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/kingcuplatch/kingcuplatch/conn/worker"
 	"github.com/kingcuplatch/kingcuplatch/process/platform"
+	"github.com/kingcuplatch/kingcuplatch/process/tasks"
+	"github.com/kingcuplatch/kingcuplatch/version"
 )
 
 // inSimulation runs f in virtual time with a context that ends when f returns.
@@ -90,6 +93,7 @@
 		{"start reply lost", unsafeOptions{retryUnknown: true}, startReplyLost},
 		{"killed between start and record", unsafeOptions{startUnrecorded: true}, killedBeforeRecord},
 		{"write of an earlier coordinator delayed", unsafeOptions{unfenced: true}, delayedWrite},
+		{"owner queried before the start is recorded", unsafeOptions{queryRecording: true}, queriedBeforeRecord},
 		{"killed between record and start", unsafeOptions{}, killedBeforeStart},
 		{"killed between start and reply", unsafeOptions{}, killedBeforeReply},
 	}
@@ -140,6 +144,28 @@
 	time.Sleep(time.Minute)
 }
 
+// queriedBeforeRecord delays the write that records a start for longer than the sweep
+// interval. If the sweep queries the owner meanwhile, the owner frees the reservation
+// and returns that the attempt cannot start. An earlier coordinator, which uses the same
+// attempt number, then reserves again, and the owner accepts the start nevertheless.
+func queriedBeforeRecord(t *testing.T, ctx context.Context, w *simulation, opts unsafeOptions) {
+	release := make(chan struct{})
+	w.locked(func() { w.full = true })
+	submitOne(t, ctx, w.takeOver(ctx, t, opts))
+	w.locked(func() { w.table.before = delayFirstCommit(release) })
+	w.locked(func() { w.full = false })
+	time.Sleep(3 * time.Second)
+	w.owners["e0"].Reserve(ctx, tasks.ReserveRequest{
+		Job: "j", Team: "a", Kind: "batch", Policy: version.PolicyBatch, Amount: testSnapshot.Kinds["batch"].Amount,
+		Refs: []worker.TaskRef{{Task: taskName("j", 0), Attempt: 1}}, TTL: reservationTTL,
+	})
+	close(release)
+	time.Sleep(time.Minute)
+	if opts == (unsafeOptions{}) {
+		assert.Equal(t, w.starts, 1)
+	}
+}
+
 func killedBeforeStart(t *testing.T, ctx context.Context, w *simulation, opts unsafeOptions) {
 	killedAround(t, ctx, w, opts, func(f func()) { w.beforeStart = f })
 }
--- a/process/jobs/job.go
+++ b/process/jobs/job.go
@@ -21,6 +21,9 @@
 	checkpoint string
 	// owner is the instance that last confirmed the attempt. It is not stored.
 	owner string
+	// recording is set from the assignment of an attempt until its start call begins or
+	// the attempt is given up. It is not stored.
+	recording bool
 	// since is when the state was entered. It is not stored.
 	since time.Time
 	// notBefore is the earliest time of the next attempt. It is not stored.
--- a/process/jobs/place.go
+++ b/process/jobs/place.go
@@ -200,6 +200,7 @@
 		t := j.task(r.TaskRef)
 		t.state, t.attempt, t.since = Assigned, r.Attempt, now
 		t.worker, t.block, t.epoch, t.owner = r.Worker, r.Block, r.Epoch, r.owner.Instance
+		t.recording = true
 	}
 	b.shard.updateSets(j, now)
 	return c.commit.markDirty(b.shard, j), true
@@ -210,6 +211,7 @@
 func (c *Coordinator) undoRecord(b *taskBatch, reserved []reservation) {
 	b.shard.mu.Lock()
 	defer b.shard.mu.Unlock()
+	b.endRecording(reserved)
 	for _, r := range reserved {
 		t := b.job.task(r.TaskRef)
 		if t.state.active() && t.attempt == r.Attempt {
@@ -240,6 +242,7 @@
 	ok := leaseHeld && !b.shard.dropped && !cancelled
 	if ok {
 		b.job.startCalls++
+		b.endRecording(reserved)
 	}
 	b.shard.mu.Unlock()
 	if !ok {
@@ -248,6 +251,14 @@
 	return ok
 }
 
+// endRecording marks the attempts as no longer being recorded. The caller holds the
+// shard's lock.
+func (b *taskBatch) endRecording(reserved []reservation) {
+	for _, r := range reserved {
+		b.job.task(r.TaskRef).recording = false
+	}
+}
+
 func (c *Coordinator) release(ctx context.Context, reserved []reservation) {
 	for owner, group := range byOwner(reserved) {
 		request := tasks.AttemptsRequest{}
--- a/process/jobs/sweep.go
+++ b/process/jobs/sweep.go
@@ -81,7 +81,7 @@
 		if changed[t.owner] {
 			t.owner = ""
 		}
-		if j.startCalls > 0 {
+		if j.startCalls > 0 || c.beingRecorded(t) {
 			continue
 		}
 		if j.cancelled {
@@ -94,6 +94,13 @@
 	}
 }
 
+// beingRecorded reports whether the task's start is not recorded yet. Its owner is not
+// queried then: it would free the reservation and return that the attempt cannot
+// start, while this coordinator is about to start it.
+func (c *Coordinator) beingRecorded(t *task) bool {
+	return t.recording && !c.unsafe.queryRecording
+}
+
 // unconfirmed reports whether a task has been assigned for too long, or its worker's
 // owner has not confirmed the attempt, as after a takeover.
 func (c *Coordinator) unconfirmed(t *task, now time.Time) bool {
