Find the ids of a killed home at every entry that may keep them

Three faults: - While a row names no witness, Replicate returned ErrNoWitnesses without sending the id, and the request was dispatched. A renewal names only witnesses that have acked every delta, and under load a delta is nearly always on its way; so an entry that joined alone may stay without witnesses. - Heartbeats, ids and requests for releases went to the address in the own row. A witness that restarted on another address wasn't reached there. - The next process asked only the witnesses in the row, at those addresses.

Hypotheses: (1) no witness in the row; (2) a witness that doesn't answer is passed over; (3) a witness that stops as planned loses what it keeps.

Change: without witnesses in the row, ids go to those that it should name. Witnesses are called at the address in their live row. The next process reads all rows and asks all entries at once, within one heartbeat. A witness that lost ids gets them in a second heartbeat at once. Only deltas on which a caller of Replicate relies keep a witness from being named; Replicate then checks that whoever is named meanwhile has the delta too.

--- a/process/ownership/heartbeat.go
+++ b/process/ownership/heartbeat.go
@@ -69,7 +69,7 @@
 	add := func(members []Member) {
 		for _, member := range members {
 			if !slices.ContainsFunc(all, func(t Member) bool { return t.Instance == member.Instance }) {
-				all = append(all, member)
+				all = append(all, m.atCurrentAddress(member))
 			}
 		}
 	}
@@ -107,11 +107,22 @@
 }
 
 // sendHeartbeat sends one heartbeat with all deltas that the witness has not acked
-// and returns the highest delta that it keeps now.
+// and returns the highest delta that it keeps now. A witness that has lost deltas that it
+// acked gets all of them in a second heartbeat.
 func (m *Manager) sendHeartbeat(ctx context.Context, to Member) (uint64, error) {
 	ctx, cancel := context.WithTimeout(ctx, m.Heartbeat)
 	defer cancel()
 	params := m.heartbeatFor(to)
+	acked, err := m.callHeartbeat(ctx, to, params)
+	if err != nil || acked >= params.Base {
+		return acked, err
+	}
+	return m.callHeartbeat(ctx, to, m.heartbeatFor(to))
+}
+
+// callHeartbeat sends one heartbeat and records its answer. It returns the highest delta
+// that the witness keeps now.
+func (m *Manager) callHeartbeat(ctx context.Context, to Member, params heartbeatParams) (uint64, error) {
 	sent := time.Now()
 	var result heartbeatResult
 	err := m.Peers.Call(ctx, to.Address, methodHeartbeat, params, &result)
--- a/process/ownership/members.go
+++ b/process/ownership/members.go
@@ -59,3 +59,13 @@
 	defer m.mu.Unlock()
 	return m.self
 }
+
+// atCurrentAddress returns the member with the address in the live row of its instance, if
+// one is known: a row that names it as a witness may be older than its restart. Call with
+// m.mu.
+func (m *Manager) atCurrentAddress(member Member) Member {
+	if e, known := m.entries[member.Instance]; known && e.row.Live {
+		member.Address = e.row.Address
+	}
+	return member
+}
--- a/process/ownership/renew.go
+++ b/process/ownership/renew.go
@@ -112,6 +112,12 @@
 	}
 	m.mu.Lock()
 	joining := !m.lease.held
+	m.mu.Unlock()
+	// The witnesses of the previous incarnation are asked at the addresses in these rows.
+	if joining && m.scanEntries(ctx) != nil {
+		return false, nil
+	}
+	m.mu.Lock()
 	changed := found.Version != m.lease.version
 	applied, stillHeld := m.lease.readBack(m.self, row, found.Version, time.Now())
 	m.publishExpiry()
@@ -129,14 +135,14 @@
 }
 
 // proposeWitnesses returns the witnesses for the next renewal: the desired ones that
-// respond and have acked all deltas, or if there are none, the current ones that aren't
-// known to be dead. Call with m.mu.
+// respond and have acked all replicated deltas, or if there are none, the current ones
+// that aren't known to be dead. Call with m.mu.
 func (m *Manager) proposeWitnesses() []Member {
 	var witnesses []Member
 	recent := time.Now().Add(-m.ShortTerm / 2)
 	for _, witness := range m.desiredWitnesses() {
 		c := m.contacts[witness.Instance]
-		if c.refused || c.lastAckedSent.Before(recent) || len(m.unackedDeltas(witness.Instance)) > 0 {
+		if c.refused || c.lastAckedSent.Before(recent) || m.lacksDelta(witness.Instance) {
 			continue
 		}
 		witness.Incarnation = c.incarnation
@@ -186,19 +192,3 @@
 		m.OnLoss(id)
 	}
 }
-
-// fetchPredecessorState fetches the attachments of this instance's previous incarnation,
-// whose row is given, from its witnesses and passes them to OnTakeover.
-func (m *Manager) fetchPredecessorState(ctx context.Context, row entryRow) {
-	if !row.Live || row.Incarnation == m.Self().Incarnation {
-		return
-	}
-	var all []rawMessage
-	for _, witness := range row.Witnesses {
-		result, err := m.requestRelease(ctx, row, witness, true)
-		if err == nil {
-			all = append(all, result.Attachments...)
-		}
-	}
-	m.OnTakeover(row.Member, all)
-}
--- a/process/ownership/replicate.go
+++ b/process/ownership/replicate.go
@@ -12,18 +12,20 @@
 
 // Replicate stores body at every witness for RetainFor, in the order of the calls,
 // and returns when all have acked. A witness that fails is replaced at the next
-// successful renewal. Errors: ErrNoWitnesses, or, if ctx ends first, the error of a
-// witness that failed; some witnesses may have stored body then.
+// successful renewal. While this entry's row names no witness, those that it should name
+// store body. Errors: ErrNoWitnesses if there are none either, or, if ctx ends first, the
+// error of a witness that failed; some witnesses may have stored body then.
 func (m *Manager) Replicate(ctx context.Context, body json.RawMessage) error {
 	seq := m.appendDelta(body)
 	for {
-		m.mu.Lock()
-		witnesses := m.possibleWitnesses()
-		m.mu.Unlock()
+		witnesses := m.replicationTargets(seq)
 		if len(witnesses) == 0 {
 			return eris.Wrap(ErrNoWitnesses, "replicate")
 		}
 		err := m.replicateTo(ctx, witnesses, seq)
+		if err == nil {
+			err = m.markReplicated(seq)
+		}
 		if err == nil {
 			return nil
 		}
@@ -35,6 +37,49 @@
 	}
 }
 
+// replicationTargets returns the entries that are to store a delta. If there are none, the
+// delta counts as replicated.
+func (m *Manager) replicationTargets(seq uint64) []Member {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	witnesses := m.possibleWitnesses()
+	if len(witnesses) == 0 {
+		witnesses = m.desiredWitnesses()
+	}
+	if len(witnesses) == 0 {
+		m.setReplicated(seq)
+	}
+	return witnesses
+}
+
+// markReplicated records that a delta is replicated. It fails if a row that may be in force
+// by now names a witness that has not acked the delta.
+func (m *Manager) markReplicated(seq uint64) error {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, witness := range m.possibleWitnesses() {
+		if m.contacts[witness.Instance].ackedDelta < seq {
+			return eris.Errorf("replicate to peer %s: a witness since, not kept", witness.Instance)
+		}
+	}
+	m.setReplicated(seq)
+	return nil
+}
+
+// setReplicated marks a delta as replicated. Call with m.mu.
+func (m *Manager) setReplicated(seq uint64) {
+	i := slices.IndexFunc(m.deltas, func(d delta) bool { return d.Seq == seq })
+	if i >= 0 {
+		m.deltas[i].replicated = true
+	}
+}
+
+// lacksDelta reports whether the instance has not acked a delta that counts as replicated.
+// Call with m.mu.
+func (m *Manager) lacksDelta(instance string) bool {
+	return slices.ContainsFunc(m.unackedDeltas(instance), func(d delta) bool { return d.replicated })
+}
+
 // appendDelta adds a delta to those to be replicated and returns its number.
 func (m *Manager) appendDelta(body json.RawMessage) uint64 {
 	m.mu.Lock()
@@ -96,6 +141,9 @@
 			}
 		}
 	}
+	for i, witness := range all {
+		all[i] = m.atCurrentAddress(witness)
+	}
 	return all
 }
 
--- a/process/ownership/takeover.go
+++ b/process/ownership/takeover.go
@@ -112,6 +112,9 @@
 	if witness.Instance == m.Options.Self.Instance {
 		return m.witness.release(params, time.Now()), nil
 	}
+	m.mu.Lock()
+	witness = m.atCurrentAddress(witness)
+	m.mu.Unlock()
 	ctx, cancel := context.WithTimeout(ctx, m.Heartbeat)
 	defer cancel()
 	var result releaseResult
--- a/process/ownership/witness.go
+++ b/process/ownership/witness.go
@@ -13,6 +13,8 @@
 	Body json.RawMessage `json:"body"`
 	// addedAt is when the owner appended it or the witness received it.
 	addedAt time.Time
+	// replicated is set at the owner once the caller of Replicate may rely on the delta.
+	replicated bool
 }
 
 // ownerState is a witness's state for one owner incarnation.
