Save the ids that a stopping witness keeps for others

Cause: an entry that stops as planned hands its own request ids over, but not those that it keeps as a witness. If their home is killed before its next witnesses have them, they are lost with both witnesses.

Change: once its peers can't reach it, a stopping entry writes those ids to a second row, dispatched/REGION/INSTANCE/witness.

TestStoppedWitnessSavesTheIDsItKeeps fails without the write, passes with it. Left: a home killed between the close of the witness's listener and the write, milliseconds later.

--- a/internal/trial/stop_test.go
+++ b/internal/trial/stop_test.go
@@ -122,3 +122,34 @@
 	}
 	return n
 }
+
+// A home and its witnesses may end at about the same time. A witness that stops as planned must
+// leave the ids that it keeps for others in the table, after it has stopped answering them.
+func TestStoppedWitnessSavesTheIDsItKeeps(t *testing.T) {
+	logs := &lines{}
+	c := startStoppable(t, 5*time.Second, logs)
+	urls := strings.Split(c.CallerURLs(), ",")
+	ids := []string{"kept-1", "kept-2", "kept-3", "kept-4", "kept-5", "kept-6", "kept-7", "kept-8"}
+	for _, id := range ids {
+		assert.Equal(t, ask(urls[1], id, 1).status, http.StatusOK)
+	}
+	c.StopEntry(0)
+	for len(logs.containing("KCL-1003")) == 0 {
+		time.Sleep(readyInterval)
+	}
+	rows, err := c.Platform.Scan(t.Context(), "dispatched/", "", 100)
+	assert.NilError(t, err)
+	var saved string
+	for _, row := range rows {
+		if strings.HasSuffix(row.Key, "/witness") {
+			saved += string(row.Value)
+		}
+	}
+	count := 0
+	for _, id := range ids {
+		if strings.Contains(saved, id) {
+			count++
+		}
+	}
+	assert.Assert(t, count > 0, "%s", saved)
+}
--- a/process/entry/savedids.go
+++ b/process/entry/savedids.go
@@ -19,6 +19,9 @@
 	// savedIDsPrefix begins the keys of the rows with the request ids of stopped entries; the
 	// region and the instance follow.
 	savedIDsPrefix = "dispatched/"
+	// keptSuffix follows the instance in the key of the row with the ids that a stopped entry
+	// kept as a witness.
+	keptSuffix = "/witness"
 	// savedIDsKept is the age from which such a row is ignored. It exceeds the retention of
 	// ids by more than clocks differ.
 	savedIDsKept = 10 * time.Minute
@@ -38,13 +41,32 @@
 // saveDispatched writes the dispatched request ids to the table. The next owners of this entry's
 // shards read them: they may have joined too late to get them from it.
 func (e *Entry) saveDispatched(ctx context.Context, message json.RawMessage) error {
+	return e.saveIDs(ctx, e.savedIDsKeys()+e.Instance, message)
+}
+
+// saveKept writes the request ids that this entry keeps as a witness to the table. The next
+// owner of a shard can't ask this entry for them once its process has ended. Call it when no
+// other entry can reach this one any more, so that no id is acked afterwards.
+func (e *Entry) saveKept(ctx context.Context) {
+	kept := e.owners.Kept()
+	if len(kept) == 0 {
+		return
+	}
+	key := e.savedIDsKeys() + e.Instance + keptSuffix
+	if err := e.saveIDs(ctx, key, requests.MergeIDs(kept)); err != nil {
+		e.Log.Log(events.OwnershipFailed, "save request ids kept as a witness", err)
+	}
+}
+
+// saveIDs writes one row of request ids.
+func (e *Entry) saveIDs(ctx context.Context, key string, message json.RawMessage) error {
 	value, err := json.Marshal(savedIDs{SavedAt: time.Now(), Message: message})
 	if err != nil {
 		return eris.Wrap(err, "encode request ids")
 	}
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	_, err = e.Table.Commit(ctx, platform.Txn{Writes: []platform.Write{{Key: e.savedIDsKeys() + e.Instance, Value: value}}})
+	_, err = e.Table.Commit(ctx, platform.Txn{Writes: []platform.Write{{Key: key, Value: value}}})
 	return eris.Wrap(err, "save request ids")
 }
 
--- a/process/entry/stop.go
+++ b/process/entry/stop.go
@@ -51,6 +51,7 @@
 	e.release(began.Add(times.release))
 	e.cancel()
 	e.closePeers(began.Add(times.peers))
+	e.saveKeptBefore(began.Add(e.Timings.Drain))
 	e.loops.Wait()
 	e.servers.close()
 	e.links.Close()
@@ -91,6 +92,13 @@
 	}
 }
 
+// saveKeptBefore saves the request ids kept as a witness, if that is done by the given time.
+func (e *Entry) saveKeptBefore(until time.Time) {
+	ctx, cancel := context.WithDeadline(context.Background(), until)
+	defer cancel()
+	e.saveKept(ctx)
+}
+
 // closePeers answers the calls of other entries in progress, and then closes their links.
 func (e *Entry) closePeers(until time.Time) {
 	ctx, cancel := context.WithDeadline(context.Background(), until)
--- a/process/ownership/witness_test.go
+++ b/process/ownership/witness_test.go
@@ -41,3 +41,19 @@
 	witness.expire(now.Add(2 * time.Minute))
 	assert.Equal(t, len(witness.owners[owner.ref()].deltas), 0)
 }
+
+// A witness that stops leaves the deltas of all its owners, but none past their retention.
+func TestKeptOfAllOwners(t *testing.T) {
+	now := time.Unix(0, 0)
+	witness := newWitness(memberRef{"g", "g.1"}, modelTerms, time.Minute, now)
+	keep := func(owner string, at time.Time) {
+		p := heartbeatParams{Owner: Member{Instance: owner, Incarnation: owner + ".1"}}
+		p.Deltas = []delta{{Seq: 1, Body: encode(owner)}}
+		witness.heartbeat(p, at)
+	}
+	keep("old", now)
+	keep("o", now.Add(time.Minute))
+	keep("p", now.Add(time.Minute))
+	kept := witness.kept(now.Add(time.Minute + time.Second))
+	assert.Equal(t, len(kept), 2)
+}
--- a/process/requests/dispatched.go
+++ b/process/requests/dispatched.go
@@ -60,3 +60,25 @@
 func (s *Service) ReplicateTo(ctx context.Context, address string, ids json.RawMessage) error {
 	return s.o.Caller.Call(ctx, address, methodRemember, ids, nil)
 }
+
+// MergeIDs returns one message with the request ids of all given ones, each id once. Messages
+// that can't be decoded are skipped, as Import does.
+func MergeIDs(messages []json.RawMessage) json.RawMessage {
+	var merged dispatchedIDs
+	seen := make(map[string]bool)
+	for _, message := range messages {
+		var m dispatchedIDs
+		if json.Unmarshal(message, &m) != nil {
+			continue
+		}
+		for _, id := range m.Requests {
+			if !seen[id] {
+				seen[id] = true
+				merged.Requests = append(merged.Requests, id)
+			}
+		}
+	}
+	// A list of strings can always be encoded.
+	encoded, _ := json.Marshal(merged)
+	return encoded
+}
