Ask for ids no longer than until a witness in the row answers

Change: an answer gives the incarnation of its entry. One that the row names as a witness has acked all that the home relied on, so the others needn't be waited for.

TestRestartWaitsForNoOtherThanAWitness fails without the early end, passes with it.

--- a/process/ownership/predecessor.go
+++ b/process/ownership/predecessor.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"slices"
-	"sync"
 )
 
 // fetchPredecessorState fetches the attachments of this instance's previous incarnation,
@@ -16,28 +15,38 @@
 	m.OnTakeover(row.Member, m.keptByOthers(ctx, row))
 }
 
-// keptByOthers returns what the entries that answer within Heartbeat have kept for an
-// incarnation whose process is known to have ended.
+// keptByOthers returns what other entries have kept for an incarnation whose process is known
+// to have ended. It waits until a witness in the row has answered, which keeps all, or
+// otherwise until all entries have answered, for Heartbeat at most.
 func (m *Manager) keptByOthers(ctx context.Context, row entryRow) []rawMessage {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
 	asked := m.possibleKeepers(row)
-	answers := make([]releaseResult, len(asked))
-	var calls sync.WaitGroup
-	for i, witness := range asked {
-		calls.Go(func() {
-			result, err := m.requestRelease(ctx, row, witness, true)
-			if err == nil {
-				answers[i] = result
-			}
-		})
+	answers := make(chan releaseResult, len(asked))
+	for _, witness := range asked {
+		go func() {
+			// An entry that doesn't answer counts as one that keeps nothing.
+			result, _ := m.requestRelease(ctx, row, witness, true)
+			answers <- result
+		}()
 	}
-	calls.Wait()
 	var all []rawMessage
-	for _, answer := range answers {
+	for range asked {
+		answer := <-answers
 		all = append(all, answer.Attachments...)
+		if row.namesWitness(answer.Incarnation) {
+			break
+		}
 	}
 	return all
 }
 
+// namesWitness reports whether the incarnation is a witness in the row.
+func (r entryRow) namesWitness(incarnation string) bool {
+	return incarnation != "" &&
+		slices.ContainsFunc(r.Witnesses, func(w Member) bool { return w.Incarnation == incarnation })
+}
+
 // possibleKeepers returns the other entries that are live or listed, and the witnesses in
 // the row that are neither.
 func (m *Manager) possibleKeepers(row entryRow) []Member {
--- a/process/ownership/restart_test.go
+++ b/process/ownership/restart_test.go
@@ -90,6 +90,31 @@
 	})
 }
 
+// The next process must not wait for an entry that doesn't answer once a witness in the row
+// has: each restart would take a heartbeat longer.
+func TestRestartWaitsForNoOtherThanAWitness(t *testing.T) {
+	inFleet(t, 4, func(t *testing.T, f *fakeFleet, all []*fakeEntry) {
+		defer f.cancelAll()
+		assert.NilError(t, all[0].Replicate(t.Context(), json.RawMessage(`"one"`)))
+		witnesses := all[0].Members()[0].Witnesses
+		assert.Equal(t, len(witnesses), 2)
+		for _, e := range all[1:] {
+			if self := e.Self(); !slices.Contains(witnesses, self.Instance) {
+				handlers := e.Handlers()
+				handlers[methodRelease] = func(ctx context.Context, _ json.RawMessage) (any, error) {
+					<-ctx.Done()
+					return nil, ctx.Err()
+				}
+				f.handle(self.Address, handlers)
+			}
+		}
+		all[0].cancel()
+		all[0] = f.start(0, 2)
+		time.Sleep(500 * time.Millisecond)
+		assertImported(t, all[0], []string{`"one"`})
+	})
+}
+
 func (f *fakeFleet) cancelAll() {
 	f.mu.Lock()
 	all := slices.Clone(f.entries)
--- a/process/ownership/rows.go
+++ b/process/ownership/rows.go
@@ -73,8 +73,10 @@
 	Gone bool `json:"gone,omitempty"`
 }
 
-// releaseResult is the answer to guard.release.
+// releaseResult is the answer to guard.release. Incarnation is the witness's; an older entry
+// leaves it out.
 type releaseResult struct {
+	Incarnation string       `json:"incarnation,omitempty"`
 	Promised    bool         `json:"promised"`
 	Attachments []rawMessage `json:"attachments,omitempty"`
 }
--- a/process/ownership/witness.go
+++ b/process/ownership/witness.go
@@ -91,7 +91,7 @@
 	o.lastActive = now
 	o.fencedThrough = max(o.fencedThrough, p.Attempt)
 	o.dropDeltas(now.Add(-w.retain))
-	return releaseResult{Promised: true, Attachments: o.replicated()}
+	return releaseResult{Incarnation: w.self.Incarnation, Promised: true, Attachments: o.replicated()}
 }
 
 // acksEnd returns the time from which acks of the witness's incarnation no longer
