Wait for an entry that keeps the ids of a killed home and answers late

Cause: an entry that may keep the ids had one heartbeat to answer; after that the next process went on without them, although the entry lived.

Change: it is asked again until it answers, no process is at its address, or the short term has passed. An answer of a witness in the row ends the wait as before.

TestRestartWaitsForALateWitness fails without the change, passes with it.

--- a/process/ownership/predecessor.go
+++ b/process/ownership/predecessor.go
@@ -2,7 +2,11 @@
 
 import (
 	"context"
+	"errors"
 	"slices"
+	"time"
+
+	"github.com/kingcuplatch/kingcuplatch/conn/peer"
 )
 
 // fetchPredecessorState fetches the attachments of this instance's previous incarnation,
@@ -17,17 +21,15 @@
 
 // keptByOthers returns what other entries have kept for an incarnation whose process is known
 // to have ended. It waits until a witness in the row has answered, which keeps all, or
-// otherwise until all entries have answered, for Heartbeat at most.
+// otherwise until all entries have answered, for ShortTerm at most.
 func (m *Manager) keptByOthers(ctx context.Context, row entryRow) []rawMessage {
-	ctx, cancel := context.WithCancel(ctx)
+	ctx, cancel := context.WithTimeout(ctx, m.ShortTerm)
 	defer cancel()
 	asked := m.possibleKeepers(row)
 	answers := make(chan releaseResult, len(asked))
 	for _, witness := range asked {
 		go func() {
-			// An entry that doesn't answer counts as one that keeps nothing.
-			result, _ := m.requestRelease(ctx, row, witness, true)
-			answers <- result
+			answers <- m.requestKept(ctx, row, witness)
 		}()
 	}
 	var all []rawMessage
@@ -41,6 +43,25 @@
 	return all
 }
 
+// requestKept asks one entry for what it keeps, again if it doesn't answer in time. The answer
+// is empty if no process is at its address or ctx ends first.
+func (m *Manager) requestKept(ctx context.Context, row entryRow, witness Member) releaseResult {
+	for {
+		result, err := m.requestRelease(ctx, row, witness, true)
+		if err == nil {
+			return result
+		}
+		if errors.Is(err, peer.ErrNotSent) {
+			return releaseResult{}
+		}
+		select {
+		case <-ctx.Done():
+			return releaseResult{}
+		case <-time.After(m.Heartbeat / 10):
+		}
+	}
+}
+
 // namesWitness reports whether the incarnation is a witness in the row.
 func (r entryRow) namesWitness(incarnation string) bool {
 	return incarnation != "" &&
--- a/process/ownership/restart_test.go
+++ b/process/ownership/restart_test.go
@@ -10,6 +10,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/kingcuplatch/kingcuplatch/conn/peer"
 	"gotest.tools/v3/assert"
 )
 
@@ -100,12 +101,7 @@
 		assert.Equal(t, len(witnesses), 2)
 		for _, e := range all[1:] {
 			if self := e.Self(); !slices.Contains(witnesses, self.Instance) {
-				handlers := e.Handlers()
-				handlers[methodRelease] = func(ctx context.Context, _ json.RawMessage) (any, error) {
-					<-ctx.Done()
-					return nil, ctx.Err()
-				}
-				f.handle(self.Address, handlers)
+				f.handle(self.Address, withSilentRelease(e, time.Hour))
 			}
 		}
 		all[0].cancel()
@@ -115,6 +111,35 @@
 	})
 }
 
+// withSilentRelease returns the handlers of an entry that leaves requests for a release
+// unanswered for the given time.
+func withSilentRelease(e *fakeEntry, silent time.Duration) map[string]peer.Handler {
+	handlers := e.Handlers()
+	answer, until := handlers[methodRelease], time.Now().Add(silent)
+	handlers[methodRelease] = func(ctx context.Context, params json.RawMessage) (any, error) {
+		if time.Now().Before(until) {
+			<-ctx.Done()
+			return nil, ctx.Err()
+		}
+		return answer(ctx, params)
+	}
+	return handlers
+}
+
+// The only entry that keeps the ids may answer late, for example because its machine is busy.
+// The next process must not go on without them.
+func TestRestartWaitsForALateWitness(t *testing.T) {
+	inFleet(t, 2, func(t *testing.T, f *fakeFleet, all []*fakeEntry) {
+		defer f.cancelAll()
+		assert.NilError(t, all[0].Replicate(t.Context(), json.RawMessage(`"one"`)))
+		f.handle(all[1].Self().Address, withSilentRelease(all[1], 2500*time.Millisecond))
+		all[0].cancel()
+		all[0] = f.start(0, 2)
+		time.Sleep(5 * time.Second)
+		assertImported(t, all[0], []string{`"one"`})
+	})
+}
+
 func (f *fakeFleet) cancelAll() {
 	f.mu.Lock()
 	all := slices.Clone(f.entries)
