--- a/process/ownership/witness.go
+++ b/process/ownership/witness.go
@@ -13,6 +13,8 @@
 	Body json.RawMessage `json:"body"`
 	// addedAt is when the owner appended it or the witness received it.
 	addedAt time.Time
+	// replicated is set at the owner once the caller of Replicate may rely on the delta.
+	replicated bool
 }
 
 // ownerState is a witness's state for one owner incarnation.
@@ -89,7 +91,7 @@
 	o.lastActive = now
 	o.fencedThrough = max(o.fencedThrough, p.Attempt)
 	o.dropDeltas(now.Add(-w.retain))
-	return releaseResult{Promised: true, Attachments: o.replicated()}
+	return releaseResult{Incarnation: w.self.Incarnation, Promised: true, Attachments: o.replicated()}
 }
 
 // acksEnd returns the time from which acks of the witness's incarnation no longer
