--- a/process/cell/startlimit.go
+++ b/process/cell/startlimit.go
@@ -8,7 +8,7 @@
 // startLimiter bounds the runs that are planned or have a start command in progress. A
 // scheduler whose processor is full reads replies late: starts that it sends beyond what it
 // can handle count as unanswered, and each of them costs a stop and another start. The bound
-// follows the measured time to a reply (additive increase, multiplicative decrease, as in
+// follows the time to a reply (additive increase, multiplicative decrease, as in
 // TCP's congestion avoidance): work beyond it waits in the order of the plan.
 type startLimiter struct {
 	// limit is the bound. It applies before a step is placed: a gang is placed whole, even if
--- a/process/cluster/calls.go
+++ b/process/cluster/calls.go
@@ -67,7 +67,7 @@
 
 // seenReply names the scheduler that an entry follows, with the ages, in milliseconds, of
 // the entry's last contact with the scheduler and of the scheduler's last contact with the
-// table. It is also the message of the notifications about the lease.
+// table. It is also the message of offers and notifications of the lease.
 type seenReply struct {
 	leaseRow
 	Fence        uint64 `json:"fence"`
--- a/process/cluster/leave.go
+++ b/process/cluster/leave.go
@@ -11,12 +11,13 @@
 // the time after which the process is killed, each larger than the one before. With the zero
 // value a scheduler hands over at once.
 type LeaveLimits struct {
-	// Min is the shortest time, in which the scheduler learns whether other entries leave too.
+	// Min is how long the scheduler waits at least, to learn whether other entries leave too.
 	Min time.Duration
 	// Hold is how long the scheduler waits for a successor that is about as large as itself and
 	// has restarted already, while other entries leave. After it any entry that stays will do.
 	Hold time.Duration
-	// Final is when the scheduler releases the lease although no entry can take it.
+	// Final is when the scheduler releases the lease in any case, also if no entry has accepted
+	// it.
 	Final time.Duration
 }
 
--- a/process/cluster/node.go
+++ b/process/cluster/node.go
@@ -95,7 +95,7 @@
 	leavingSince time.Time
 	// offer is the offer of the lease that this entry accepted last.
 	offer acceptedOffer
-	// acquireFrom is the time until which this entry leaves a released lease to others.
+	// acquireFrom is when this entry may acquire a released lease; until then it leaves it to others.
 	acquireFrom time.Time
 	// startedAt is when this incarnation started; yieldedAt is when it last yielded the
 	// lease to an entry with more cores.
--- a/process/cluster/view.go
+++ b/process/cluster/view.go
@@ -171,8 +171,7 @@
 }
 
 // rankOf returns the position of a standby in the order of takeover, in which entries that
-// leave don't count. known is false if the
-// view does not list it.
+// leave don't count. known is false if the view does not list it.
 func rankOf(name string, v leaderView) (rank int, known bool) {
 	for _, m := range v.members {
 		if m.Name == name {
