cluster: a refusal after an unknown outcome isn't certain

Cause: a submission whose link broke is repeated at the same scheduler on a new link. If the repetition overtakes it there and is refused, the first one may still be accepted, yet the caller was told that the job never runs. Change: such a reply keeps the unknown outcome. A refusal by a later scheduler stands: it has read all that was recorded before it. Test: TestRefusalAfterUnknownOutcome, two of its four cases fail before.

--- a/process/cluster/forward.go
+++ b/process/cluster/forward.go
@@ -47,6 +47,7 @@
 // unknown until a scheduler reports it.
 func (n *Node) Do(ctx context.Context, call Call) Reply {
 	var unknown *Reply
+	var unknownAt uint64
 	waitUntil := time.Now().Add(callWait)
 	for {
 		n.awaitLoaded(ctx)
@@ -55,10 +56,13 @@
 		n.mu.Unlock()
 		reply, next := n.try(ctx, r, view, call.timed(ctx))
 		if next == noRepeat {
+			if unknown != nil && unknownAt == view.fence && reply.notRun() {
+				return *unknown
+			}
 			return reply
 		}
 		if reply.Result == ResultUnknown {
-			unknown = &reply
+			unknown, unknownAt = &reply, view.fence
 		}
 		if !awaitRepeat(ctx, view, next, waitUntil, changed) {
 			if unknown != nil {
@@ -69,6 +73,12 @@
 	}
 }
 
+// notRun reports whether the reply says that the call had no effect. After an earlier try at
+// the same scheduler that isn't certain: that try may still arrive there.
+func (r Reply) notRun() bool {
+	return r.Result == ResultRefused || r.Result == ResultUnavailable
+}
+
 // repeat says when a call that was not answered is to be repeated.
 type repeat int
 
--- a/process/cluster/forward_test.go
+++ b/process/cluster/forward_test.go
@@ -13,17 +13,62 @@
 
 // scriptedPeers answers each forwarded call with the next of its functions.
 type scriptedPeers struct {
-	tries []func(ctx context.Context) error
+	tries []func(ctx context.Context, reply *Reply) error
 }
 
 // Call implements peer.Caller.
-func (s *scriptedPeers) Call(ctx context.Context, _, method string, _, _ any) error {
+func (s *scriptedPeers) Call(ctx context.Context, _, method string, _, result any) error {
 	if method != methodCall || len(s.tries) == 0 {
 		return peer.ErrNotSent
 	}
 	try := s.tries[0]
 	s.tries = s.tries[1:]
-	return try(ctx)
+	return try(ctx, result.(*Reply))
+}
+
+// follows makes a node the standby of a scheduler that has just become known.
+func (n *Node) follows(fence uint64) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.setView(newView(fence, leaseRow{Holder: "s1", Address: "s1"}, nil))
+}
+
+// The link breaks while a submission is on its way, and the scheduler refuses the repetition,
+// which overtakes it. The scheduler may still accept the first one, so the caller can't be
+// told that the job never runs. A later scheduler knows all that was recorded before it.
+func TestRefusalAfterUnknownOutcome(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		fence uint64
+		later Result
+		want  Result
+	}{
+		{"the same scheduler refuses", 1, ResultRefused, ResultUnknown},
+		{"the same scheduler is unavailable", 1, ResultUnavailable, ResultUnknown},
+		{"the same scheduler has accepted it", 1, ResultOK, ResultOK},
+		{"the next scheduler refuses", 2, ResultRefused, ResultRefused},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				peers := &scriptedPeers{}
+				n := NewNode(Config{Name: "n0", Peers: peers})
+				peers.tries = []func(context.Context, *Reply) error{
+					func(context.Context, *Reply) error {
+						if c.fence > 1 {
+							n.follows(c.fence)
+						}
+						return peer.ErrUnknown
+					},
+					func(_ context.Context, reply *Reply) error {
+						reply.Result = c.later
+						return nil
+					},
+				}
+				n.follows(1)
+				assert.Equal(t, n.Do(t.Context(), testJob("a", 1)).Result, c.want)
+			})
+		})
+	}
 }
 
 // The first try may have been recorded; the caller's time ends before the second one is
@@ -31,18 +76,16 @@
 func TestUnknownOutcomeOutlastsLaterTries(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
-		peers := &scriptedPeers{tries: []func(context.Context) error{
-			func(context.Context) error { return peer.ErrUnknown },
-			func(ctx context.Context) error {
+		peers := &scriptedPeers{tries: []func(context.Context, *Reply) error{
+			func(context.Context, *Reply) error { return peer.ErrUnknown },
+			func(ctx context.Context, _ *Reply) error {
 				cancel()
 				<-ctx.Done()
 				return errors.Join(peer.ErrNotSent, ctx.Err())
 			},
 		}}
 		n := NewNode(Config{Name: "n0", Peers: peers})
-		n.mu.Lock()
-		n.setView(newView(1, leaseRow{Holder: "s1", Address: "s1"}, nil))
-		n.mu.Unlock()
+		n.follows(1)
 		reply := n.Do(ctx, testJob("a", 1))
 		assert.Equal(t, reply.Result, ResultUnknown)
 	})
