--- a/process/entry/savedids.go
+++ b/process/entry/savedids.go
@@ -174,7 +174,7 @@
 		if err != nil {
 			return eris.Wrap(err, "scan saved request ids")
 		}
-		e.requests.Import(messagesOf(rows, now))
+		e.requests.Import(e.messagesOf(rows, now))
 		if len(rows) < savedIDsPage {
 			return nil
 		}
@@ -183,12 +183,16 @@
 }
 
 // messagesOf returns the messages of the rows that are not too old. Rows that can't be
-// decoded are skipped: the entry that wrote them can't be asked again.
-func messagesOf(rows []platform.Row, now time.Time) []json.RawMessage {
+// decoded are logged and skipped: the entry that wrote them can't be asked again.
+func (e *Entry) messagesOf(rows []platform.Row, now time.Time) []json.RawMessage {
 	var messages []json.RawMessage
 	for _, row := range rows {
 		var saved savedIDs
-		if json.Unmarshal(row.Value, &saved) == nil && now.Sub(saved.SavedAt) < savedIDsKept {
+		if err := json.Unmarshal(row.Value, &saved); err != nil {
+			e.Log.Log(events.RowIgnored, "saved request ids", row.Key, err)
+			continue
+		}
+		if now.Sub(saved.SavedAt) < savedIDsKept {
 			messages = append(messages, saved.Message)
 		}
 	}
--- a/process/entry/savedids_test.go
+++ b/process/entry/savedids_test.go
@@ -2,11 +2,13 @@
 
 import (
 	"encoding/json"
+	"strings"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
 
+	"github.com/kingcuplatch/kingcuplatch/process/events"
 	"github.com/kingcuplatch/kingcuplatch/process/ownership"
 	"github.com/kingcuplatch/kingcuplatch/process/platform"
 	"github.com/kingcuplatch/kingcuplatch/process/requests"
@@ -22,11 +24,15 @@
 		return platform.Row{Key: key, Value: value}
 	}
 	rows := []platform.Row{row("new", time.Second), {Key: "malformed", Value: []byte("{")}, row("old", savedIDsKept), row("skewed", -time.Minute)}
+	var logged strings.Builder
+	e := &Entry{Config: Config{Log: events.New(&logged, "entry-1")}}
 	var got []string
-	for _, message := range messagesOf(rows, now) {
+	for _, message := range e.messagesOf(rows, now) {
 		got = append(got, string(message))
 	}
 	assert.DeepEqual(t, got, []string{`"new"`, `"skewed"`})
+	assert.Equal(t, strings.Count(logged.String(), "KCL-7011"), 1, logged.String())
+	assert.Assert(t, strings.Contains(logged.String(), `"malformed"`), logged.String())
 }
 
 // ownsAll holds the lease on each block in one epoch.
--- a/process/ownership/restart_test.go
+++ b/process/ownership/restart_test.go
@@ -41,17 +41,23 @@
 	assert.Equal(t, missing, 0, "of %d", len(bodies))
 }
 
+// startFirstAlone starts the first entry, which joins alone, and two others after it.
+func (f *fakeFleet) startFirstAlone() *fakeEntry {
+	first := f.start(0, 1)
+	time.Sleep(2100 * time.Millisecond)
+	f.start(1, 1)
+	f.start(2, 1)
+	return first
+}
+
 // An entry that joined before all others names no witness in its row yet. The ids that it
 // replicates must reach the others, and the next process on its instance must find them.
 func TestRestartFindsIDsOfARowWithoutWitnesses(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := newFleet(t, 3)
-		first := f.start(0, 1)
 		defer synctest.Wait()
 		defer f.cancelAll()
-		time.Sleep(2100 * time.Millisecond)
-		f.start(1, 1)
-		f.start(2, 1)
+		first := f.startFirstAlone()
 		time.Sleep(950 * time.Millisecond)
 		assert.Equal(t, len(first.Members()[0].Witnesses), 0)
 		ctx, cancel := context.WithTimeout(t.Context(), 500*time.Millisecond)
@@ -160,12 +166,9 @@
 func TestEntryUnderLoadGetsWitnesses(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := newFleet(t, 3)
-		first := f.start(0, 1)
 		defer synctest.Wait()
 		defer f.cancelAll()
-		time.Sleep(2100 * time.Millisecond)
-		f.start(1, 1)
-		f.start(2, 1)
+		first := f.startFirstAlone()
 		ctx, cancel := context.WithTimeout(t.Context(), 6*time.Second)
 		defer cancel()
 		replicateAll(ctx, first, 10*time.Millisecond)
