Scheduler's load in the log, bytes by kind of peer on the platform

Cause: logs and metrics couldn't tell a full processor from a full link: the lag of the processor was a metric only, bytes weren't counted on the platform's path.

--- a/conn/traffic/traffic.go
+++ b/conn/traffic/traffic.go
@@ -6,8 +6,11 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
 	"sync/atomic"
+
+	"github.com/VictoriaMetrics/metrics"
 )
 
 // Bytes counts the bytes sent and received. It is safe for concurrent use, and its zero
@@ -28,6 +31,31 @@
 	Peers    Bytes
 	Platform Bytes
 	Workers  Bytes
+	// Polls are the connections to workers that carry only polls, where these have
+	// connections of their own.
+	Polls Bytes
+	// Advice are the connections to an advisory service.
+	Advice Bytes
+}
+
+// Kind is the count of one kind of peer.
+type Kind struct {
+	Name  string
+	Bytes *Bytes
+}
+
+// Kinds returns the counts in a fixed order.
+func (m *Meter) Kinds() []Kind {
+	return []Kind{
+		{"peers", &m.Peers}, {"platform", &m.Platform}, {"workers", &m.Workers}, {"polls", &m.Polls}, {"advice", &m.Advice},
+	}
+}
+
+// Register adds the gauges of this count to set, under the name of a metric. kind names the
+// peers.
+func (b *Bytes) Register(set *metrics.Set, metric, kind string) {
+	set.NewGauge(fmt.Sprintf(`%s{to=%q,direction="sent"}`, metric, kind), func() float64 { return float64(b.Sent()) })
+	set.NewGauge(fmt.Sprintf(`%s{to=%q,direction="received"}`, metric, kind), func() float64 { return float64(b.Received()) })
 }
 
 // Conn returns a connection that wraps conn and is counted in b.
--- a/process/cell/startlimit.go
+++ b/process/cell/startlimit.go
@@ -74,6 +74,20 @@
 	return time.Duration(float64(tasks) / l.replies.rate(now) * float64(time.Second))
 }
 
+// StartLoad describes the start commands of a cell: those in progress, the limit on them,
+// and the replies a second.
+type StartLoad struct {
+	InProgress int
+	Limit      float64
+	Replies    float64
+}
+
+// StartLoad returns the load by start commands.
+func (c *Cell) StartLoad(now time.Time) StartLoad {
+	l := c.starts
+	return StartLoad{InProgress: len(l.inProgress), Limit: l.limit, Replies: l.replies.rate(now)}
+}
+
 // answered adjusts the limit to the reply to a start command that was sent took ago; replied
 // is false if none came.
 func (l *startLimiter) answered(now time.Time, took time.Duration, replied bool) {
--- a/process/cluster/leadership.go
+++ b/process/cluster/leadership.go
@@ -134,7 +134,7 @@
 // run schedules until the leadership ends. The caller has added one to goroutines, so that
 // whoever waits for them can't miss the loops.
 func (r *leadership) run() {
-	for _, loop := range []func(){r.planLoop, r.recordLoop, r.tickLoop, r.probeLoop, r.followDirectory, r.upkeepLoop} {
+	for _, loop := range []func(){r.planLoop, r.recordLoop, r.tickLoop, r.probeLoop, r.followDirectory, r.upkeepLoop, r.loadLoop} {
 		r.goroutines.Add(1)
 		go func() {
 			defer r.goroutines.Done()
--- /dev/null
+++ b/process/cluster/loadlog.go
@@ -0,0 +1,75 @@
+package cluster
+
+import (
+	"fmt"
+	"strings"
+	"time"
+
+	"github.com/kingcuplatch/kingcuplatch/conn/traffic"
+	"github.com/kingcuplatch/kingcuplatch/process/events"
+)
+
+// loadLogPeriod is the interval between the lines on the scheduler's load.
+const loadLogPeriod = 2 * time.Second
+
+// loadLoop logs what may limit the scheduler: the lag of its processor, the bytes by kind
+// of peer, and its limit of starts.
+func (r *leadership) loadLoop() {
+	ticker := time.NewTicker(loadLogPeriod)
+	defer ticker.Stop()
+	before := readTraffic(r.node.config.Traffic, time.Now())
+	for {
+		select {
+		case <-r.ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		now := time.Now()
+		r.mu.Lock()
+		starts := r.cell.StartLoad(now)
+		r.mu.Unlock()
+		current := readTraffic(r.node.config.Traffic, now)
+		sent, received := current.ratesSince(before)
+		before = current
+		r.node.log.Log(events.SchedulerLoad, r.fence, r.node.lag.average().String(), starts.InProgress, int(starts.Limit), int(starts.Replies), sent, received)
+	}
+}
+
+// trafficReading is the state of a meter at a time.
+type trafficReading struct {
+	at    time.Time
+	kinds []kindReading
+}
+
+// kindReading holds the bytes sent to and received from one kind of peer.
+type kindReading struct {
+	name           string
+	sent, received uint64
+}
+
+func readTraffic(meter *traffic.Meter, now time.Time) trafficReading {
+	reading := trafficReading{at: now}
+	for _, kind := range meter.Kinds() {
+		reading.kinds = append(reading.kinds, kindReading{name: kind.Name, sent: kind.Bytes.Sent(), received: kind.Bytes.Received()})
+	}
+	return reading
+}
+
+// ratesSince returns the bytes a second since an earlier reading of the same meter, as
+// text: by kind of peer, those without any left out.
+func (t trafficReading) ratesSince(before trafficReading) (sent, received string) {
+	seconds := t.at.Sub(before.at).Seconds()
+	var sentParts, receivedParts []string
+	for i, kind := range t.kinds {
+		sentParts = appendRate(sentParts, kind.name, kind.sent-before.kinds[i].sent, seconds)
+		receivedParts = appendRate(receivedParts, kind.name, kind.received-before.kinds[i].received, seconds)
+	}
+	return strings.Join(sentParts, " "), strings.Join(receivedParts, " ")
+}
+
+func appendRate(parts []string, name string, bytes uint64, seconds float64) []string {
+	if bytes == 0 || seconds <= 0 {
+		return parts
+	}
+	return append(parts, fmt.Sprintf("%s=%.0f", name, float64(bytes)/seconds))
+}
--- a/process/cluster/metrics.go
+++ b/process/cluster/metrics.go
@@ -5,6 +5,7 @@
 
 	"github.com/VictoriaMetrics/metrics"
 
+	"github.com/kingcuplatch/kingcuplatch/conn/traffic"
 	"github.com/kingcuplatch/kingcuplatch/process/cell"
 )
 
@@ -34,9 +35,12 @@
 	planTime   *metrics.Histogram
 }
 
-func newNodeMetrics(lag *lagTracker) *nodeMetrics {
+func newNodeMetrics(lag *lagTracker, meter *traffic.Meter) *nodeMetrics {
 	set := metrics.NewSet()
 	set.NewGauge("kingcuplatch_cell_lag_seconds", func() float64 { return lag.average().Seconds() })
+	for _, kind := range meter.Kinds() {
+		kind.Bytes.Register(set, "kingcuplatch_bytes_total", kind.Name)
+	}
 	return &nodeMetrics{
 		set:               set,
 		accepted:          set.NewCounter("kingcuplatch_cell_jobs_accepted_total"),
--- a/process/cluster/node.go
+++ b/process/cluster/node.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/kingcuplatch/kingcuplatch/conn/peer"
+	"github.com/kingcuplatch/kingcuplatch/conn/traffic"
 	"github.com/kingcuplatch/kingcuplatch/process/cell"
 	"github.com/kingcuplatch/kingcuplatch/process/events"
 	"github.com/kingcuplatch/kingcuplatch/process/platform"
@@ -48,7 +49,9 @@
 	// Machines is nil if this cluster does not maintain machines.
 	Machines Machines
 	Peers    peer.Caller
-	Log      *events.Logger
+	// Traffic counts the bytes that this entry sends and receives.
+	Traffic *traffic.Meter
+	Log     *events.Logger
 }
 
 // Node runs this entry's part in a cell, as a standby or as the scheduler.
@@ -106,7 +109,10 @@
 // NewNode returns a node that is not running yet.
 func NewNode(c Config) *Node {
 	n := &Node{config: c, log: c.Log, standbys: make(map[string]standby), startedAt: time.Now(), view: noView(nil), changed: make(chan struct{})}
-	n.metrics = newNodeMetrics(&n.lag)
+	if n.config.Traffic == nil {
+		n.config.Traffic = &traffic.Meter{}
+	}
+	n.metrics = newNodeMetrics(&n.lag, n.config.Traffic)
 	n.leaseLock = make(chan struct{}, 1)
 	n.leaseLock <- struct{}{}
 	return n
--- a/process/entry/metrics.go
+++ b/process/entry/metrics.go
@@ -9,7 +9,6 @@
 
 	"github.com/VictoriaMetrics/metrics"
 
-	"github.com/kingcuplatch/kingcuplatch/conn/traffic"
 	"github.com/kingcuplatch/kingcuplatch/process/dispatch"
 	"github.com/kingcuplatch/kingcuplatch/process/resource"
 	"github.com/kingcuplatch/kingcuplatch/version"
@@ -32,19 +31,12 @@
 	m.set.NewGauge("kingcuplatch_calls_in_progress", func() float64 { return float64(e.servers.inFlight()) })
 	m.set.NewGauge("kingcuplatch_requests_waiting", e.waitingRequests)
 	m.set.NewGauge("kingcuplatch_goroutines", func() float64 { return float64(runtime.NumGoroutine()) })
-	m.registerBytes("peers", &e.Traffic.Peers)
-	m.registerBytes("platform", &e.Traffic.Platform)
-	m.registerBytes("workers", &e.Traffic.Workers)
+	e.Traffic.Peers.Register(m.set, "kingcuplatch_bytes_total", "peers")
+	e.Traffic.Platform.Register(m.set, "kingcuplatch_bytes_total", "platform")
+	e.Traffic.Workers.Register(m.set, "kingcuplatch_bytes_total", "workers")
 	return m
 }
 
-// registerBytes registers the gauges of the bytes sent and received by one kind of
-// connection.
-func (m *instruments) registerBytes(kind string, bytes *traffic.Bytes) {
-	m.set.NewGauge(fmt.Sprintf(`kingcuplatch_bytes_total{to=%q,direction="sent"}`, kind), func() float64 { return float64(bytes.Sent()) })
-	m.set.NewGauge(fmt.Sprintf(`kingcuplatch_bytes_total{to=%q,direction="received"}`, kind), func() float64 { return float64(bytes.Received()) })
-}
-
 // countBlockChange counts a gained or lost block.
 func (m *instruments) countBlockChange(change string) {
 	m.set.GetOrCreateCounter(fmt.Sprintf(`kingcuplatch_block_changes_total{change=%q}`, change)).Inc()
--- a/process/events/catalogue.go
+++ b/process/events/catalogue.go
@@ -55,6 +55,10 @@
 	HandoverDecided = &Event{7013, logrus.InfoLevel, "scheduler hands the cell over", []string{"fence", "successor", "reason", "held"}, nothing}
 	HandoverDone    = &Event{7014, logrus.InfoLevel, "cell handed over", []string{"fence", "successor", "unfinished", "took"}, "Unfinished calls are repeated at the successor; check the table if they are many."}
 
+	// SchedulerLoad tells what limits a scheduler: its processor (lag), its link (sent,
+	// received), or the replies of workers.
+	SchedulerLoad = &Event{7015, logrus.InfoLevel, "load of the scheduler since the line before", []string{"fence", "lag", "starting", "limit", "replies_per_s", "sent_bytes_per_s", "received_bytes_per_s"}, "Compare the bytes with the instance's link; see OPERATIONS.md, an overloaded scheduler."}
+
 	JobAccepted  = &Event{7101, logrus.InfoLevel, "job accepted", []string{"job", "team", "age"}, nothing}
 	JobRefused   = &Event{7102, logrus.InfoLevel, "job refused, it will not run", []string{"job", "team", "reason", "retry_after"}, nothing}
 	JobEnded     = &Event{7103, logrus.InfoLevel, "job ended", []string{"job", "team", "state", "age"}, nothing}
@@ -95,7 +99,7 @@
 	RequestOutcomeUnknown,
 	CoordinatorFailed,
 	SchedulerObserved, CellLeaseAcquired, SchedulerStarted, SchedulerReplaced, SchedulerStopped, TableUnreachable, TableRecovered,
-	SettingsReloaded, FeedFailed, FeedRecovered, RowIgnored, WriteSlow, HandoverDecided, HandoverDone,
+	SettingsReloaded, FeedFailed, FeedRecovered, RowIgnored, WriteSlow, HandoverDecided, HandoverDone, SchedulerLoad,
 	JobAccepted, JobRefused, JobEnded, JobCancelled, CallRefused, JobSetAside,
 	RunPlaced, RunWithdrawn, StartFailed, RunEnded, RunStalled, RunUnknown, AdviceFailed, StepWaiting,
 	CellWorkerAdopted, CellWorkerUnreachable, CellWorkerReachable, CellWorkerLeaseExpired, CellWorkerRestarted, CellWorkerDraining, CellWorkerMissing,
