--- a/process/cluster/fakes_test.go
+++ b/process/cluster/fakes_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/base64"
 	"encoding/json"
 	"errors"
 	"slices"
@@ -115,6 +116,11 @@
 }
 
 func (t *nodeTable) Commit(ctx context.Context, txn platform.Txn) (uint64, error) {
+	bytes := requestOverhead
+	for _, write := range txn.Writes {
+		bytes += base64.StdEncoding.EncodedLen(len(write.Value)) + rowOverhead
+	}
+	t.w.transmit(ctx, t.node, "", bytes)
 	t.w.mu.Lock()
 	t.w.commits++
 	serialWrites := t.w.serialWrites
@@ -191,6 +197,7 @@
 	if err != nil {
 		return err
 	}
+	p.w.transmit(ctx, p.node, address, len(raw)+messageOverhead)
 	got, err := n.Handlers()[method](ctx, raw)
 	if err != nil {
 		return err
@@ -206,6 +213,10 @@
 	if err != nil {
 		return err
 	}
+	p.w.transmit(ctx, address, p.node, len(encoded)+messageOverhead)
+	if ctx.Err() != nil {
+		return errors.Join(peer.ErrUnknown, ctx.Err())
+	}
 	if result == nil {
 		return nil
 	}
@@ -241,6 +252,7 @@
 func clock() int64 { return time.Since(simStart).Milliseconds() }
 
 func (c *nodeWorkers) Start(ctx context.Context, to Target, call StartCall) (cell.StartAnswer, error) {
+	c.w.transmit(ctx, c.node, "", len(call.Text)+requestOverhead)
 	k, err := c.enter(ctx, to.ID, call.Fence)
 	if err != nil {
 		return cell.StartNoReply, err
@@ -252,6 +264,9 @@
 	k.until = max(k.until, call.NotAfter)
 	k.running[call.RunKey] = time.Now()
 	k.starts[call.Task]++
+	if _, again := c.w.startTimes[call.Task]; !again {
+		c.w.startTimes[call.Task] = time.Now()
+	}
 	c.w.checkRunsOnce(call.Task)
 	key := call.RunKey
 	time.AfterFunc(k.taskDuration, func() { c.w.endRun(k, key, cell.EndDone) })
@@ -304,6 +319,7 @@
 }
 
 func (c *nodeWorkers) Stop(ctx context.Context, to Target, fence uint64, run cell.RunKey) error {
+	c.w.transmit(ctx, c.node, "", requestOverhead)
 	k, err := c.enter(ctx, to.ID, fence)
 	if err != nil {
 		return err
@@ -316,6 +332,7 @@
 func (c *nodeWorkers) Pace(context.Context, Target, uint64, cell.PaceCommand) error { return nil }
 
 func (c *nodeWorkers) Poll(ctx context.Context, to Target, call PollCall) (PollReply, error) {
+	c.w.transmit(ctx, c.node, "", requestOverhead)
 	k, err := c.enter(ctx, to.ID, call.Fence)
 	if err != nil {
 		return PollReply{}, err
--- a/process/cluster/simulation_test.go
+++ b/process/cluster/simulation_test.go
@@ -50,6 +50,12 @@
 	workers map[string]*worker
 	// replyDelay is how late an overloaded node replies to other nodes.
 	replyDelay map[string]time.Duration
+	// links are the network links of nodes, by name; a node without one has no limit.
+	links map[string]*nodeLink
+	// workerCPU is the capacity of each worker.
+	workerCPU int64
+	// startTimes are the times of the first start of each task.
+	startTimes map[string]time.Time
 }
 
 // simStart is when the virtual clock starts.
@@ -62,13 +68,9 @@
 			t: t, nodes: make(map[string]*Node), stops: make(map[string]context.CancelFunc), rows: make(map[string]platform.Row),
 			refuse: make(map[string]bool), hang: make(map[string]bool), cut: make(map[string]bool), replyDelay: make(map[string]time.Duration),
 			workers: make(map[string]*worker), tableDelay: 10 * time.Millisecond,
+			links: make(map[string]*nodeLink), workerCPU: 4000, startTimes: make(map[string]time.Time),
 		}
-		for i := range 4 {
-			w.workers[fmt.Sprintf("w%d", i)] = &worker{
-				running: make(map[cell.RunKey]time.Time), starts: make(map[string]int), taskDuration: time.Second,
-				wake: make(chan struct{}), unreachableFrom: make(map[string]bool),
-			}
-		}
+		w.addWorkers(4)
 		for i := range n {
 			w.start(fmt.Sprintf("n%d", i))
 		}
@@ -77,6 +79,19 @@
 	})
 }
 
+// addWorkers adds workers up to a number of them. It has no effect on schedulers that have
+// listed them already.
+func (w *simulation) addWorkers(upTo int) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for i := len(w.workers); i < upTo; i++ {
+		w.workers[fmt.Sprintf("w%d", i)] = &worker{
+			running: make(map[cell.RunKey]time.Time), starts: make(map[string]int), taskDuration: time.Second,
+			wake: make(chan struct{}), unreachableFrom: make(map[string]bool),
+		}
+	}
+}
+
 // stopAll stops the nodes and waits until the workers' runs have ended.
 func (w *simulation) stopAll() {
 	w.mu.Lock()
@@ -170,10 +185,12 @@
 // Follow implements Directory.
 func (w *simulation) Follow(ctx context.Context, update func([]cell.WorkerInfo)) {
 	var list []cell.WorkerInfo
-	for i := range 4 {
+	w.mu.Lock()
+	for i := range len(w.workers) {
 		id := fmt.Sprintf("w%d", i)
-		list = append(list, cell.WorkerInfo{ID: id, Upstream: "desk", Address: id, Capacity: resource.Amount{MilliCPU: 4000}})
+		list = append(list, cell.WorkerInfo{ID: id, Upstream: "desk", Address: id, Capacity: resource.Amount{MilliCPU: w.workerCPU}})
 	}
+	w.mu.Unlock()
 	update(list)
 	<-ctx.Done()
 }
