Start commands go through the entry that has the job's text

Change: the scheduler sends the runs of a job in one message to the entry that received the job, which has its text and calls the workers; what is decided, recorded and fenced stays. An entry that refuses, doesn't know the text or belongs to an earlier version is passed over at once; one that doesn't reply counts as a worker that doesn't reply. A worker that an entry doesn't reach is called directly.

--- a/process/cell/admit.go
+++ b/process/cell/admit.go
@@ -151,6 +151,13 @@
 	return Admission{Verdict: Recording}
 }
 
+// SetTextHolder records the entry that a submission of the job came through.
+func (c *Cell) SetTextHolder(id, entry string) {
+	if job := c.jobs[id]; job != nil {
+		job.textHolder = entry
+	}
+}
+
 // addWaiter registers wait for the next record of the job. If a batch in flight
 // already contains the job's latest change, the waiter is added to that batch.
 func (j *Job) addWaiter(c *Cell, wait Waiter) {
--- a/process/cell/batch.go
+++ b/process/cell/batch.go
@@ -294,6 +294,7 @@
 	}
 	c.actions.Starts = append(c.actions.Starts, StartCommand{
 		Worker: r.worker.ID, RunKey: r.RunKey, Text: t.step.occ.job.Text, Checkpoint: checkpoint, Ticket: r.ticket,
+		TextHolder: t.step.occ.job.textHolder,
 	})
 }
 
--- a/process/cell/cell.go
+++ b/process/cell/cell.go
@@ -117,6 +117,9 @@
 	Text       string
 	Checkpoint string
 	Ticket     string
+	// TextHolder is the entry that received the job and may still have its Text; empty if it
+	// isn't known.
+	TextHolder string
 }
 
 // StopCommand is a command to a worker to stop a run.
--- a/process/cell/job.go
+++ b/process/cell/job.go
@@ -105,6 +105,8 @@
 	// of it has been planned.
 	arrivedAt time.Time
 	placed    bool
+	// textHolder is the entry through which the job was submitted last to this scheduler.
+	textHolder string
 	// accepted is set once the job's row is recorded.
 	accepted    bool
 	occurrences []*occurrence
--- a/process/cluster/calls.go
+++ b/process/cluster/calls.go
@@ -18,6 +18,8 @@
 	methodCall      = "cell.call"
 	methodAdvise    = "cell.advise"
 	methodCatalog   = "cell.catalog"
+	methodStart     = "cell.start"
+	methodStarted   = "cell.started"
 )
 
 // codeNotScheduler is the RPC error code of an entry that is not the scheduler.
@@ -112,6 +114,8 @@
 	Spec *cell.JobSpec `json:"spec,omitempty"`
 	// WithinMS is how long the caller waits, in milliseconds; 0 if unknown.
 	WithinMS int64 `json:"within_ms,omitempty"`
+	// Via is the entry that forwards the call.
+	Via string `json:"via,omitempty"`
 }
 
 // timed returns the call with WithinMS set from the deadline of ctx.
--- a/process/cluster/cluster_test.go
+++ b/process/cluster/cluster_test.go
@@ -47,6 +47,19 @@
 	}
 }
 
+// awaitRunning waits until a job is shown as running, at most until within after began.
+func (w *simulation) awaitRunning(n *Node, id string, began time.Time, within time.Duration) {
+	w.t.Helper()
+	for {
+		reply := n.Do(context.Background(), Call{Op: OpState, Queue: "q", Team: "crew", ID: id})
+		if reply.State == cell.Running {
+			return
+		}
+		assert.Assert(w.t, time.Since(began) < within, "%s: %+v", id, reply)
+		time.Sleep(10 * time.Millisecond)
+	}
+}
+
 // Exactly one node must schedule, and calls at the other nodes must reach it.
 func TestSingleScheduler(t *testing.T) {
 	simulate(t, 4, func(w *simulation) {
--- a/process/cluster/fakes_test.go
+++ b/process/cluster/fakes_test.go
@@ -185,6 +185,7 @@
 	p.w.mu.Lock()
 	n := p.w.nodes[address]
 	cut := p.w.cut[p.node+">"+address] || p.w.nodes[p.node] == nil
+	lacks := slices.Contains(p.w.without[address], method)
 	p.w.mu.Unlock()
 	if cut {
 		<-ctx.Done()
@@ -193,6 +194,9 @@
 	if n == nil {
 		return peer.ErrNotSent
 	}
+	if lacks {
+		return &peer.RemoteError{Code: peer.CodeNoMethod, Message: "unknown method " + method}
+	}
 	raw, err := json.Marshal(params)
 	if err != nil {
 		return err
--- a/process/cluster/forward.go
+++ b/process/cluster/forward.go
@@ -147,6 +147,10 @@
 	if unreachableFor := time.Since(view.lastHeard); refused || unreachableFor > unreachableAfter+n.heartbeatInterval(view)-heartbeatPeriod {
 		return unavailable("the scheduler is silent", unreachableFor), repeatAtSuccessor
 	}
+	call.Via = n.config.Name
+	if call.Op == OpSubmit && call.Spec != nil {
+		n.texts.put(call.ID, call.Spec.Text)
+	}
 	ctx, cancel := context.WithTimeout(ctx, forwardTimeout)
 	defer cancel()
 	defer context.AfterFunc(view.ctx, cancel)()
@@ -228,6 +232,7 @@
 	var admission cell.Admission
 	r.change(func(now time.Time, c *cell.Cell) {
 		admission = c.Submit(now, *call.Spec, func(how cell.Recorded) { recorded <- how })
+		c.SetTextHolder(call.ID, call.Via)
 	})
 	switch admission.Verdict {
 	case cell.AlreadyAccepted:
--- a/process/cluster/leadership.go
+++ b/process/cluster/leadership.go
@@ -65,6 +65,7 @@
 	recordSignal chan struct{}
 
 	advisers *advisers
+	relays   *relays
 
 	mu      sync.Mutex
 	cell    *cell.Cell
@@ -107,6 +108,7 @@
 		calls: newCallGate(), released: make(chan struct{}),
 	}
 	r.advisers = newAdvisers(r)
+	r.relays = newRelays(r)
 	r.ctx, r.cancel = context.WithCancel(context.Background())
 	r.tableRecovered, r.signalTableRecovered = context.WithCancel(context.Background())
 	return r, nil
@@ -179,9 +181,7 @@
 	if r.over() {
 		return
 	}
-	for _, command := range a.Starts {
-		go r.sendStart(command)
-	}
+	r.relays.start(a.Starts)
 	for _, command := range a.Stops {
 		go r.sendStop(command)
 	}
--- a/process/cluster/members.go
+++ b/process/cluster/members.go
@@ -82,6 +82,21 @@
 	return members
 }
 
+// relayCandidates returns the other entries that may be asked to make calls: those that
+// have sent a heartbeat lately and don't leave, in the order of their names.
+func (n *Node) relayCandidates() []Member {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	var candidates []Member
+	for name, m := range n.standbys {
+		if name != n.config.Name && !m.Leaving && time.Since(m.lastContact) < memberTimeout {
+			candidates = append(candidates, m.Member)
+		}
+	}
+	slices.SortFunc(candidates, func(a, b Member) int { return strings.Compare(a.Name, b.Name) })
+	return candidates
+}
+
 // allStandbysReachable reports whether every known standby is known to have followed this
 // scheduler within confirmTimeout.
 func (n *Node) allStandbysReachable() bool {
--- a/process/cluster/node.go
+++ b/process/cluster/node.go
@@ -100,6 +100,8 @@
 	offer acceptedOffer
 	// acquireFrom is when this entry may acquire a released lease; until then it leaves it to others.
 	acquireFrom time.Time
+	// texts are those of jobs that were submitted through this entry.
+	texts textCache
 	// startedAt is when this incarnation started; yieldedAt is when it last yielded the
 	// lease to an entry with more cores.
 	startedAt time.Time
@@ -108,7 +110,7 @@
 
 // NewNode returns a node that is not running yet.
 func NewNode(c Config) *Node {
-	n := &Node{config: c, log: c.Log, standbys: make(map[string]standby), startedAt: time.Now(), view: noView(nil), changed: make(chan struct{})}
+	n := &Node{config: c, log: c.Log, standbys: make(map[string]standby), startedAt: time.Now(), view: noView(nil), changed: make(chan struct{}), texts: newTextCache()}
 	if n.config.Traffic == nil {
 		n.config.Traffic = &traffic.Meter{}
 	}
@@ -130,6 +132,8 @@
 		methodCall:      n.serveCall,
 		methodAdvise:    n.serveAdvise,
 		methodCatalog:   n.serveCatalog,
+		methodStart:     n.serveStart,
+		methodStarted:   n.serveStarted,
 	}
 }
 
--- a/process/cluster/simulation_test.go
+++ b/process/cluster/simulation_test.go
@@ -54,6 +54,8 @@
 	links map[string]*nodeLink
 	// workerCPU is the capacity of each worker.
 	workerCPU int64
+	// without are the methods that a node lacks, as an earlier version does, by its name.
+	without map[string][]string
 	// startTimes are the times of the first start of each task.
 	startTimes map[string]time.Time
 }
@@ -68,7 +70,7 @@
 			t: t, nodes: make(map[string]*Node), stops: make(map[string]context.CancelFunc), rows: make(map[string]platform.Row),
 			refuse: make(map[string]bool), hang: make(map[string]bool), cut: make(map[string]bool), replyDelay: make(map[string]time.Duration),
 			workers: make(map[string]*worker), tableDelay: 10 * time.Millisecond,
-			links: make(map[string]*nodeLink), workerCPU: 4000, startTimes: make(map[string]time.Time),
+			links: make(map[string]*nodeLink), without: make(map[string][]string), workerCPU: 4000, startTimes: make(map[string]time.Time),
 		}
 		w.addWorkers(4)
 		for i := range n {
@@ -163,6 +165,19 @@
 	return ""
 }
 
+// set changes the simulation under its lock.
+func (w *simulation) set(change func()) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	change()
+}
+
+func (w *simulation) node(name string) *Node {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.nodes[name]
+}
+
 // other returns a node that is not the named one.
 func (w *simulation) other(name string) *Node {
 	w.mu.Lock()
--- a/process/cluster/worker.go
+++ b/process/cluster/worker.go
@@ -184,17 +184,9 @@
 
 // sendStart commands the start of a run whose record has been written.
 func (r *leadership) sendStart(command cell.StartCommand) {
-	r.mu.Lock()
-	w := r.workers[command.Worker]
-	var call StartCall
-	var target Target
-	if w != nil && w.lease.known() {
-		target = w.target
-		call = StartCall{Fence: r.fence, NotAfter: w.lease.grant(time.Now(), startWindow), StartCommand: command}
-	}
-	r.mu.Unlock()
+	call, target, ok := r.startCall(command)
 	answer, err := cell.StartNotSent, error(nil)
-	if call.NotAfter != 0 {
+	if ok {
 		ctx, cancel := context.WithTimeout(r.ctx, commandTimeout+r.node.lag.allowance())
 		sent := time.Now()
 		answer, err = r.node.config.Workers.Start(ctx, target, call)
@@ -211,6 +203,19 @@
 	r.change(func(now time.Time, c *cell.Cell) { c.StartAnswered(now, command.Worker, command.RunKey, answer) })
 }
 
+// startCall returns the call that starts a run, and its worker. ok is false if the worker's
+// clock isn't known.
+func (r *leadership) startCall(command cell.StartCommand) (call StartCall, target Target, ok bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	w := r.workers[command.Worker]
+	if w == nil || !w.lease.known() {
+		return StartCall{}, Target{}, false
+	}
+	until := w.lease.grant(time.Now(), startWindow)
+	return StartCall{Fence: r.fence, NotAfter: until, StartCommand: command}, w.target, true
+}
+
 // sendStop commands the end of a run. If the worker does not answer, the cell repeats the
 // command.
 func (r *leadership) sendStop(command cell.StopCommand) {
