Workers are polled by other entries beyond a scheduler's own share

Change: a scheduler polls 120 workers a core itself; the others are polled by entries, 240 a core, which return what workers replied together, at once only if a run has ended. Acknowledgements and leases stay the scheduler's. A reply counts only in its order, and only if it was requested after the worker came to the group. What an entry can't reach, and all of an entry that is silent, the scheduler polls again.

--- a/process/cluster/calls.go
+++ b/process/cluster/calls.go
@@ -20,6 +20,7 @@
 	methodCatalog   = "cell.catalog"
 	methodStart     = "cell.start"
 	methodStarted   = "cell.started"
+	methodPoll      = "cell.poll"
 )
 
 // codeNotScheduler is the RPC error code of an entry that is not the scheduler.
--- a/process/cluster/leadership.go
+++ b/process/cluster/leadership.go
@@ -66,6 +66,7 @@
 
 	advisers *advisers
 	relays   *relays
+	polls    *pollRelays
 
 	mu      sync.Mutex
 	cell    *cell.Cell
@@ -109,6 +110,7 @@
 	}
 	r.advisers = newAdvisers(r)
 	r.relays = newRelays(r)
+	r.polls = newPollRelays(r)
 	r.ctx, r.cancel = context.WithCancel(context.Background())
 	r.tableRecovered, r.signalTableRecovered = context.WithCancel(context.Background())
 	return r, nil
--- a/process/cluster/members.go
+++ b/process/cluster/members.go
@@ -89,7 +89,7 @@
 	defer n.mu.Unlock()
 	var candidates []Member
 	for name, m := range n.standbys {
-		if name != n.config.Name && !m.Leaving && time.Since(m.lastContact) < memberTimeout {
+		if name != n.config.Name && m.mayRelay() {
 			candidates = append(candidates, m.Member)
 		}
 	}
@@ -97,6 +97,17 @@
 	return candidates
 }
 
+// mayRelay reports whether the entry may be asked to make calls.
+func (m standby) mayRelay() bool { return !m.Leaving && time.Since(m.lastContact) < memberTimeout }
+
+// mayRelay reports whether the named entry may be asked to make calls.
+func (n *Node) mayRelay(name string) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	m, ok := n.standbys[name]
+	return ok && m.mayRelay()
+}
+
 // allStandbysReachable reports whether every known standby is known to have followed this
 // scheduler within confirmTimeout.
 func (n *Node) allStandbysReachable() bool {
@@ -110,6 +121,13 @@
 	return true
 }
 
+// self returns this entry as other entries list it.
+func (n *Node) self() Member {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.member()
+}
+
 // member returns this entry as other entries list it. n.mu must be held.
 func (n *Node) member() Member {
 	return Member{Name: n.config.Name, Address: n.config.Address, Cores: n.config.Cores, Leaving: n.leaving}
--- a/process/cluster/narrowlink_test.go
+++ b/process/cluster/narrowlink_test.go
@@ -19,6 +19,8 @@
 const (
 	narrowNodes   = 17
 	narrowWorkers = 85
+	// narrowCores is the processor capacity of each node.
+	narrowCores = 0.12
 	// narrowLink is the bandwidth of each node's link, in bytes a second.
 	narrowLink = 250_000
 	// urgentPerSecond jobs of three tasks arrive, burstFactor times as many between
@@ -48,7 +50,7 @@
 		for i := range narrowNodes {
 			name := fmt.Sprintf("n%d", i)
 			w.links[name] = &nodeLink{bytesPerSecond: narrowLink}
-			w.start(name)
+			w.startSized(name, narrowCores)
 		}
 		w.awaitLeader(2*time.Second, "")
 		time.Sleep(3 * time.Second)
--- a/process/cluster/node.go
+++ b/process/cluster/node.go
@@ -100,6 +100,8 @@
 	offer acceptedOffer
 	// acquireFrom is when this entry may acquire a released lease; until then it leaves it to others.
 	acquireFrom time.Time
+	// polls is the group of workers that this entry polls for the scheduler.
+	polls *pollSet
 	// texts are those of jobs that were submitted through this entry.
 	texts textCache
 	// startedAt is when this incarnation started; yieldedAt is when it last yielded the
@@ -134,6 +136,7 @@
 		methodCatalog:   n.serveCatalog,
 		methodStart:     n.serveStart,
 		methodStarted:   n.serveStarted,
+		methodPoll:      n.servePoll,
 	}
 }
 
--- a/process/cluster/worker.go
+++ b/process/cluster/worker.go
@@ -81,6 +81,8 @@
 // pollWorker polls the worker until ctx ends.
 func (r *leadership) pollWorker(ctx context.Context, w *workerLoop) {
 	unreachable := false
+	r.polls.add(1)
+	defer r.polls.add(-1)
 	for ctx.Err() == nil {
 		call, target := r.nextPoll(w, unreachable)
 		sent := time.Now()
@@ -100,6 +102,7 @@
 		reply.Listing.SentAt = sent
 		r.pollAnswered(w, reply)
 		r.awaitAcks(ctx, w)
+		_, unreachable = r.polls.poll(ctx, w)
 	}
 }
 
@@ -127,23 +130,29 @@
 	if errors.Is(err, ErrFenced) {
 		r.stepDown(fencedReason)
 	}
-	r.change(func(now time.Time, c *cell.Cell) {
-		c.WorkerUnreachable(now, w.target.ID)
-		if w.lease.expired(now) {
-			c.WorkerLeaseExpired(now, w.target.ID)
-		}
-	})
+	r.change(func(now time.Time, c *cell.Cell) { r.unreachable(now, c, w) })
+}
+
+// unreachable applies a poll without reply. The leadership's lock must be held.
+func (r *leadership) unreachable(now time.Time, c *cell.Cell, w *workerLoop) {
+	c.WorkerUnreachable(now, w.target.ID)
+	if w.lease.expired(now) {
+		c.WorkerLeaseExpired(now, w.target.ID)
+	}
 }
 
 func (r *leadership) pollAnswered(w *workerLoop, reply PollReply) {
-	r.change(func(now time.Time, c *cell.Cell) {
-		if w.incarnation != reply.Listing.Incarnation {
-			w.lease.reset()
-			w.incarnation = reply.Listing.Incarnation
-		}
-		w.lease.observeClock(now, reply.Clock)
-		c.Listed(now, w.target.ID, reply.Listing)
-	})
+	r.change(func(now time.Time, c *cell.Cell) { r.answered(now, c, w, reply) })
+}
+
+// answered applies the reply to a poll. The leadership's lock must be held.
+func (r *leadership) answered(now time.Time, c *cell.Cell, w *workerLoop, reply PollReply) {
+	if w.incarnation != reply.Listing.Incarnation {
+		w.lease.reset()
+		w.incarnation = reply.Listing.Incarnation
+	}
+	w.lease.observeClock(now, reply.Clock)
+	c.Listed(now, w.target.ID, reply.Listing)
 }
 
 // awaitAcks waits for the records of the ends just listed. A poll that cannot acknowledge
@@ -177,7 +186,9 @@
 			continue
 		}
 		if _, waiting := c.Acked(w.target.ID); !waiting {
+			w.awaitsAcks = false
 			signal(w.acks)
+			r.polls.acksReady(w.target.ID)
 		}
 	}
 }
