Rows of a cell are compressed; processor time in the scheduler's load line

Change: rows from 160 bytes on are written in DEFLATE after a mark, if every live entry says that it can read them; both forms are read.

--- a/process/cell/batch.go
+++ b/process/cell/batch.go
@@ -29,6 +29,7 @@
 	runs       []*Run
 	// bytes is the total size of the values.
 	bytes int
+	codec *rowCodec
 }
 
 // batchJob is what a batch records about one job.
@@ -74,7 +75,7 @@
 // batches may be in flight at a time, each with different jobs. While the table is
 // slow, records that a caller or a start waits for go before progress updates.
 func (c *Cell) TakeBatch(now time.Time) *Batch {
-	b := &Batch{}
+	b := &Batch{codec: &c.codec}
 	if c.tableSlow {
 		c.fill(b, now, (*Job).recordAwaited)
 	}
@@ -161,7 +162,7 @@
 	}
 	if job.stateVersion != 0 || job.hasState() {
 		e.wroteState = true
-		bytes += b.put(statePrefix+job.ID, job.stateVersion, encode(job.stateRow()))
+		bytes += b.put(statePrefix+job.ID, job.stateVersion, b.codec.encode(job.stateRow()))
 	}
 	for _, o := range job.occurrences {
 		for _, s := range o.steps {
@@ -183,7 +184,7 @@
 		b.Writes = append(b.Writes, platform.Write{Key: key, Delete: true})
 	case !e.finished && job.specVersion == 0 && !job.specRemoved:
 		e.wroteSpec = true
-		value := encode(job.JobSpec)
+		value := b.codec.encode(job.JobSpec)
 		b.Writes = append(b.Writes, platform.Write{Key: key, Value: value})
 		return len(value)
 	}
--- a/process/cell/cell.go
+++ b/process/cell/cell.go
@@ -69,6 +69,7 @@
 	// batches holds the writes in flight.
 	batches []*Batch
 	actions Actions
+	codec   rowCodec
 	// tableUnavailableFor is how long the table has been unavailable for writes; 0 if it is
 	// available.
 	tableUnavailableFor time.Duration
--- a/process/cell/faults_test.go
+++ b/process/cell/faults_test.go
@@ -259,8 +259,8 @@
 	record(t, c, now)
 	var rows []platform.Row
 	for _, j := range c.jobs {
-		rows = append(rows, platform.Row{Key: specPrefix + j.ID, Value: encode(j.JobSpec), Version: j.specVersion})
-		rows = append(rows, platform.Row{Key: statePrefix + j.ID, Value: encode(j.stateRow()), Version: j.stateVersion})
+		rows = append(rows, platform.Row{Key: specPrefix + j.ID, Value: (&rowCodec{compress: true}).encode(j.JobSpec), Version: j.specVersion})
+		rows = append(rows, platform.Row{Key: statePrefix + j.ID, Value: (&rowCodec{compress: true}).encode(j.stateRow()), Version: j.stateVersion})
 	}
 	return rows
 }
--- a/process/cell/load.go
+++ b/process/cell/load.go
@@ -1,7 +1,6 @@
 package cell
 
 import (
-	"encoding/json"
 	"fmt"
 	"strings"
 	"time"
@@ -33,7 +32,7 @@
 // loadSpec adds the job of a spec row.
 func (c *Cell) loadSpec(id string, row platform.Row) {
 	var spec JobSpec
-	err := json.Unmarshal(row.Value, &spec)
+	err := decodeRow(row.Value, &spec)
 	if err == nil && spec.ID != id {
 		err = fmt.Errorf("id: the row is of job %q", spec.ID)
 	}
@@ -54,7 +53,7 @@
 // loadState restores the progress of a job, or an ended job that has no spec row.
 func (c *Cell) loadState(id string, row platform.Row) error {
 	var state stateRow
-	if err := json.Unmarshal(row.Value, &state); err != nil {
+	if err := decodeRow(row.Value, &state); err != nil {
 		return err
 	}
 	job := c.jobs[id]
--- a/process/cell/record.go
+++ b/process/cell/record.go
@@ -1,8 +1,6 @@
 package cell
 
 import (
-	"encoding/json"
-	"fmt"
 	"slices"
 	"time"
 )
@@ -49,16 +47,6 @@
 	Worker string `json:"w,omitempty"`
 }
 
-// encode returns the JSON encoding of a row. All row types can be encoded, so an error
-// is a bug and panics.
-func encode(row any) []byte {
-	value, err := json.Marshal(row)
-	if err != nil {
-		panic(fmt.Sprintf("encode %T: %v", row, err))
-	}
-	return value
-}
-
 // hasState reports whether the job has progress to record beyond its acceptance.
 func (j *Job) hasState() bool {
 	if j.outcome.Ended() || len(j.occurrences) > 1 {
--- a/process/cell/setaside_test.go
+++ b/process/cell/setaside_test.go
@@ -26,7 +26,7 @@
 // keep a scheduler from reading the cell: each one that takes over would fail in turn.
 func TestMalformedRowsSetOneJobAside(t *testing.T) {
 	c, _, _ := gangOfTwo(t)
-	rows := []platform.Row{{Key: specPrefix + "gang", Value: encode(c.jobs["gang"].JobSpec), Version: 8}}
+	rows := []platform.Row{{Key: specPrefix + "gang", Value: (&rowCodec{compress: true}).encode(c.jobs["gang"].JobSpec), Version: 8}}
 	for _, bad := range []string{
 		`{`, `[]`, `{"id":7}`, `{"id":"other","steps":[{"count":1}]}`, `{"id":"bad","steps":[{"count":-1}]}`, `{"id":"bad","steps":[{"count":1,"after":[5]}]}`,
 	} {
--- a/process/cluster/calls.go
+++ b/process/cluster/calls.go
@@ -48,6 +48,8 @@
 	// began to leave, in milliseconds.
 	UptimeMS  int64 `json:"uptime_ms,omitempty"`
 	LeavingMS int64 `json:"leaving_ms,omitempty"`
+	// Inflates is set if the standby can read compressed rows.
+	Inflates bool `json:"inflates,omitempty"`
 }
 
 // heartbeatReply is the scheduler's answer to a heartbeat.
--- a/process/cluster/heartbeat.go
+++ b/process/cluster/heartbeat.go
@@ -126,7 +126,7 @@
 	version := n.catalogVersion()
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	b := heartbeat{Member: n.member(), CatalogVersion: version, MembersHash: view.membersHash, Stamp: view.stamp, UptimeMS: n.clockMS()}
+	b := heartbeat{Member: n.member(), CatalogVersion: version, MembersHash: view.membersHash, Stamp: view.stamp, UptimeMS: n.clockMS(), Inflates: true}
 	if n.leaving {
 		b.LeavingMS = max(1, time.Since(n.leavingSince).Milliseconds())
 	}
@@ -179,7 +179,7 @@
 	if b.Stamp > 0 {
 		confirmed = maxTime(confirmed, n.startedAt.Add(time.Duration(b.Stamp)*time.Millisecond))
 	}
-	heard := standby{Member: b.Member, lastContact: time.Now(), confirmedAt: confirmed, unable: b.CatalogVersion == 0}
+	heard := standby{Member: b.Member, lastContact: time.Now(), confirmedAt: confirmed, unable: b.CatalogVersion == 0, inflates: b.Inflates}
 	heard.startedAt, heard.leavingSince = timeBefore(b.UptimeMS), timeBefore(b.LeavingMS)
 	n.standbys[b.Name] = heard
 }
--- a/process/cluster/leadership.go
+++ b/process/cluster/leadership.go
@@ -232,10 +232,12 @@
 		refusing := r.refusingFor()
 		limits := adviceLimits(len(r.node.liveMembers()))
 		decisionTime := r.node.lag.decisionTime()
+		compress := r.node.allInflate()
 		r.change(func(now time.Time, c *cell.Cell) {
 			c.SetTableUnavailable(refusing)
 			c.SetAdviceLimits(limits)
 			c.SetDecisionTime(decisionTime)
+			c.SetCompression(compress)
 			if refusing > 0 {
 				c.RefuseUnrecorded(now.Add(-refuseUnrecordedAfter))
 			}
--- a/process/cluster/loadlog.go
+++ b/process/cluster/loadlog.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"strings"
+	"syscall"
 	"time"
 
 	"github.com/kingcuplatch/kingcuplatch/conn/traffic"
@@ -18,6 +19,7 @@
 	ticker := time.NewTicker(loadLogPeriod)
 	defer ticker.Stop()
 	before := readTraffic(r.node.config.Traffic, time.Now())
+	usedBefore := processorTime()
 	for {
 		select {
 		case <-r.ctx.Done():
@@ -31,10 +33,23 @@
 		current := readTraffic(r.node.config.Traffic, now)
 		sent, received := current.ratesSince(before)
 		before = current
-		r.node.log.Log(events.SchedulerLoad, r.fence, r.node.lag.average().String(), starts.InProgress, int(starts.Limit), int(starts.Replies), sent, received)
+		used := processorTime()
+		cores := (used - usedBefore).Seconds() / loadLogPeriod.Seconds()
+		usedBefore = used
+		r.node.log.Log(events.SchedulerLoad, r.fence, fmt.Sprintf("%.3f", cores), r.node.lag.average().String(), starts.InProgress, int(starts.Limit), int(starts.Replies), sent, received)
 	}
 }
 
+// processorTime returns the processor time that this process has used; 0 if the system
+// doesn't say.
+func processorTime() time.Duration {
+	var usage syscall.Rusage
+	if syscall.Getrusage(syscall.RUSAGE_SELF, &usage) != nil {
+		return 0
+	}
+	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
+}
+
 // trafficReading is the state of a meter at a time.
 type trafficReading struct {
 	at    time.Time
--- a/process/cluster/members.go
+++ b/process/cluster/members.go
@@ -23,6 +23,8 @@
 	leavingSince time.Time
 	// unable is set if the entry can't schedule now: it has no configuration, or refused.
 	unable bool
+	// inflates is set if the entry can read compressed rows.
+	inflates bool
 }
 
 const (
@@ -128,6 +130,18 @@
 	return n.member()
 }
 
+// allInflate reports whether every live standby can read compressed rows.
+func (n *Node) allInflate() bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for _, m := range n.standbys {
+		if m.live() && !m.inflates {
+			return false
+		}
+	}
+	return true
+}
+
 // member returns this entry as other entries list it. n.mu must be held.
 func (n *Node) member() Member {
 	return Member{Name: n.config.Name, Address: n.config.Address, Cores: n.config.Cores, Leaving: n.leaving}
--- a/process/events/catalogue.go
+++ b/process/events/catalogue.go
@@ -57,7 +57,7 @@
 
 	// SchedulerLoad tells what limits a scheduler: its processor (lag), its link (sent,
 	// received), or the replies of workers.
-	SchedulerLoad = &Event{7015, logrus.InfoLevel, "load of the scheduler since the line before", []string{"fence", "lag", "starting", "limit", "replies_per_s", "sent_bytes_per_s", "received_bytes_per_s"}, "Compare the bytes with the instance's link; see OPERATIONS.md, an overloaded scheduler."}
+	SchedulerLoad = &Event{7015, logrus.InfoLevel, "load of the scheduler since the line before", []string{"fence", "cores", "lag", "starting", "limit", "replies_per_s", "sent_bytes_per_s", "received_bytes_per_s"}, "Compare the bytes with the instance's link; see OPERATIONS.md, an overloaded scheduler."}
 
 	JobAccepted  = &Event{7101, logrus.InfoLevel, "job accepted", []string{"job", "team", "age"}, nothing}
 	JobRefused   = &Event{7102, logrus.InfoLevel, "job refused, it will not run", []string{"job", "team", "reason", "retry_after"}, nothing}
