Entries refuse part of what an overloaded scheduler would; its lag extends timeouts

Change: client-side throttling at each entry and queue (twice what the scheduler accepts is forwarded, the rest refused at once with its last time to come back); the scheduler's heartbeats carry its lag, and ten times that, 1.5 s at most, is added to the timeouts by which it counts as unreachable or without table. A process that is gone is replaced as before.

--- a/process/cell/admit.go
+++ b/process/cell/admit.go
@@ -64,8 +64,13 @@
 	Verdict    Verdict
 	Reason     string
 	RetryAfter time.Duration
+	// Overloaded is set if a job is refused because the scheduler itself has too much to do.
+	Overloaded bool
 }
 
+// overloaded is the reason of refusals because of the scheduler's own load.
+const overloaded = "the scheduler is overloaded"
+
 // tokenBucket limits the rate of a team's submissions to its weight.
 type tokenBucket struct {
 	tokens     float64
@@ -142,7 +147,7 @@
 	if reason, after := c.refusal(now, job); reason != "" {
 		c.refused.add(now, spec.ID, first)
 		c.note(Note{Kind: NoteJobRefused, Job: spec.ID, Team: spec.Team, Reason: reason, Wait: after})
-		return Admission{Verdict: Refused, Reason: reason, RetryAfter: after}
+		return Admission{Verdict: Refused, Reason: reason, RetryAfter: after, Overloaded: reason == overloaded}
 	}
 	c.jobs[spec.ID] = job
 	c.live = append(c.live, job)
@@ -202,11 +207,11 @@
 		return "", 0
 	}
 	if slack := job.objective() - job.fullCriticalPath(); c.decisionTime > slack {
-		return "the scheduler is overloaded", retryAfter(c.decisionTime)
+		return overloaded, retryAfter(c.decisionTime)
 	}
 	wait, startWait := c.expectedWait(now, job)
 	if over := now.Sub(job.FirstSeen) + startWait + job.fullCriticalPath() - job.objective(); startWait > 0 && over > 0 {
-		return "the scheduler is overloaded", retryAfter(min(over, max(startWait, minRetryAfter)))
+		return overloaded, retryAfter(min(over, max(startWait, minRetryAfter)))
 	}
 	useful := deadlineFactor * job.objective()
 	if job.OverShare {
--- a/process/cluster/calls.go
+++ b/process/cluster/calls.go
@@ -68,6 +68,8 @@
 	Leaving bool     `json:"leaving,omitempty"`
 	// Stamp is the time of the reply on the scheduler's clock, in milliseconds.
 	Stamp int64 `json:"stamp,omitempty"`
+	// LagMS is how late the scheduler's process runs work that is ready, in milliseconds.
+	LagMS int64 `json:"lag_ms,omitempty"`
 }
 
 // seenReply names the scheduler that an entry follows, with the ages, in milliseconds, of
@@ -158,6 +160,8 @@
 	// Ended is set with ResultUnknown if scheduling ended before the outcome was known: the
 	// next scheduler knows it.
 	Ended bool `json:"ended,omitempty"`
+	// Overloaded is set with ResultRefused if the scheduler itself has too much to do.
+	Overloaded bool `json:"overloaded,omitempty"`
 }
 
 // adviseCall requests that another entry call the advisory service.
--- a/process/cluster/forward.go
+++ b/process/cluster/forward.go
@@ -144,13 +144,17 @@
 		return unavailable("no scheduler is known", 0), repeatAtSuccessor
 	}
 	refused := view.refused && !view.isNew()
-	if unreachableFor := time.Since(view.lastHeard); refused || unreachableFor > unreachableAfter+n.heartbeatInterval(view)-heartbeatPeriod {
+	if unreachableFor := time.Since(view.lastHeard); refused || unreachableFor > unreachableAfter+view.lagAllowance()+n.heartbeatInterval(view)-heartbeatPeriod {
 		return unavailable("the scheduler is silent", unreachableFor), repeatAtSuccessor
 	}
-	call.Via = n.config.Name
 	if call.Op == OpSubmit && call.Spec != nil {
+		if refusal, refused := n.throttles.refuse(time.Now(), call.Queue); refused {
+			return refusal, noRepeat
+		}
+		defer func() { n.throttles.observe(time.Now(), call.Queue, reply) }()
 		n.texts.put(call.ID, call.Spec.Text)
 	}
+	call.Via = n.config.Name
 	ctx, cancel := context.WithTimeout(ctx, forwardTimeout)
 	defer cancel()
 	defer context.AfterFunc(view.ctx, cancel)()
@@ -242,7 +246,7 @@
 	case cell.Unavailable:
 		return Reply{Result: ResultUnavailable, Reason: admission.Reason, RetryAfter: admission.RetryAfter}
 	case cell.Refused:
-		return Reply{Result: ResultRefused, Reason: admission.Reason, RetryAfter: admission.RetryAfter}
+		return Reply{Result: ResultRefused, Reason: admission.Reason, RetryAfter: admission.RetryAfter, Overloaded: admission.Overloaded}
 	}
 	return r.awaitRecord(ctx, recorded)
 }
--- a/process/cluster/heartbeat.go
+++ b/process/cluster/heartbeat.go
@@ -103,6 +103,7 @@
 			n.view.ctx, n.view.cancel = context.WithCancel(context.Background())
 		}
 		n.view.refused = false
+		n.view.lag = time.Duration(reply.LagMS) * time.Millisecond
 		n.view.tableSilentFor = time.Duration(reply.TableSilentMS) * time.Millisecond
 		n.view.lastHeard = time.Now()
 		n.view.lastContact = maxTime(n.view.lastContact, sent)
@@ -145,7 +146,7 @@
 		// While the cell is being loaded, the standbys must not take over.
 		defer n.mu.Unlock()
 		n.noteHeartbeat(b)
-		return heartbeatReply{Fence: n.loading, Stamp: n.clockMS()}, nil
+		return heartbeatReply{Fence: n.loading, Stamp: n.clockMS(), LagMS: n.lag.average().Milliseconds()}, nil
 	}
 	if r == nil || r.over() {
 		n.mu.Unlock()
@@ -153,7 +154,7 @@
 	}
 	n.noteHeartbeat(b)
 	reply := heartbeatReply{
-		Stamp: n.clockMS(),
+		Stamp: n.clockMS(), LagMS: n.lag.average().Milliseconds(),
 		Fence: r.fence, TableAgeMS: r.tableAge().Milliseconds(), TableSilentMS: r.tableSilentFor().Milliseconds(), FailingMS: r.tableFailingFor().Milliseconds(), Leaving: n.leaving,
 	}
 	if list := n.memberListLocked(); list.hash != b.MembersHash {
--- a/process/cluster/node.go
+++ b/process/cluster/node.go
@@ -102,6 +102,8 @@
 	acquireFrom time.Time
 	// polls is the group of workers that this entry polls for the scheduler.
 	polls *pollSet
+	// throttles refuse submissions here while the scheduler is overloaded.
+	throttles throttles
 	// texts are those of jobs that were submitted through this entry.
 	texts textCache
 	// startedAt is when this incarnation started; yieldedAt is when it last yielded the
@@ -112,7 +114,7 @@
 
 // NewNode returns a node that is not running yet.
 func NewNode(c Config) *Node {
-	n := &Node{config: c, log: c.Log, standbys: make(map[string]standby), startedAt: time.Now(), view: noView(nil), changed: make(chan struct{}), texts: newTextCache()}
+	n := &Node{config: c, log: c.Log, standbys: make(map[string]standby), startedAt: time.Now(), view: noView(nil), changed: make(chan struct{}), texts: newTextCache(), throttles: newThrottles()}
 	if n.config.Traffic == nil {
 		n.config.Traffic = &traffic.Meter{}
 	}
--- a/process/cluster/standby.go
+++ b/process/cluster/standby.go
@@ -33,7 +33,7 @@
 	}
 	for range queried {
 		reply := <-answers
-		if !reply.fresh() || reply.Fence < view.fence {
+		if !reply.fresh(view.lagAllowance()) || reply.Fence < view.fence {
 			continue
 		}
 		if reply.Fence > view.fence {
@@ -55,10 +55,11 @@
 	return reply
 }
 
-// fresh reports whether the entry reaches a scheduler that reaches the table.
-func (r seenReply) fresh() bool {
-	return r.Fence != 0 && !r.Refused && time.Duration(r.ContactAgeMS)*time.Millisecond < unreachableAfter &&
-		time.Duration(r.TableAgeMS)*time.Millisecond < tableStaleAfter
+// fresh reports whether the entry reaches a scheduler that reaches the table. allowance is
+// added to the timeouts, for the scheduler's lag.
+func (r seenReply) fresh(allowance time.Duration) bool {
+	return r.Fence != 0 && !r.Refused && time.Duration(r.ContactAgeMS)*time.Millisecond < unreachableAfter+allowance &&
+		time.Duration(r.TableAgeMS)*time.Millisecond < tableStaleAfter+allowance
 }
 
 // serveReleased drops the view of a scheduler that has released the lease, and checks the
--- a/process/cluster/view.go
+++ b/process/cluster/view.go
@@ -34,6 +34,8 @@
 	// last answer of the table had arrived, and how long its calls to the table had failed.
 	tableSilentFor time.Duration
 	failingFor     time.Duration
+	// lag is how late the scheduler's process runs work that is ready, as it reported.
+	lag time.Duration
 	// recentTakeovers is the number of takeovers that followed each other up to this one.
 	recentTakeovers int
 	// acquiringUntil is the time until which this entry does not try to acquire the lease,
@@ -140,7 +142,7 @@
 // unreachable reports whether the scheduler has been unreachable for long enough that a
 // standby with this takeover delay may act.
 func (v leaderView) unreachable(now time.Time, delay time.Duration) bool {
-	timeout := unreachableAfter
+	timeout := unreachableAfter + v.lagAllowance()
 	switch {
 	case v.refused:
 		timeout = unreachableAfterRefusal
@@ -154,9 +156,17 @@
 // recent reply of its own. A new scheduler is exempt during warmUpTime.
 func (v leaderView) tableUnavailable(now time.Time) bool {
 	warmedUp := now.Sub(v.since) > warmUpTime
-	return warmedUp && !v.unreachable(now, 0) && (v.tableSilentFor > tableStaleAfter || v.failingFor > tableFailingAfter)
+	return warmedUp && !v.unreachable(now, 0) && (v.tableSilentFor > tableStaleAfter+v.lagAllowance() || v.failingFor > tableFailingAfter+v.lagAllowance())
 }
 
+// maxLagAllowance bounds lagAllowance, so that a scheduler that stops while it is overloaded
+// is still replaced soon.
+const maxLagAllowance = 1500 * time.Millisecond
+
+// lagAllowance is added to the timeouts by which the scheduler counts as unreachable, or as
+// cut off from the table: an overloaded one answers, and reads answers, that much later.
+func (v leaderView) lagAllowance() time.Duration { return min(decisionHops*v.lag, maxLagAllowance) }
+
 // tableSuspect reports whether the scheduler may have lost contact with the table.
 func (v leaderView) tableSuspect() bool {
 	return v.tableSilentFor > tableSuspectAfter || v.failingFor > 0
