--- a/process/cluster/acquire.go
+++ b/process/cluster/acquire.go
@@ -80,7 +80,7 @@
 	// From the notifications on, calls of other entries arrive.
 	n.startLoad(fence, cancel)
 	n.log.Log(events.CellLeaseAcquired, fence, reason, time.Since(began).String())
-	n.notify(n.knownEntries(), methodAcquired, seenReply{leaseRow: n.ownLease(), Fence: fence}, releaseTimeout)
+	n.notify(n.knownEntries(), methodAcquired, seenReply{leaseRow: n.ownLease(), Fence: fence, Loading: true}, releaseTimeout)
 	n.begin(loadCtx, fence, began)
 }
 
@@ -129,6 +129,7 @@
 	n.setView(newView(fence, n.ownLease(), n.view.members))
 	n.endLoadLocked()
 	n.mu.Unlock()
+	n.notify(n.knownEntries(), methodLoaded, seenReply{leaseRow: n.ownLease(), Fence: fence}, releaseTimeout)
 	n.log.Log(events.SchedulerStarted, fence, jobs, live, time.Since(since).String())
 	go func() {
 		r.run()
@@ -152,7 +153,7 @@
 
 // ownLease returns the lease row with which this entry schedules.
 func (n *Node) ownLease() leaseRow {
-	return leaseRow{Holder: n.config.Name, Address: n.config.Address, Incarnation: n.config.Incarnation}
+	return leaseRow{Holder: n.config.Name, Address: n.config.Address, Incarnation: n.config.Incarnation, LinkBytes: n.config.LinkBytes}
 }
 
 // inherit adds the standbys that the former scheduler listed. They are considered live
@@ -213,6 +214,27 @@
 	}
 }
 
+// awaitSchedulerLoaded waits while another entry, the scheduler, is known to read the cell,
+// for at most loadWait. Calls sent meanwhile would only wait there, and delay the rows on its
+// link.
+func (n *Node) awaitSchedulerLoaded(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, loadWait)
+	defer cancel()
+	for {
+		n.mu.Lock()
+		loading, changed := n.view.loading, n.changed
+		n.mu.Unlock()
+		if !loading {
+			return
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
 // leadershipEnded makes the node a standby that reads the lease row next.
 func (n *Node) leadershipEnded(r *leadership) {
 	n.mu.Lock()
--- a/process/cluster/calls.go
+++ b/process/cluster/calls.go
@@ -15,6 +15,7 @@
 	methodOffer     = "cell.offer"
 	methodAcquiring = "cell.taking"
 	methodAcquired  = "cell.took"
+	methodLoaded    = "cell.loaded"
 	methodCall      = "cell.call"
 	methodAdvise    = "cell.advise"
 	methodCatalog   = "cell.catalog"
@@ -66,6 +67,8 @@
 	// Members are sent if the standby's list differs.
 	Members []Member `json:"members,omitempty"`
 	Leaving bool     `json:"leaving,omitempty"`
+	// Loading is set while the scheduler reads the cell.
+	Loading bool `json:"loading,omitempty"`
 	// Stamp is the time of the reply on the scheduler's clock, in milliseconds.
 	Stamp int64 `json:"stamp,omitempty"`
 	// LagMS is how late the scheduler's process runs work that is ready, in milliseconds.
@@ -84,6 +87,8 @@
 	Refused bool `json:"refused,omitempty"`
 	// Successor is the entry that is to acquire a released lease; empty if any may.
 	Successor string `json:"successor,omitempty"`
+	// Loading is set in the notification of a scheduler that still has to read the cell.
+	Loading bool `json:"loading,omitempty"`
 }
 
 // offerReply answers a scheduler that offers to hand the cell over.
--- a/process/cluster/fakes_test.go
+++ b/process/cluster/fakes_test.go
@@ -150,6 +150,7 @@
 
 // delayReply waits until a write is answered.
 func (t *nodeTable) delayReply(ctx context.Context) {
+	t.w.transmit(ctx, "", t.node, replyOverhead)
 	t.w.mu.Lock()
 	delay := t.w.commitReplyDelay
 	t.w.mu.Unlock()
@@ -360,6 +361,9 @@
 		percent := int(100 * time.Since(began) / k.taskDuration)
 		reply.Listing.Running = append(reply.Listing.Running, cell.ListedRun{RunKey: key, Percent: percent})
 	}
+	c.w.mu.Unlock()
+	c.w.transmit(ctx, "", c.node, replyOverhead+len(reply.Listing.Running)*listedRunBytes)
+	c.w.mu.Lock()
 	return reply, c.read(ctx, k.answerDelay)
 }
 
--- a/process/cluster/forward.go
+++ b/process/cluster/forward.go
@@ -51,6 +51,7 @@
 	waitUntil := time.Now().Add(callWait)
 	for {
 		n.awaitLoaded(ctx)
+		n.awaitSchedulerLoaded(ctx)
 		n.mu.Lock()
 		r, view, changed := n.leadership, n.view, n.changed
 		n.mu.Unlock()
@@ -142,6 +143,8 @@
 		return unavailable("no scheduler is known", 0), repeatSoon
 	case view.Holder == "":
 		return unavailable("no scheduler is known", 0), repeatAtSuccessor
+	case view.loading:
+		return unavailable("the scheduler reads the cell", time.Since(view.since)), repeatAtSuccessor
 	}
 	refused := view.refused && !view.isNew()
 	if unreachableFor := time.Since(view.lastHeard); refused || unreachableFor > unreachableAfter+view.lagAllowance()+n.heartbeatInterval(view)-heartbeatPeriod {
@@ -151,6 +154,11 @@
 		if refusal, refused := n.throttles.refuse(time.Now(), call.Queue); refused {
 			return refusal, noRepeat
 		}
+		size := call.forwardedBytes()
+		if !n.forwarded.begin(ctx, size, view.forwardBudget()) {
+			return Reply{Result: ResultRefused, Reason: "the scheduler's link is full", RetryAfter: linkRetryAfter, Overloaded: true}, noRepeat
+		}
+		defer n.forwarded.end(size)
 		defer func() { n.throttles.observe(time.Now(), call.Queue, reply) }()
 		n.texts.put(call.ID, call.Spec.Text)
 	}
--- a/process/cluster/heartbeat.go
+++ b/process/cluster/heartbeat.go
@@ -103,6 +103,7 @@
 			n.view.ctx, n.view.cancel = context.WithCancel(context.Background())
 		}
 		n.view.refused = false
+		n.setLoading(view.fence, reply.Loading)
 		n.view.lag = time.Duration(reply.LagMS) * time.Millisecond
 		n.view.tableSilentFor = time.Duration(reply.TableSilentMS) * time.Millisecond
 		n.view.lastHeard = time.Now()
@@ -146,7 +147,7 @@
 		// While the cell is being loaded, the standbys must not take over.
 		defer n.mu.Unlock()
 		n.noteHeartbeat(b)
-		return heartbeatReply{Fence: n.loading, Stamp: n.clockMS(), LagMS: n.lag.average().Milliseconds()}, nil
+		return heartbeatReply{Fence: n.loading, Loading: true, Stamp: n.clockMS(), LagMS: n.lag.average().Milliseconds()}, nil
 	}
 	if r == nil || r.over() {
 		n.mu.Unlock()
--- a/process/cluster/link_test.go
+++ b/process/cluster/link_test.go
@@ -14,12 +14,14 @@
 }
 
 // Sizes, in bytes, of what surrounds a message: the envelope of a call between entries, the
-// head and the other fields of a request to a worker or to the table, and the names of a row
-// in a transaction.
+// head and the other fields of a request to a worker or to the table, the names of a row in a
+// transaction, the head of a reply, and a run in a worker's list.
 const (
 	messageOverhead = 120
 	requestOverhead = 350
 	rowOverhead     = 90
+	replyOverhead   = 250
+	listedRunBytes  = 50
 )
 
 // transmit waits until bytes have passed the links of both nodes, or until ctx ends. The
@@ -44,3 +46,13 @@
 func (l *nodeLink) duration(bytes int) time.Duration {
 	return time.Duration(float64(bytes) / l.bytesPerSecond * float64(time.Second))
 }
+
+// linkBytes returns the bandwidth of a node's link in bytes a second; 0 if it has no limit.
+func (w *simulation) linkBytes(name string) int64 {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if link := w.links[name]; link != nil {
+		return int64(link.bytesPerSecond)
+	}
+	return 0
+}
--- a/process/cluster/narrowlink_test.go
+++ b/process/cluster/narrowlink_test.go
@@ -45,15 +45,7 @@
 // its job. On narrow links short jobs were late and refused while processors stood idle.
 func TestShortJobsOnNarrowLinks(t *testing.T) {
 	simulate(t, 0, func(w *simulation) {
-		w.addWorkers(narrowWorkers)
-		w.workerCPU = 32000
-		for i := range narrowNodes {
-			name := fmt.Sprintf("n%d", i)
-			w.links[name] = &nodeLink{bytesPerSecond: narrowLink}
-			w.startSized(name, narrowCores)
-		}
-		w.awaitLeader(2*time.Second, "")
-		time.Sleep(3 * time.Second)
+		w.startNarrow()
 		day := &narrowDayClients{w: w}
 		day.run()
 		inTime, late := day.count()
@@ -63,11 +55,62 @@
 	})
 }
 
+// The table doesn't answer for some seconds. Callers that were refused or not answered come again;
+// what they sent filled the link of the scheduler, so that the table's answers came too late for
+// long after the table was back.
+func TestOutageLeavesNoOverloadOnNarrowLinks(t *testing.T) {
+	const (
+		downFrom, downUntil = 3 * time.Second, 7 * time.Second
+		// recovered is how long after the table is back jobs are served as before.
+		recovered = 3 * time.Second
+	)
+	simulate(t, 0, func(w *simulation) {
+		w.startNarrow()
+		hang := func(on bool) func() {
+			return func() {
+				w.set(func() {
+					for name := range w.nodes {
+						w.hang[name] = on
+					}
+				})
+			}
+		}
+		time.AfterFunc(downFrom, hang(true))
+		time.AfterFunc(downUntil, hang(false))
+		began := time.Now()
+		day := &narrowDayClients{w: w, impatient: true}
+		day.run()
+		for id, sent := range day.urgent {
+			if sent.Sub(began) < downUntil+recovered {
+				delete(day.urgent, id)
+			}
+		}
+		_, late := day.count()
+		assert.Assert(t, len(day.urgent) > 50)
+		assert.Equal(t, late, 0, "of %d urgent jobs that came after the table had recovered, started after %s or never", len(day.urgent), urgentStart)
+	})
+}
+
+// startNarrow starts the nodes and workers of these tests.
+func (w *simulation) startNarrow() {
+	w.addWorkers(narrowWorkers)
+	w.workerCPU = 32000
+	for i := range narrowNodes {
+		name := fmt.Sprintf("n%d", i)
+		w.links[name] = &nodeLink{bytesPerSecond: narrowLink}
+		w.startSized(name, narrowCores)
+	}
+	w.awaitLeader(2*time.Second, "")
+	time.Sleep(3 * time.Second)
+}
+
 // narrowDayClients submits the jobs of a day, each through another entry.
 type narrowDayClients struct {
 	w      *simulation
 	jobs   sync.WaitGroup
 	urgent map[string]time.Time
+	// impatient clients try again after a quarter of a second, whatever they are told.
+	impatient bool
 }
 
 func (d *narrowDayClients) run() {
@@ -113,7 +156,11 @@
 			if reply.Result == ResultOK {
 				return
 			}
-			sleep(ctx, max(reply.RetryAfter, time.Second))
+			pause := max(reply.RetryAfter, time.Second)
+			if d.impatient {
+				pause = time.Second / 4
+			}
+			sleep(ctx, pause)
 		}
 	}()
 }
--- a/process/cluster/node.go
+++ b/process/cluster/node.go
@@ -38,8 +38,10 @@
 	Address     string
 	Incarnation string
 	// Cores is the processor capacity of this entry.
-	Cores   float64
-	Timings Timings
+	Cores float64
+	// LinkBytes is the bandwidth of this entry's link, in bytes a second; 0 if unknown.
+	LinkBytes int64
+	Timings   Timings
 
 	Table     platform.Table
 	Directory Directory
@@ -102,6 +104,8 @@
 	acquireFrom time.Time
 	// polls is the group of workers that this entry polls for the scheduler.
 	polls *pollSet
+	// forwarded counts the bytes of submissions that wait for the scheduler.
+	forwarded inFlight
 	// throttles refuse submissions here while the scheduler is overloaded.
 	throttles throttles
 	// texts are those of jobs that were submitted through this entry.
@@ -114,7 +118,7 @@
 
 // NewNode returns a node that is not running yet.
 func NewNode(c Config) *Node {
-	n := &Node{config: c, log: c.Log, standbys: make(map[string]standby), startedAt: time.Now(), view: noView(nil), changed: make(chan struct{}), texts: newTextCache(), throttles: newThrottles()}
+	n := &Node{config: c, log: c.Log, standbys: make(map[string]standby), startedAt: time.Now(), view: noView(nil), changed: make(chan struct{}), texts: newTextCache(), throttles: newThrottles(), forwarded: newInFlight()}
 	if n.config.Traffic == nil {
 		n.config.Traffic = &traffic.Meter{}
 	}
@@ -133,6 +137,7 @@
 		methodOffer:     n.serveOffer,
 		methodAcquiring: n.serveAcquiring,
 		methodAcquired:  n.serveAcquired,
+		methodLoaded:    n.serveLoaded,
 		methodCall:      n.serveCall,
 		methodAdvise:    n.serveAdvise,
 		methodCatalog:   n.serveCatalog,
--- a/process/cluster/simulation_test.go
+++ b/process/cluster/simulation_test.go
@@ -112,8 +112,9 @@
 func (w *simulation) startSized(name string, cores float64) {
 	n := NewNode(Config{
 		Name: name, Cores: cores, Address: name, Incarnation: name + time.Now().String(),
-		Timings: Timings{Lease: 4 * time.Second, KeepEnded: time.Minute},
-		Table:   &nodeTable{w, name}, Directory: w, Catalogs: simCatalogs{w}, Workers: &nodeWorkers{w, name}, Advisor: w,
+		Timings:   Timings{Lease: 4 * time.Second, KeepEnded: time.Minute},
+		LinkBytes: w.linkBytes(name),
+		Table:     &nodeTable{w, name}, Directory: w, Catalogs: simCatalogs{w}, Workers: &nodeWorkers{w, name}, Advisor: w,
 		Peers: &nodePeers{w, name}, Log: events.New(io.Discard, name),
 	})
 	ctx, cancel := context.WithCancel(context.Background())
--- a/process/cluster/standby.go
+++ b/process/cluster/standby.go
@@ -130,6 +130,22 @@
 		r.stepDown("another entry acquired the lease")
 	}
 	n.follow(leaseState{leaseRow: message.leaseRow, version: message.Fence})
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.setLoading(message.Fence, message.Loading)
+	return struct{}{}, nil
+}
+
+// serveLoaded lets the calls go that wait for the scheduler to read the cell.
+func (n *Node) serveLoaded(_ context.Context, params json.RawMessage) (any, error) {
+	var message seenReply
+	if err := json.Unmarshal(params, &message); err != nil {
+		return nil, err
+	}
+	n.follow(leaseState{leaseRow: message.leaseRow, version: message.Fence})
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.setLoading(message.Fence, false)
 	return struct{}{}, nil
 }
 
--- a/process/cluster/view.go
+++ b/process/cluster/view.go
@@ -14,6 +14,8 @@
 	Holder      string `json:"holder,omitempty"`
 	Address     string `json:"address,omitempty"`
 	Incarnation string `json:"incarnation,omitempty"`
+	// LinkBytes is the bandwidth of the holder's link, in bytes a second; 0 if unknown.
+	LinkBytes int64 `json:"link,omitempty"`
 }
 
 // leaderView is a standby's view of the scheduler.
@@ -34,6 +36,8 @@
 	// last answer of the table had arrived, and how long its calls to the table had failed.
 	tableSilentFor time.Duration
 	failingFor     time.Duration
+	// loading is set while the scheduler is known to read the cell.
+	loading bool
 	// lag is how late the scheduler's process runs work that is ready, as it reported.
 	lag time.Duration
 	// recentTakeovers is the number of takeovers that followed each other up to this one.
@@ -78,6 +82,18 @@
 	n.changed = make(chan struct{})
 }
 
+// setLoading notes whether the scheduler with this fence reads the cell. n.mu must be held.
+func (n *Node) setLoading(fence uint64, loading bool) {
+	if n.view.fence != fence || n.view.loading == loading {
+		return
+	}
+	n.view.loading = loading
+	if !loading {
+		close(n.changed)
+		n.changed = make(chan struct{})
+	}
+}
+
 // noView returns the view while no scheduler is known.
 func noView(members []Member) leaderView {
 	v := leaderView{since: time.Now()}
