One memory of entries that fail to relay; messages on reading the cell may overtake each other

Cause: start commands and polls each remembered failures of entries by themselves; the notification that a scheduler reads the cell could arrive after the one that it has, and held calls for up to half a second. Figures: TestCallsWaitForTheCellToBeRead fails before (waits loadWait at its end).

--- a/process/cluster/inflight_test.go
+++ b/process/cluster/inflight_test.go
@@ -2,11 +2,14 @@
 
 import (
 	"context"
+	"io"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"github.com/kingcuplatch/kingcuplatch/process/events"
 )
 
 // Submissions beyond the budget wait for their turn, and for no longer than forwardQueueTime;
@@ -38,3 +41,29 @@
 	view.LinkBytes = 0
 	assert.Equal(t, view.forwardBudget(), 0)
 }
+
+// Calls wait while the scheduler reads the cell, and go on at once when it has, whatever older
+// message arrives late.
+func TestCallsWaitForTheCellToBeRead(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := NewNode(Config{Name: "standby", Log: events.New(io.Discard, "standby")})
+		n.follow(leaseState{leaseRow: leaseRow{Holder: "a"}, version: 5})
+		set := func(loading bool) {
+			n.mu.Lock()
+			defer n.mu.Unlock()
+			n.setLoading(5, loading)
+		}
+		wait := func() time.Duration {
+			began := time.Now()
+			n.awaitSchedulerLoaded(context.Background())
+			return time.Since(began)
+		}
+		assert.Equal(t, wait(), time.Duration(0), "not known to read the cell")
+		set(true)
+		assert.Equal(t, wait(), loadWait)
+		time.AfterFunc(80*time.Millisecond, func() { set(false) })
+		assert.Equal(t, wait(), 80*time.Millisecond)
+		set(true)
+		assert.Equal(t, wait(), time.Duration(0), "a message that was overtaken")
+	})
+}
--- a/process/cluster/leadership.go
+++ b/process/cluster/leadership.go
@@ -67,6 +67,8 @@
 	advisers *advisers
 	relays   *relays
 	polls    *pollRelays
+	// relayHealth is shared by relays and polls.
+	relayHealth *relayHealth
 
 	mu      sync.Mutex
 	cell    *cell.Cell
@@ -109,6 +111,7 @@
 		calls: newCallGate(), released: make(chan struct{}),
 	}
 	r.advisers = newAdvisers(r)
+	r.relayHealth = newRelayHealth()
 	r.relays = newRelays(r)
 	r.polls = newPollRelays(r)
 	r.ctx, r.cancel = context.WithCancel(context.Background())
--- a/process/cluster/members.go
+++ b/process/cluster/members.go
@@ -78,14 +78,12 @@
 			members = append(members, m.Member)
 		}
 	}
-	slices.SortFunc(members, func(a, b Member) int {
-		return cmp.Or(cmp.Compare(b.Cores, a.Cores), strings.Compare(a.Name, b.Name))
-	})
+	slices.SortFunc(members, compareMembers)
 	return members
 }
 
 // relayCandidates returns the other entries that may be asked to make calls: those that
-// have sent a heartbeat lately and don't leave, in the order of their names.
+// have sent a heartbeat lately and don't leave, those with the most cores first.
 func (n *Node) relayCandidates() []Member {
 	n.mu.Lock()
 	defer n.mu.Unlock()
@@ -95,10 +93,15 @@
 			candidates = append(candidates, m.Member)
 		}
 	}
-	slices.SortFunc(candidates, func(a, b Member) int { return strings.Compare(a.Name, b.Name) })
+	slices.SortFunc(candidates, compareMembers)
 	return candidates
 }
 
+// compareMembers orders entries by cores, most first, then by name.
+func compareMembers(a, b Member) int {
+	return cmp.Or(cmp.Compare(b.Cores, a.Cores), strings.Compare(a.Name, b.Name))
+}
+
 // mayRelay reports whether the entry may be asked to make calls.
 func (m standby) mayRelay() bool { return !m.Leaving && time.Since(m.lastContact) < memberTimeout }
 
--- a/process/cluster/relay.go
+++ b/process/cluster/relay.go
@@ -13,14 +13,6 @@
 	"github.com/kingcuplatch/kingcuplatch/process/cell"
 )
 
-const (
-	// relayBackoff is how long an entry gets no start commands after it failed to send some.
-	relayBackoff = 2 * time.Second
-	// pathBackoff is how long an entry gets no start commands for a worker that didn't reply
-	// to it: the path between the two may be broken while others work.
-	pathBackoff = 10 * time.Second
-)
-
 // relays sends start commands through other entries, the runs of a job in one message. Each
 // command carries the text of its job, so a scheduler that sent them all itself would need
 // a link and a processor for the whole cell. The entry that received the job has its text.
@@ -31,18 +23,11 @@
 	leadership *leadership
 
 	mu sync.Mutex
-	// avoidUntil is until when an entry that failed gets no commands, by name.
-	avoidUntil map[string]time.Time
-	// directUntil is until when the commands for a worker don't go through an entry.
-	directUntil map[relayPath]time.Time
 	// pending holds the batches with results that haven't arrived, by ID.
 	pending map[uint64]*pendingStarts
 	lastID  uint64
 }
 
-// relayPath is the path from an entry to a worker, both by name.
-type relayPath struct{ relay, worker string }
-
 // pendingStarts are the commands of a batch; those that have a result are marked.
 type pendingStarts struct {
 	relay    string
@@ -52,7 +37,7 @@
 }
 
 func newRelays(r *leadership) *relays {
-	return &relays{leadership: r, avoidUntil: make(map[string]time.Time), directUntil: make(map[relayPath]time.Time), pending: make(map[uint64]*pendingStarts)}
+	return &relays{leadership: r, pending: make(map[uint64]*pendingStarts)}
 }
 
 // start sends start commands.
@@ -79,30 +64,10 @@
 
 // candidates returns the entries that may get commands now.
 func (s *relays) candidates() []Member {
-	candidates := s.leadership.node.relayCandidates()
 	now := time.Now()
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return slices.DeleteFunc(candidates, func(m Member) bool { return now.Before(s.avoidUntil[m.Name]) })
-}
-
-func (s *relays) avoid(m Member) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.avoidUntil[m.Name] = time.Now().Add(relayBackoff)
-}
-
-// isDirect reports whether the commands for a worker don't go through an entry.
-func (s *relays) isDirect(relay Member, worker string) bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	path := relayPath{relay.Name, worker}
-	until, known := s.directUntil[path]
-	if known && time.Now().After(until) {
-		delete(s.directUntil, path)
-		return false
-	}
-	return known
+	return slices.DeleteFunc(s.leadership.node.relayCandidates(), func(m Member) bool {
+		return !s.leadership.relayHealth.entryUsable(now, m.Name)
+	})
 }
 
 // jobOfTask returns the job's ID, with which the name of a task begins.
@@ -170,7 +135,7 @@
 		s.forget(batch.ID)
 		s.startDirectly(sent)
 	default:
-		s.avoid(relay)
+		r.relayHealth.entryFailed(time.Now(), relay.Name)
 		s.expire(batch.ID)
 	}
 }
@@ -186,7 +151,7 @@
 	if errors.As(err, &remote) && remote.Code == codeNoText {
 		return
 	}
-	s.avoid(m)
+	s.leadership.relayHealth.entryFailed(time.Now(), m.Name)
 }
 
 // newBatch returns the message with the commands whose worker's clock is known, and these
@@ -203,7 +168,7 @@
 	var sent []cell.StartCommand
 	for _, command := range commands {
 		call, target, ok := r.startCall(command)
-		if !ok || s.isDirect(relay, command.Worker) {
+		if !ok || !r.relayHealth.pathUsable(time.Now(), relay.Name, command.Worker) {
 			go r.sendStart(command)
 			continue
 		}
@@ -246,7 +211,7 @@
 			continue
 		}
 		if result.Answer == wordNoReply || result.Answer == wordNotSent {
-			s.directUntil[relayPath{relay, command.Worker}] = time.Now().Add(pathBackoff)
+			s.leadership.relayHealth.pathFailed(time.Now(), relay, command.Worker)
 		}
 		fenced = fenced || result.Answer == wordFenced
 		commands = append(commands, command)
@@ -292,3 +257,15 @@
 	s.mu.Unlock()
 	s.resolve(id, missing)
 }
+
+// startTimeout returns how long after it was sent a start command counts as unanswered.
+func (r *leadership) startTimeout() time.Duration { return commandTimeout + r.node.lag.allowance() }
+
+// applyStartAnswers applies the results of start commands to the cell.
+func (r *leadership) applyStartAnswers(commands []cell.StartCommand, answers []cell.StartAnswer) {
+	r.change(func(now time.Time, c *cell.Cell) {
+		for i, command := range commands {
+			c.StartAnswered(now, command.Worker, command.RunKey, answers[i])
+		}
+	})
+}
--- a/process/cluster/relayserve.go
+++ b/process/cluster/relayserve.go
@@ -7,7 +7,6 @@
 	"time"
 
 	"github.com/kingcuplatch/kingcuplatch/conn/peer"
-	"github.com/kingcuplatch/kingcuplatch/process/cell"
 )
 
 // startResultsWait is how long an entry that starts runs for the scheduler waits for all
@@ -117,15 +116,3 @@
 	r.relays.resolve(late.ID, late.Results)
 	return struct{}{}, nil
 }
-
-// startTimeout returns how long after it was sent a start command counts as unanswered.
-func (r *leadership) startTimeout() time.Duration { return commandTimeout + r.node.lag.allowance() }
-
-// applyStartAnswers applies the results of start commands to the cell.
-func (r *leadership) applyStartAnswers(commands []cell.StartCommand, answers []cell.StartAnswer) {
-	r.change(func(now time.Time, c *cell.Cell) {
-		for i, command := range commands {
-			c.StartAnswered(now, command.Worker, command.RunKey, answers[i])
-		}
-	})
-}
--- a/process/cluster/view.go
+++ b/process/cluster/view.go
@@ -36,8 +36,8 @@
 	// last answer of the table had arrived, and how long its calls to the table had failed.
 	tableSilentFor time.Duration
 	failingFor     time.Duration
-	// loading is set while the scheduler is known to read the cell.
-	loading bool
+	// loading is set while the scheduler is known to read the cell, loaded once it has.
+	loading, loaded bool
 	// lag is how late the scheduler's process runs work that is ready, as it reported.
 	lag time.Duration
 	// recentTakeovers is the number of takeovers that followed each other up to this one.
@@ -82,13 +82,15 @@
 	n.changed = make(chan struct{})
 }
 
-// setLoading notes whether the scheduler with this fence reads the cell. n.mu must be held.
+// setLoading notes whether the scheduler with this fence reads the cell. Messages overtake each
+// other, so one that says that it does changes nothing once it has. n.mu must be held.
 func (n *Node) setLoading(fence uint64, loading bool) {
-	if n.view.fence != fence || n.view.loading == loading {
+	if n.view.fence != fence || n.view.loaded {
 		return
 	}
-	n.view.loading = loading
-	if !loading {
+	waiting := n.view.loading
+	n.view.loading, n.view.loaded = loading, !loading
+	if waiting && !loading {
 		close(n.changed)
 		n.changed = make(chan struct{})
 	}
