Overtaken poll requests count; workers without reports are taken back

Cause (found in a reading, not played): two requests to an entry may overtake each other; the older one was refused, which gave the whole group back, and a worker that only it named would not have been polled at all. Change: each request counts where no later one has said something; a worker of which nothing was reported for longer than a poll takes is polled by the scheduler again. A scheduler within its share doesn't look for entries at each poll.

--- a/process/cluster/pollgroup.go
+++ b/process/cluster/pollgroup.go
@@ -37,6 +37,8 @@
 	// acked and grantedAt are what was sent last.
 	acked     int64
 	grantedAt time.Time
+	// heardAt is when the last report was accepted, or the worker assigned.
+	heardAt time.Time
 	// released is closed when the scheduler polls the worker again; failed is set before if
 	// the worker didn't reply.
 	released chan struct{}
@@ -71,10 +73,11 @@
 	defer r.mu.Unlock()
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	now := time.Now()
+	g.releaseSilent(now)
 	if len(g.members) == 0 || (g.outstanding > 0 && !g.changed && !g.urgent) {
 		return pollRequest{}, false
 	}
-	now := time.Now()
 	p.lastSeq++
 	request := pollRequest{Fence: r.fence, Set: g.set, Seq: p.lastSeq}
 	g.sentAt[p.lastSeq] = now
@@ -165,10 +168,22 @@
 	if m == nil || !known || m.fromSeq == 0 || report.Seq < m.fromSeq || report.Number <= m.lastReport {
 		return nil, time.Time{}
 	}
-	m.lastReport = report.Number
+	m.lastReport, m.heardAt = report.Number, time.Now()
 	return m, sentAt
 }
 
+// releaseSilent takes workers out of the group of which the entry has reported nothing for
+// longer than a poll may take. The lock of pollRelays must be held.
+func (g *pollGroup) releaseSilent(now time.Time) {
+	timeout := pollWait + pollTimeout + reportWait + pollRelayTimeout + g.relays.leadership.node.lag.allowance()
+	for id, m := range g.members {
+		if now.Sub(m.heardAt) > timeout {
+			g.relays.leadership.relayHealth.pathFailed(now, g.entry.Name, id)
+			g.release(m)
+		}
+	}
+}
+
 // releaseFailed takes a worker that didn't reply out of the group.
 func (g *pollGroup) releaseFailed(now time.Time, m *groupMember) {
 	p := g.relays
--- a/process/cluster/pollrelay.go
+++ b/process/cluster/pollrelay.go
@@ -78,11 +78,11 @@
 }
 
 // poll lets another entry poll a worker, if one is to, until the scheduler has to. It
-// reports whether one did, and whether the worker failed to reply to it.
-func (p *pollRelays) poll(ctx context.Context, w *workerLoop) (relayed, failed bool) {
+// reports whether the worker failed to reply to that entry.
+func (p *pollRelays) poll(ctx context.Context, w *workerLoop) (failed bool) {
 	g, m := p.assign(w)
 	if g == nil {
-		return false, false
+		return false
 	}
 	select {
 	case <-m.released:
@@ -92,13 +92,17 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.direct++
-	return true, m.failed
+	return m.failed
 }
 
 // assign adds a worker that the scheduler polls to the group of an entry, if one is to poll
 // it.
 func (p *pollRelays) assign(w *workerLoop) (*pollGroup, *groupMember) {
 	r := p.leadership
+	own := r.node.self()
+	if p.withinOwnShare(own) {
+		return nil, nil
+	}
 	candidates := r.node.relayCandidates()
 	now := time.Now()
 	id := w.target.ID
@@ -111,7 +115,7 @@
 	for name, g := range p.groups {
 		polled[name] = len(g.members)
 	}
-	entry, ok := chooseGroup(r.node.self(), p.direct-1, candidates, polled)
+	entry, ok := chooseGroup(own, p.direct-1, candidates, polled)
 	if !ok {
 		return nil, nil
 	}
@@ -119,7 +123,7 @@
 	if g == nil {
 		g = p.newGroup(entry)
 	}
-	m := &groupMember{loop: w, released: make(chan struct{})}
+	m := &groupMember{loop: w, heardAt: now, released: make(chan struct{})}
 	g.members[id] = m
 	g.changed = true
 	p.direct--
@@ -127,6 +131,13 @@
 	return g, m
 }
 
+// withinOwnShare reports whether the scheduler polls no more workers than its share.
+func (p *pollRelays) withinOwnShare(own Member) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return float64(p.direct) <= directPollsPerCore*own.Cores
+}
+
 // newGroup adds the group of an entry and starts its loop. p.mu must be held.
 func (p *pollRelays) newGroup(entry Member) *pollGroup {
 	p.lastSet++
--- a/process/cluster/pollserve.go
+++ b/process/cluster/pollserve.go
@@ -38,8 +38,9 @@
 	mu      sync.Mutex
 	workers map[string]*setWorker
 	reports []pollReport
-	// seq is that of the last request, number that of the last report.
-	seq, number uint64
+	// seq is that of the last request, workersSeq that of the last one with workers, number
+	// that of the last report.
+	seq, workersSeq, number uint64
 	// superseded is closed by the next request, which releases the one before.
 	superseded chan struct{}
 }
@@ -49,7 +50,9 @@
 	target   Target
 	notAfter int64
 	acked    int64
-	cancel   context.CancelFunc
+	// updatedSeq is the number of the request that set these values.
+	updatedSeq uint64
+	cancel     context.CancelFunc
 	// updated is signalled when acked rises.
 	updated chan struct{}
 }
@@ -71,9 +74,10 @@
 		return nil, errNotScheduler
 	}
 	s := n.pollSetOf(request)
-	if s == nil || !s.apply(request) {
+	if s == nil {
 		return nil, errNoPollSet
 	}
+	s.apply(request)
 	return pollReplies{Reports: s.collect(ctx)}, nil
 }
 
@@ -97,24 +101,22 @@
 	return n.polls
 }
 
-// apply applies a request. It returns false for one that is older than another.
-func (s *pollSet) apply(request pollRequest) bool {
+// apply applies what a request says that no later one has said. Requests may overtake each
+// other.
+func (s *pollSet) apply(request pollRequest) {
 	s.expiry.Reset(pollSetTimeout + s.node.lag.allowance())
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if request.Seq <= s.seq {
-		return false
-	}
-	s.seq = request.Seq
+	s.seq = max(s.seq, request.Seq)
 	close(s.superseded)
 	s.superseded = make(chan struct{})
-	if len(request.Workers) > 0 {
+	if len(request.Workers) > 0 && request.Seq > s.workersSeq {
+		s.workersSeq = request.Seq
 		s.setWorkers(request.Workers)
 	}
 	for _, update := range request.Updates {
-		s.update(update)
+		s.update(request.Seq, update)
 	}
-	return true
 }
 
 // setWorkers starts and stops loops so that just these workers are polled. s.mu must be held.
@@ -138,11 +140,12 @@
 	}
 }
 
-func (s *pollSet) update(update pollUpdate) {
+func (s *pollSet) update(seq uint64, update pollUpdate) {
 	w := s.workers[update.Worker]
-	if w == nil {
+	if w == nil || seq < w.updatedSeq {
 		return
 	}
+	w.updatedSeq = seq
 	w.notAfter = max(w.notAfter, update.NotAfter)
 	if update.Acked != w.acked {
 		w.acked = update.Acked
--- a/process/cluster/worker.go
+++ b/process/cluster/worker.go
@@ -102,7 +102,7 @@
 		reply.Listing.SentAt = sent
 		r.pollAnswered(w, reply)
 		r.awaitAcks(ctx, w)
-		_, unreachable = r.polls.poll(ctx, w)
+		unreachable = r.polls.poll(ctx, w)
 	}
 }
 
