A refusal on the scheduler's behalf asks first whether the job is known

Cause: an entry that refuses for an overloaded scheduler (throttle, full link) doesn't know of tries through other entries: it would have said of an accepted job that it never runs. Change: it asks the scheduler by a message of a tenth of the size; an accepted job is answered so, one whose record is being written is open, only an unknown one is refused. Conclusion: refusals are as true as the scheduler's own.

--- a/process/cluster/calls.go
+++ b/process/cluster/calls.go
@@ -111,6 +111,8 @@
 	OpState   Operation = "state"
 	OpCancel  Operation = "cancel"
 	OpPending Operation = "pending"
+	// OpKnown asks whether a job was accepted, or is about to be.
+	OpKnown Operation = "known"
 )
 
 // Call is a client's call about a job or a queue.
--- a/process/cluster/forward.go
+++ b/process/cluster/forward.go
@@ -152,11 +152,11 @@
 	}
 	if call.Op == OpSubmit && call.Spec != nil {
 		if refusal, refused := n.throttles.refuse(time.Now(), call.Queue); refused {
-			return refusal, noRepeat
+			return n.refuseUnlessKnown(ctx, view, call, refusal)
 		}
 		size := call.forwardedBytes()
 		if !n.forwarded.begin(ctx, size, view.forwardBudget()) {
-			return Reply{Result: ResultRefused, Reason: "the scheduler's link is full", RetryAfter: linkRetryAfter, Overloaded: true}, noRepeat
+			return n.refuseUnlessKnown(ctx, view, call, linkFull)
 		}
 		defer n.forwarded.end(size)
 		defer func() { n.throttles.observe(time.Now(), call.Queue, reply) }()
@@ -183,6 +183,33 @@
 	}
 }
 
+// linkFull is the refusal of a submission that had no turn on the scheduler's link.
+var linkFull = Reply{Result: ResultRefused, Reason: "the scheduler's link is full", RetryAfter: linkRetryAfter, Overloaded: true}
+
+// refuseUnlessKnown refuses a submission on the scheduler's behalf, if the scheduler doesn't have
+// the job from an earlier try: of one that was accepted it must not be said that it won't run.
+// The question is a tenth of a submission's size, and needs no admission.
+func (n *Node) refuseUnlessKnown(ctx context.Context, view leaderView, call Call, refusal Reply) (Reply, repeat) {
+	ctx, cancel := context.WithTimeout(ctx, forwardTimeout)
+	defer cancel()
+	defer context.AfterFunc(view.ctx, cancel)()
+	question := Call{Op: OpKnown, Queue: call.Queue, Team: call.Team, ID: call.ID, Via: n.config.Name}
+	var known Reply
+	err := n.config.Peers.Call(ctx, view.Address, methodCall, question, &known)
+	switch {
+	case err != nil:
+		return unavailable(err.Error(), 0), repeatAtSuccessor
+	case known.Result == ResultNoJob:
+		return refusal, noRepeat
+	case known.Result == ResultOK:
+		return Reply{Result: ResultOK}, noRepeat
+	case known.Result == ResultUnknown:
+		return known, repeatSoon
+	default:
+		return known, noRepeat
+	}
+}
+
 // forwardFailed returns the answer to a call that the scheduler did not answer.
 func forwardFailed(call Call, err error) Reply {
 	var remote *peer.RemoteError
@@ -222,6 +249,8 @@
 		return r.cancelJob(ctx, call)
 	case OpPending:
 		return r.pending(call)
+	case OpKnown:
+		return r.known(call)
 	default:
 		return r.state(call)
 	}
@@ -340,6 +369,22 @@
 	return Reply{Result: ResultOK, State: state}
 }
 
+// known answers whether a job was accepted; an unknown outcome means that its record is being
+// written.
+func (r *leadership) known(call Call) Reply {
+	reply := r.state(call)
+	if reply.Result != ResultNoJob {
+		return reply
+	}
+	r.mu.Lock()
+	_, recording := r.cell.Job(call.ID)
+	r.mu.Unlock()
+	if recording && r.owns(call) {
+		return Reply{Result: ResultUnknown, Reason: "the record's outcome is unknown", RetryAfter: retryAfterUnknown}
+	}
+	return reply
+}
+
 // noJob answers that a job does not exist. Only an entry that is certain to be the
 // scheduler may do so, which the age of its last table contact shows.
 func (r *leadership) noJob() Reply {
--- a/process/cluster/throttle_test.go
+++ b/process/cluster/throttle_test.go
@@ -1,6 +1,7 @@
 package cluster
 
 import (
+	"context"
 	"math/rand/v2"
 	"testing"
 	"time"
@@ -96,3 +97,31 @@
 	view.lag = 60 * time.Millisecond
 	assert.Assert(t, !view.tableUnavailable(view.lastHeard))
 }
+
+// A job that was accepted is submitted again through an entry that refuses submissions on the
+// scheduler's behalf. The answer must not be that it won't run; an unknown one is refused.
+func TestThrottleRefusesNoAcceptedJob(t *testing.T) {
+	simulate(t, 3, func(w *simulation) {
+		leader := w.awaitLeader(2*time.Second, "")
+		time.Sleep(time.Second)
+		entry := w.other(leader)
+		ctx := context.Background()
+		assert.Equal(t, entry.Do(ctx, testJob("accepted", 1)).Result, ResultOK)
+		for range 50 {
+			entry.throttles.observe(time.Now(), "q", Reply{Result: ResultRefused, Overloaded: true, RetryAfter: 2 * time.Second})
+		}
+		entry.throttles.random = func() float64 { return 0 }
+		assert.Equal(t, entry.Do(ctx, testJob("accepted", 1)).Result, ResultOK)
+		reply := entry.Do(ctx, testJob("new", 1))
+		assert.Equal(t, reply.Result, ResultRefused)
+		assert.Equal(t, reply.RetryAfter, 2*time.Second)
+
+		// While its record is written, the outcome is open.
+		w.set(func() { w.commitReplyDelay = 5 * time.Second })
+		go w.node(leader).Do(ctx, testJob("recording", 1))
+		time.Sleep(100 * time.Millisecond)
+		callCtx, cancel := context.WithTimeout(ctx, 300*time.Millisecond)
+		defer cancel()
+		assert.Equal(t, entry.Do(callCtx, testJob("recording", 1)).Result, ResultUnknown)
+	})
+}
