--- a/process/cluster/fakes_test.go
+++ b/process/cluster/fakes_test.go
@@ -19,6 +19,8 @@
 type worker struct {
 	fence   uint64
 	running map[cell.RunKey]time.Time
+	// stopped holds the runs that were told to stop, which can't start later.
+	stopped map[cell.RunKey]bool
 	// starts counts the starts of each task, over all runs.
 	starts map[string]int
 	ends   []cell.End
@@ -257,13 +259,18 @@
 func clock() int64 { return time.Since(simStart).Milliseconds() }
 
 func (c *nodeWorkers) Start(ctx context.Context, to Target, call StartCall) (cell.StartAnswer, error) {
+	if pause := c.w.pauseOf(c.node); pause > 0 {
+		time.Sleep(pause)
+		// Its own timeouts don't run while a process is paused.
+		ctx = context.WithoutCancel(ctx)
+	}
 	c.w.transmit(ctx, c.node, "", len(call.Text)+requestOverhead)
 	k, err := c.enter(ctx, to.ID, call.Fence)
 	if err != nil {
 		return cell.StartNoReply, err
 	}
 	defer c.w.mu.Unlock()
-	if call.NotAfter < clock() {
+	if call.NotAfter < clock() || k.stopped[call.RunKey] {
 		return cell.StartRefused, nil
 	}
 	k.until = max(k.until, call.NotAfter)
@@ -329,6 +336,7 @@
 	if err != nil {
 		return err
 	}
+	k.stopped[run] = true
 	c.w.mu.Unlock()
 	c.w.endRun(k, run, cell.EndStopped)
 	return nil
--- a/process/cluster/relay_test.go
+++ b/process/cluster/relay_test.go
@@ -109,6 +109,24 @@
 	}
 }
 
+// An entry is paused with start commands in hand and sends them when it resumes, after the
+// scheduler has started the tasks elsewhere. No task may run twice at once, which the workers
+// check.
+func TestPausedRelayStartsNothingTwice(t *testing.T) {
+	for _, pause := range []time.Duration{200 * time.Millisecond, time.Second, 1400 * time.Millisecond, 5 * time.Second} {
+		t.Run(pause.String(), func(t *testing.T) {
+			simulate(t, 4, func(w *simulation) {
+				leader := w.awaitLeader(2*time.Second, "")
+				time.Sleep(2 * time.Second)
+				relay := w.other(leader)
+				w.set(func() { w.pauses[relay.config.Name] = pause })
+				ids := w.submitJobs(relay, "job", 5)
+				w.awaitCompleted(w.node(leader), ids, 30*time.Second)
+			})
+		})
+	}
+}
+
 // A worker that doesn't answer must not delay what is known of the other runs of a job.
 func TestSilentWorkerDelaysNoOtherResult(t *testing.T) {
 	simulate(t, 3, func(w *simulation) {
--- a/process/cluster/simulation_test.go
+++ b/process/cluster/simulation_test.go
@@ -54,6 +54,8 @@
 	links map[string]*nodeLink
 	// workerCPU is the capacity of each worker.
 	workerCPU int64
+	// pauses are how long nodes are paused before each start command, by name.
+	pauses map[string]time.Duration
 	// without are the methods that a node lacks, as an earlier version does, by its name.
 	without map[string][]string
 	// startTimes are the times of the first start of each task.
@@ -70,7 +72,7 @@
 			t: t, nodes: make(map[string]*Node), stops: make(map[string]context.CancelFunc), rows: make(map[string]platform.Row),
 			refuse: make(map[string]bool), hang: make(map[string]bool), cut: make(map[string]bool), replyDelay: make(map[string]time.Duration),
 			workers: make(map[string]*worker), tableDelay: 10 * time.Millisecond,
-			links: make(map[string]*nodeLink), without: make(map[string][]string), workerCPU: 4000, startTimes: make(map[string]time.Time),
+			links: make(map[string]*nodeLink), without: make(map[string][]string), pauses: make(map[string]time.Duration), workerCPU: 4000, startTimes: make(map[string]time.Time),
 		}
 		w.addWorkers(4)
 		for i := range n {
@@ -88,7 +90,7 @@
 	defer w.mu.Unlock()
 	for i := len(w.workers); i < upTo; i++ {
 		w.workers[fmt.Sprintf("w%d", i)] = &worker{
-			running: make(map[cell.RunKey]time.Time), starts: make(map[string]int), taskDuration: time.Second,
+			running: make(map[cell.RunKey]time.Time), starts: make(map[string]int), stopped: make(map[cell.RunKey]bool), taskDuration: time.Second,
 			wake: make(chan struct{}), unreachableFrom: make(map[string]bool),
 		}
 	}
@@ -173,6 +175,13 @@
 	change()
 }
 
+// pauseOf returns how long a node is paused before a start command.
+func (w *simulation) pauseOf(node string) time.Duration {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.pauses[node]
+}
+
 func (w *simulation) node(name string) *Node {
 	w.mu.Lock()
 	defer w.mu.Unlock()
