Leases extended through other entries last as long as others

Cause: an extension reaches a worker up to 0.6 s later through an entry, so that 2.4 s were left where 3 s are with the scheduler's own polls. Change: such extensions are 0.6 s longer, and so is the bound of what an earlier scheduler may have granted.

--- a/process/cluster/pollgroup.go
+++ b/process/cluster/pollgroup.go
@@ -99,7 +99,7 @@
 		}
 		update := pollUpdate{Worker: id, Acked: acked}
 		if extend {
-			update.NotAfter = m.loop.lease.grant(now, r.timings.Lease)
+			update.NotAfter = m.loop.lease.grant(now, r.timings.Lease+relayedLeaseExtra)
 		}
 		m.acked, m.grantedAt = acked, now
 		request.Updates = append(request.Updates, update)
--- a/process/cluster/pollrelay.go
+++ b/process/cluster/pollrelay.go
@@ -22,6 +22,9 @@
 	pollRelayTimeout = 500 * time.Millisecond
 	// grantInterval is how often the lease of a worker that another entry polls is extended.
 	grantInterval = 400 * time.Millisecond
+	// relayedLeaseExtra is added to these leases: a worker learns of an extension up to
+	// grantInterval and reportWait later than from the scheduler itself.
+	relayedLeaseExtra = grantInterval + reportWait
 	// keepSentFor is how long the times of requests are kept: longer than a poll may take.
 	keepSentFor = 10 * time.Second
 )
--- a/process/cluster/pollrelay_test.go
+++ b/process/cluster/pollrelay_test.go
@@ -182,6 +182,29 @@
 	}
 }
 
+// Leases that another entry extends must last as long as those that the scheduler does: a
+// takeover has no more time than what is left of them.
+func TestRelayedLeasesLastAsLong(t *testing.T) {
+	simulate(t, 0, func(w *simulation) {
+		for i := range 5 {
+			w.startSized(fmt.Sprintf("n%d", i), 0.004)
+		}
+		w.awaitLeader(2*time.Second, "")
+		time.Sleep(4 * time.Second)
+		const lease, margin = 4 * time.Second, 100 * time.Millisecond
+		least := time.Hour
+		for range 1000 {
+			time.Sleep(5 * time.Millisecond)
+			w.set(func() {
+				for _, k := range w.workers {
+					least = min(least, time.Duration(k.until-clock())*time.Millisecond)
+				}
+			})
+		}
+		assert.Assert(t, least >= lease-pollWait-margin, "%s were left", least)
+	})
+}
+
 // polls reports whether an entry polls workers for the scheduler.
 func (w *simulation) polls(leader, entry string) bool {
 	p := w.node(leader).leadership.polls
--- a/process/cluster/worker.go
+++ b/process/cluster/worker.go
@@ -60,7 +60,7 @@
 // granted has expired. That scheduler may have extended leases after its last table
 // contact, as mayExtend allows.
 func (r *leadership) predecessorsBound() time.Time {
-	longest := time.Duration(float64(r.timings.Lease) / (1 - maxClockDrift))
+	longest := time.Duration(float64(r.timings.Lease+relayedLeaseExtra) / (1 - maxClockDrift))
 	return r.began.Add(extendWithoutTable + confirmTimeout + longest + predecessorMargin)
 }
 
