--- a/process/cluster/doc.go
+++ b/process/cluster/doc.go
@@ -24,4 +24,11 @@
 // extends its lease and applies the lists of runs in its replies. One goroutine plans
 // and one records. Both work on the cell under its lock and never hold the lock across
 // I/O.
+//
+// # Calls through other entries
+//
+// A scheduler decides for the whole cell, but its processor and its link need not carry
+// every call. Start commands go through the entry that has the job's text, and workers
+// beyond the scheduler's own share are polled by other entries. To the scheduler, an entry
+// that fails is a worker that doesn't reply; it then calls the worker itself.
 package cluster
