--- a/process/cluster/pollgroup.go
+++ b/process/cluster/pollgroup.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/kingcuplatch/kingcuplatch/process/cell"
+	"github.com/kingcuplatch/kingcuplatch/process/events"
 )
 
 // pollGroup is the group of workers that one entry polls. Its fields are guarded by the lock
@@ -50,7 +51,7 @@
 func (g *pollGroup) run() {
 	for g.ctx.Err() == nil {
 		if !g.relays.leadership.node.mayRelay(g.entry.Name) {
-			g.fail()
+			g.fail("the entry leaves or is silent")
 			return
 		}
 		if request, ok := g.nextRequest(); ok {
@@ -120,7 +121,7 @@
 		return
 	}
 	if err != nil {
-		g.fail()
+		g.fail(err.Error())
 		return
 	}
 	g.relays.mu.Lock()
@@ -224,10 +225,13 @@
 }
 
 // fail returns all workers of an entry that doesn't reply to the scheduler.
-func (g *pollGroup) fail() {
+func (g *pollGroup) fail(reason string) {
 	p := g.relays
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if len(g.members) > 0 {
+		p.leadership.node.log.Log(events.PollGroupReturned, g.entry.Name, len(g.members), reason)
+	}
 	p.leadership.relayHealth.entryFailed(time.Now(), g.entry.Name)
 	for _, m := range g.members {
 		g.release(m)
--- a/process/cluster/relay.go
+++ b/process/cluster/relay.go
@@ -11,6 +11,7 @@
 
 	"github.com/kingcuplatch/kingcuplatch/conn/peer"
 	"github.com/kingcuplatch/kingcuplatch/process/cell"
+	"github.com/kingcuplatch/kingcuplatch/process/events"
 )
 
 // relays sends start commands through other entries, the runs of a job in one message. Each
@@ -130,11 +131,15 @@
 	case err == nil:
 		s.resolve(batch.ID, reply.Results)
 		time.AfterFunc(r.startTimeout()-time.Since(began), func() { s.expire(batch.ID) })
+	case r.over():
+		s.forget(batch.ID)
 	case notHandled(err):
+		r.node.log.Log(events.StartsNotRelayed, batch.Job, relay.Name, len(sent), false, err)
 		s.avoidUnlessTextMissing(relay, err)
 		s.forget(batch.ID)
 		s.startDirectly(sent)
 	default:
+		r.node.log.Log(events.StartsNotRelayed, batch.Job, relay.Name, len(sent), true, err)
 		r.relayHealth.entryFailed(time.Now(), relay.Name)
 		s.expire(batch.ID)
 	}
