--- a/process/cell/list.go
+++ b/process/cell/list.go
@@ -90,11 +90,11 @@
 	if !w.unreachableSince.IsZero() {
 		c.note(Note{Kind: NoteWorkerReachable, Worker: w.ID})
 	}
-	w.unreachableSince = time.Time{}
+	w.unreachableSince, w.lossSign = time.Time{}, LossSilent
 	w.leaseExpired = false
 	if !w.adopted {
 		w.adopted = true
-		c.note(Note{Kind: NoteWorkerAdopted, Worker: w.ID, Runs: len(w.runs)})
+		c.note(Note{Kind: NoteWorkerAdopted, Worker: w.ID, Address: w.Address, Runs: len(w.runs)})
 	}
 	if w.incarnation == incarnation {
 		return
--- a/process/cell/notes.go
+++ b/process/cell/notes.go
@@ -18,6 +18,7 @@
 	NoteRunUnknown
 	NoteWorkerAdopted
 	NoteWorkerUnreachable
+	NoteWorkerCrashed
 	NoteWorkerReachable
 	NoteWorkerLeaseExpired
 	NoteWorkerRestarted
@@ -40,6 +41,8 @@
 	Task   string
 	Run    int
 	Worker string
+	// Address is that of the worker.
+	Address string
 	// Workers holds the workers of a placement, one per task.
 	Workers []string
 	End     EndKind
--- a/process/cell/runtime_test.go
+++ b/process/cell/runtime_test.go
@@ -256,7 +256,7 @@
 			return
 		}
 		w.unansweredPolls[f.id] = true
-		c.WorkerUnreachable(w.now, f.id)
+		c.WorkerUnreachable(w.now, f.id, LossSilent, nil)
 		if w.now.Sub(w.leaseExtendedAt[f.id]) > leaseExpiry && w.now.Sub(w.leadingSince) > predecessorLeaseExpiry {
 			c.WorkerLeaseExpired(w.now, f.id)
 		}
--- a/process/cell/worker.go
+++ b/process/cell/worker.go
@@ -112,6 +112,8 @@
 	incarnation int64
 	// unreachableSince is when calls began to fail; zero if they succeed.
 	unreachableSince time.Time
+	// lossSign is the strongest sign seen since then that the worker's process has ended.
+	lossSign LossSign
 	// leaseExpired is set once every lease on the worker has expired.
 	leaseExpired bool
 	used         resource.Amount
@@ -222,14 +224,18 @@
 	return ids
 }
 
-// WorkerUnreachable records that a worker doesn't respond.
-func (c *Cell) WorkerUnreachable(now time.Time, id string) {
+// WorkerUnreachable records that a poll of a worker failed with the given error. sign is what
+// that shows.
+func (c *Cell) WorkerUnreachable(now time.Time, id string, sign LossSign, err error) {
 	w := c.workers[id]
-	if w == nil || !w.unreachableSince.IsZero() {
+	if w == nil {
 		return
 	}
-	w.unreachableSince = now
-	c.note(Note{Kind: NoteWorkerUnreachable, Worker: id, Runs: len(w.runs)})
+	if w.unreachableSince.IsZero() {
+		w.unreachableSince = now
+		c.note(Note{Kind: NoteWorkerUnreachable, Worker: id, Runs: len(w.runs), Error: err})
+	}
+	c.recordLossSign(now, w, sign)
 }
 
 // WorkerLeaseExpired ends the runs of an unreachable worker on which every lease has
--- a/process/cluster/log.go
+++ b/process/cluster/log.go
@@ -49,9 +49,11 @@
 func logWorker(log *events.Logger, n cell.Note) {
 	switch n.Kind {
 	case cell.NoteWorkerAdopted:
-		log.Log(events.CellWorkerAdopted, n.Worker, n.Runs)
+		log.Log(events.CellWorkerAdopted, n.Worker, n.Runs, n.Address)
 	case cell.NoteWorkerUnreachable:
-		log.Log(events.CellWorkerUnreachable, n.Worker, n.Runs)
+		log.Log(events.CellWorkerUnreachable, n.Worker, n.Runs, n.Error)
+	case cell.NoteWorkerCrashed:
+		log.Log(events.CellWorkerCrashed, n.Worker, n.Runs, n.Reason, n.Age.String())
 	case cell.NoteWorkerReachable:
 		log.Log(events.CellWorkerReachable, n.Worker)
 	case cell.NoteWorkerLeaseExpired:
--- a/process/cluster/metrics.go
+++ b/process/cluster/metrics.go
@@ -21,6 +21,7 @@
 	commandFailures *metrics.Counter
 	stalled         *metrics.Counter
 	unreachable     *metrics.Counter
+	crashed         *metrics.Counter
 	setAside        *metrics.Counter
 
 	tableFailures     *metrics.Counter
@@ -52,6 +53,7 @@
 		commandFailures:   set.NewCounter("kingcuplatch_cell_order_failures_total"),
 		stalled:           set.NewCounter("kingcuplatch_cell_runs_stuck_total"),
 		unreachable:       set.NewCounter("kingcuplatch_cell_workers_silent_total"),
+		crashed:           set.NewCounter("kingcuplatch_cell_worker_crashes_total"),
 		setAside:          set.NewCounter("kingcuplatch_cell_set_aside_total"),
 		tableFailures:     set.NewCounter("kingcuplatch_cell_table_failures_total"),
 		heartbeatFailures: set.NewCounter("kingcuplatch_cell_heartbeat_failures_total"),
@@ -88,6 +90,8 @@
 		m.stalled.Inc()
 	case cell.NoteWorkerUnreachable:
 		m.unreachable.Inc()
+	case cell.NoteWorkerCrashed:
+		m.crashed.Inc()
 	case cell.NoteJobSetAside, cell.NoteWorkerSetAside:
 		m.setAside.Inc()
 	}
--- a/process/cluster/pollgroup.go
+++ b/process/cluster/pollgroup.go
@@ -2,12 +2,16 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"github.com/kingcuplatch/kingcuplatch/process/cell"
 	"github.com/kingcuplatch/kingcuplatch/process/events"
 )
 
+// errRelayedPoll is logged when a worker didn't reply to the entry that polls it.
+var errRelayedPoll = errors.New("no reply to another entry")
+
 // pollGroup is the group of workers that one entry polls. Its fields are guarded by the lock
 // of pollRelays.
 type pollGroup struct {
@@ -145,7 +149,7 @@
 			case report.Fenced:
 				fenced = true
 			case report.Failed:
-				r.unreachable(now, c, m.loop)
+				r.unreachable(now, c, m.loop, errRelayedPoll)
 				g.releaseFailed(now, m)
 			default:
 				r.answered(now, c, m.loop, report.reply(sentAt))
--- a/process/cluster/ports.go
+++ b/process/cluster/ports.go
@@ -17,6 +17,8 @@
 	ErrUnknown = errors.New("call outcome unknown")
 	// ErrFenced means that the worker has seen a higher fence.
 	ErrFenced = errors.New("the worker has seen a higher fence")
+	// ErrRefused means that the worker's address refuses connections: no process listens there.
+	ErrRefused = errors.New("the worker's address refuses connections")
 	// ErrOtherIncarnation means that a different incarnation of the worker answers at the
 	// address.
 	ErrOtherIncarnation = errors.New("another incarnation of the worker answers at this address")
@@ -65,7 +67,7 @@
 	// Pace sets the share of its full speed at which a run works. It fails as Stop does.
 	Pace(ctx context.Context, to Target, fence uint64, command cell.PaceCommand) error
 	// Poll requests the worker's lists of runs. It fails with ErrNotSent, ErrUnknown,
-	// ErrFenced or ErrOtherIncarnation.
+	// ErrFenced or ErrOtherIncarnation; with ErrNotSent and ErrRefused if connections are refused.
 	Poll(ctx context.Context, to Target, call PollCall) (PollReply, error)
 }
 
--- a/process/cluster/worker.go
+++ b/process/cluster/worker.go
@@ -130,12 +130,24 @@
 	if errors.Is(err, ErrFenced) {
 		r.stepDown(fencedReason)
 	}
-	r.change(func(now time.Time, c *cell.Cell) { r.unreachable(now, c, w) })
+	r.change(func(now time.Time, c *cell.Cell) { r.unreachable(now, c, w, err) })
 }
 
-// unreachable applies a poll without reply. The leadership's lock must be held.
-func (r *leadership) unreachable(now time.Time, c *cell.Cell, w *workerLoop) {
-	c.WorkerUnreachable(now, w.target.ID)
+// lossSign returns what a failed poll shows about the worker.
+func lossSign(err error) cell.LossSign {
+	switch {
+	case errors.Is(err, ErrOtherIncarnation):
+		return cell.LossReplaced
+	case errors.Is(err, ErrRefused):
+		return cell.LossRefused
+	default:
+		return cell.LossSilent
+	}
+}
+
+// unreachable applies a failed poll. The leadership's lock must be held.
+func (r *leadership) unreachable(now time.Time, c *cell.Cell, w *workerLoop, err error) {
+	c.WorkerUnreachable(now, w.target.ID, lossSign(err), err)
 	if w.lease.expired(now) {
 		c.WorkerLeaseExpired(now, w.target.ID)
 	}
