--- a/process/cell/fleet_test.go
+++ b/process/cell/fleet_test.go
@@ -27,6 +27,12 @@
 	capacity resource.Amount
 	speed    float64
 	up       bool
+	// address stays with the machine; successor is the worker that responds there after a
+	// crash, if it has an id of its own.
+	address   string
+	successor *fakeWorker
+	// silent is set while its machine is down, so that it doesn't refuse connections.
+	silent bool
 	// partitioned workers can't be reached but keep running.
 	partitioned bool
 	// hang stops the progress of all runs, fails makes all runs fail.
@@ -131,6 +137,7 @@
 	run := &fakeRun{RunKey: command.RunKey, worker: f, need: step.Need, checkpoints: step.Checkpointing}
 	run.length = time.Duration(float64(job.times[ref.step][ref.index]) / f.speed)
 	f.running[command.RunKey] = run
+	w.scheduleCrash(job, ref, run)
 	f.extendLease(w.now.Add(1500 * time.Millisecond))
 	w.checkStart(job, ref, command, f)
 	if step.Gang {
@@ -333,31 +340,75 @@
 // down is 0.
 func (w *simulation) crash(id string, down time.Duration) {
 	f := w.workers[id]
-	if !f.up {
+	if !w.endProcess(f) || down == 0 {
+		return
+	}
+	w.after(down, func() {
+		f.up = true
+		f.incarnation++
+		w.setListed(f, true)
+	})
+}
+
+// crashAndReplace ends a worker's process. After down a worker with another id responds at its
+// address.
+func (w *simulation) crashAndReplace(id string, down time.Duration) {
+	f := w.workers[id]
+	if !w.endProcess(f) {
 		return
 	}
+	w.after(down, func() {
+		f.silent = false
+		next := &fakeWorker{
+			id: fmt.Sprintf("%s-%d", f.address, f.incarnation+1), address: f.address, capacity: f.capacity, speed: f.speed, up: true,
+			incarnation: f.incarnation + 1, running: make(map[RunKey]*fakeRun), lastEnded: make(map[string]int),
+		}
+		f.successor = next
+		w.workers[next.id] = next
+		w.order = append(w.order, next.id)
+		w.setListed(next, true)
+	})
+}
+
+// endProcess ends a worker's process with everything that runs on it, and reports whether the
+// worker was up.
+func (w *simulation) endProcess(f *fakeWorker) bool {
+	if !f.up {
+		return false
+	}
+	f.up = false
 	if f.polling {
 		w.pollFailed(f)
 	}
-	f.up, f.polling = false, false
+	f.polling = false
 	runs := f.sortedRuns()
 	f.running, f.ends, f.seq, f.lastEnded, f.fence = make(map[RunKey]*fakeRun), nil, 0, make(map[string]int), 0
 	for _, r := range runs {
 		w.runningTasks[r.Task]--
 		w.breakGang(r)
 	}
+	w.runsLost += len(runs)
 	w.after(directoryExpiry, func() {
 		if !f.up {
 			w.setListed(f, false)
 		}
 	})
-	if down == 0 {
+	return true
+}
+
+// crasherDownTime is how long a worker is down after a task has crashed it.
+const crasherDownTime = 3300 * time.Millisecond
+
+// scheduleCrash crashes the run's worker if the run is that of a crasher.
+func (w *simulation) scheduleCrash(job *fakeJob, ref taskRef, r *fakeRun) {
+	if job.crasher == nil || ref.step != 0 || ref.index != job.crasher.task {
 		return
 	}
-	w.after(down, func() {
-		f.up = true
-		f.incarnation++
-		w.setListed(f, true)
+	w.after(job.crasher.after, func() {
+		if r.worker.running[r.RunKey] == r {
+			w.crashedUnder[r.Task]++
+			w.crashAndReplace(r.worker.id, crasherDownTime)
+		}
 	})
 }
 
--- a/process/cell/kinds_test.go
+++ b/process/cell/kinds_test.go
@@ -29,6 +29,15 @@
 	times [][]time.Duration
 	// alwaysFails is set for jobs whose tasks always fail.
 	alwaysFails bool
+	// crasher is set for jobs with a task that crashes each worker that starts it.
+	crasher *fakeCrasher
+}
+
+// fakeCrasher is a task of a job's first step that crashes each worker on which it has run
+// for the given time.
+type fakeCrasher struct {
+	task  int
+	after time.Duration
 }
 
 // allowedShares is the fraction of workers that advice allows, by queue.
@@ -51,7 +60,7 @@
 func (w *simulation) onTimeShare(kind string) (share float64, n int) {
 	onTime := 0
 	for _, j := range w.jobs {
-		if j.kind != kind || j.alwaysFails {
+		if j.kind != kind || j.alwaysFails || j.crasher != nil {
 			continue
 		}
 		n++
@@ -66,7 +75,7 @@
 func (w *simulation) completedShare(kind string) float64 {
 	completed, n := 0, 0
 	for _, j := range w.jobs {
-		if j.kind != kind || j.rejected || j.alwaysFails {
+		if j.kind != kind || j.rejected || j.alwaysFails || j.crasher != nil {
 			continue
 		}
 		n++
--- a/process/cell/rules_test.go
+++ b/process/cell/rules_test.go
@@ -31,6 +31,7 @@
 	if maxAttempts := job.spec.Policy.MaxAttempts; len(w.failedAcked[w.attemptKey(job, ref, command.Task)]) >= maxAttempts {
 		w.violate("BUDGET %s run %d", command.Task, command.Number)
 	}
+	w.checkCrashes(command)
 	if !job.cancelled.IsZero() && w.now.Sub(job.cancelled) > 3*time.Second {
 		w.violate("UNASKED %s started after its cancellation", command.Task)
 	}
@@ -47,6 +48,24 @@
 	}
 }
 
+// maxCrashesUnder is the number of workers that may crash because of a task before its starts
+// are counted, and maxStartsAfterCrashes how often it may be started after that.
+const (
+	maxCrashesUnder       = 3
+	maxStartsAfterCrashes = 2
+)
+
+// checkCrashes checks that a task that crashes its workers isn't started again and again.
+func (w *simulation) checkCrashes(command StartCommand) {
+	if w.crashedUnder[command.Task] < maxCrashesUnder {
+		return
+	}
+	w.startsAfterCrashes[command.Task]++
+	if w.startsAfterCrashes[command.Task] > maxStartsAfterCrashes {
+		w.violate("BUDGET %s run %d after %d workers crashed under it", command.Task, command.Number, w.crashedUnder[command.Task])
+	}
+}
+
 // attemptKey returns the key under which attempts are counted: the task, or the step if
 // it is a gang.
 func (w *simulation) attemptKey(job *fakeJob, ref taskRef, task string) string {
--- a/process/cell/runtime_test.go
+++ b/process/cell/runtime_test.go
@@ -247,21 +247,54 @@
 	})
 }
 
+// Times after which a failed poll is noticed, and repeated after a refused connection.
+const (
+	pollFailureTime  = 300 * time.Millisecond
+	refusedPollDelay = 150 * time.Millisecond
+)
+
+// lossSign returns what a poll of a worker that is not up shows.
+func (f *fakeWorker) lossSign() LossSign {
+	switch {
+	case f.partitioned || f.silent:
+		return LossSilent
+	case f.successor != nil && f.successor.up:
+		return LossReplaced
+	case !f.up:
+		return LossRefused
+	default:
+		return LossSilent
+	}
+}
+
 // pollFailed handles a poll without a reply: the cell is notified that the worker is
-// unreachable and, once enough time has passed, that the lease has expired.
+// unreachable and, once enough time has passed, that the lease has expired. The end of a
+// process shows at once, by a connection that is closed or refused.
 func (w *simulation) pollFailed(f *fakeWorker) {
 	c := w.cell
-	w.after(300*time.Millisecond, func() {
+	sign := f.lossSign()
+	noticed, pause := pollFailureTime, time.Duration(0)
+	if sign > LossSilent {
+		noticed, pause = networkDelay, refusedPollDelay
+		if f.polling {
+			sign = LossSilent
+		}
+	}
+	w.after(noticed, func() {
 		if w.cell != c {
 			return
 		}
 		w.unansweredPolls[f.id] = true
-		c.WorkerUnreachable(w.now, f.id, LossSilent, nil)
+		c.WorkerUnreachable(w.now, f.id, sign, nil)
 		if w.now.Sub(w.leaseExtendedAt[f.id]) > leaseExpiry && w.now.Sub(w.leadingSince) > predecessorLeaseExpiry {
 			c.WorkerLeaseExpired(w.now, f.id)
 		}
 		w.applyActions()
-		w.poll(f.id, true)
+		w.after(pause, func() {
+			if w.cell == c && w.polled[f.id] {
+				w.poll(f.id, true)
+			}
+		})
 	})
 }
 
--- a/process/cell/simulation_test.go
+++ b/process/cell/simulation_test.go
@@ -94,6 +94,12 @@
 	unansweredPolls map[string]bool
 	leaseExtendedAt map[string]time.Time
 	violations      []string
+	// crashedUnder counts the workers that crashed because of a task, startsAfterCrashes the
+	// task's starts after maxCrashesUnder of them; runsLost counts the runs that ended with
+	// their worker.
+	crashedUnder       map[string]int
+	startsAfterCrashes map[string]int
+	runsLost           int
 }
 
 type event struct {
@@ -141,6 +147,7 @@
 		allowedOn: make(map[string]bool), jobs: make(map[string]*fakeJob), runningTasks: make(map[string]int),
 		advisers: make([]time.Time, entries), gangs: make(map[string]*fakeGang), doneEver: make(map[string]bool),
 		doneAcked: make(map[string]bool), failedAcked: make(map[string]map[int]bool), fence: 1,
+		crashedUnder: make(map[string]int), startsAfterCrashes: make(map[string]int),
 	}
 	w.started = w.now
 	w.catalog = catalog.New(1, queues, teams, []catalog.Upstream{{Name: "desk"}}, catalog.Limits{})
@@ -148,7 +155,7 @@
 	for i := range n {
 		id := fmt.Sprintf("w%03d", i)
 		w.workers[id] = &fakeWorker{
-			id: id, capacity: resource.Amount{MilliCPU: 32000, MemoryMB: 65536}, speed: speeds[i%3], up: true, listed: true, incarnation: 1,
+			id: id, address: id, capacity: resource.Amount{MilliCPU: 32000, MemoryMB: 65536}, speed: speeds[i%3], up: true, listed: true, incarnation: 1,
 			running: make(map[RunKey]*fakeRun), lastEnded: make(map[string]int),
 		}
 		w.order = append(w.order, id)
@@ -201,7 +208,7 @@
 			continue
 		}
 		list = append(list, WorkerInfo{
-			ID: id, Upstream: "desk", Address: id, Rack: "r" + id[1:2], Capacity: f.capacity, Draining: f.draining, Incarnation: f.incarnation,
+			ID: id, Upstream: "desk", Address: f.address, Rack: "r" + f.address[1:2], Capacity: f.capacity, Draining: f.draining, Incarnation: f.incarnation,
 		})
 	}
 	return list
