--- a/process/cell/cell.go
+++ b/process/cell/cell.go
@@ -288,6 +288,8 @@
 			c.sendStop(r)
 		}
 		c.checkProgress(now, r)
+		r.endIsolation(now)
+		c.reviewCrashes(now, r)
 	}
 }
 
--- a/process/cell/crash_test.go
+++ b/process/cell/crash_test.go
@@ -1,6 +1,7 @@
 package cell
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -54,3 +55,66 @@
 	w.run(90 * time.Second)
 	w.checkCrashers()
 }
+
+// What is known of crashes outlives the scheduler: it is replaced again and again while tasks
+// crash their workers.
+func TestCrashesOutliveTheScheduler(t *testing.T) {
+	queues, kinds := fakeQueues()
+	w := newSimulation(t, 32, 48, 6, queues, nil)
+	w.crashSome("provision", 4, 3*time.Second, 13*time.Second, 100*time.Millisecond)
+	for i := range 5 {
+		w.after(time.Duration(4500+3100*i)*time.Millisecond, w.takeover)
+	}
+	w.generateJobs(kinds, 20*time.Second, halfLoad)
+	w.run(120 * time.Second)
+	for id, j := range w.jobs {
+		// A job whose record was in progress at a takeover may be lost, without an acceptance.
+		if _, _, _, ok := w.cell.StateOf(id); !ok && !j.accepted {
+			j.rejected = true
+		}
+	}
+	w.checkCrashers()
+}
+
+// Tasks that crash their workers late in their run are found as well.
+func TestTaskCrashesWorkersLate(t *testing.T) {
+	queues, kinds := fakeQueues()
+	w := newSimulation(t, 33, 48, 6, queues, nil)
+	w.crashSome("provision", 8, 3*time.Second, 13*time.Second, 1200*time.Millisecond)
+	w.generateJobs(kinds, 20*time.Second, halfLoad)
+	w.run(120 * time.Second)
+	w.checkCrashers()
+}
+
+// Gangs with a member that crashes its worker are given up.
+func TestGangCrashesItsWorkers(t *testing.T) {
+	queues, kinds := fakeQueues()
+	w := newSimulation(t, 34, 48, 6, queues, nil)
+	w.crashSome("roster", 2, 3*time.Second, 13*time.Second, 400*time.Millisecond)
+	w.generateJobs(kinds, 20*time.Second, halfLoad)
+	w.run(120 * time.Second)
+	w.checkCrashers()
+}
+
+// Workers that crash, and whole racks, without any task's fault: no task is given up.
+func TestCrashesOfWorkersConvictNoTask(t *testing.T) {
+	queues, kinds := fakeQueues()
+	w := newSimulation(t, 35, 48, 6, queues, nil)
+	w.generateJobs(kinds, 20*time.Second, halfLoad)
+	for i := range 24 {
+		w.after(time.Duration(2000+700*i)*time.Millisecond, func() {
+			f := w.workers[w.order[w.rand.IntN(len(w.order))]]
+			if i%8 > 0 {
+				w.crashAndReplace(f.id, crasherDownTime)
+				return
+			}
+			for _, id := range slices.Clone(w.order) {
+				if w.workers[id].rack() == f.rack() {
+					w.crashAndReplace(id, crasherDownTime)
+				}
+			}
+		})
+	}
+	w.run(90 * time.Second)
+	w.checkClean()
+}
--- a/process/cell/ends.go
+++ b/process/cell/ends.go
@@ -27,6 +27,8 @@
 	case EndFailed:
 		t.avoidWorker = r.worker.ID
 		c.taskFailed(now, t, r.Number)
+	case EndCrashed:
+		c.taskCrashed(now, t)
 	case EndStopped, EndLeaseExpired, EndGangBroken, EndGangTimeout, EndVanished:
 	}
 	if t.step.spec.Gang && kind != EndDone {
--- a/process/cell/fleet_test.go
+++ b/process/cell/fleet_test.go
@@ -55,6 +55,9 @@
 	polledAt  time.Time
 }
 
+// rack returns the rack of the worker's machine, ten to a rack.
+func (f *fakeWorker) rack() string { return "r" + f.address[1:3] }
+
 // fakeRun is a run on a fake worker.
 type fakeRun struct {
 	RunKey
@@ -404,7 +407,7 @@
 	if job.crasher == nil || ref.step != 0 || ref.index != job.crasher.task {
 		return
 	}
-	w.after(job.crasher.after, func() {
+	w.after(min(job.crasher.after, r.length*9/10), func() {
 		if r.worker.running[r.RunKey] == r {
 			w.crashedUnder[r.Task]++
 			w.crashAndReplace(r.worker.id, crasherDownTime)
--- a/process/cell/gang.go
+++ b/process/cell/gang.go
@@ -104,13 +104,15 @@
 }
 
 // gangSlots lists the workers that can take tasks of s now, those with most slots first. It
-// returns nil if together they can't take all.
+// returns nil if together they can't take all. A gang that may have crashed a worker takes empty
+// ones only.
 func (c *Cell) gangSlots(r *round, s *step) []workerSlots {
 	workers := c.startableWorkers(r, s)
 	slots := make([]workerSlots, 0, len(workers))
 	total := 0
+	apart := suspected(s.crashes)
 	for _, w := range workers {
-		if r.reservedForOther(w, s) {
+		if r.reservedForOther(w, s) || (apart && len(w.runList) > 0) {
 			continue
 		}
 		if n := s.slotsIn(w.free()); n > 0 {
--- a/process/cell/gangadvice.go
+++ b/process/cell/gangadvice.go
@@ -27,6 +27,7 @@
 	workers := c.allowedWorkers(r, s)
 	f := gangForecast{soon: make([]workerSlots, 0, len(workers)), empty: make([]workerSlots, 0, len(workers))}
 	soon := s.adviceExpectedAt(r.now)
+	apart := suspected(s.crashes)
 	for _, w := range workers {
 		capacity := s.slotsIn(w.Capacity)
 		if capacity == 0 || r.reservedForOther(w, s) {
@@ -37,6 +38,9 @@
 		if penalty == 0 {
 			f.whenEmpty += capacity
 		}
+		if apart && w.lastEndEstimate(r.now).After(soon) {
+			continue
+		}
 		if n := s.slotsIn(w.expectedFree(soon)); n > 0 {
 			f.soon = append(f.soon, workerSlots{worker: w, tasks: n, allowed: true, penalty: penalty})
 			f.expected += n
--- a/process/cell/job.go
+++ b/process/cell/job.go
@@ -101,6 +101,8 @@
 	shown   State
 	endedAt time.Time
 	started bool
+	// failure says why the job failed, if a task of it crashed its workers.
+	failure string
 	// arrivedAt is when the job was submitted to this scheduler; placed is set once a run
 	// of it has been planned.
 	arrivedAt time.Time
@@ -150,6 +152,8 @@
 	done  int
 	// failedRuns holds the numbers of a gang's failed runs.
 	failedRuns map[int]bool
+	// crashes holds the crashes of workers under a gang.
+	crashes []crash
 	// checkpoint is the last checkpoint of a gang.
 	checkpoint string
 	// gangEnd is when a gang is expected to end, as of gangEndAt; zero before its runs are
@@ -173,6 +177,8 @@
 	failedRuns map[int]bool
 	checkpoint string
 	current    *Run
+	// crashes holds the crashes of workers under the task, if it is no member of a gang.
+	crashes []crash
 	// avoidWorker is the worker on which the last run failed.
 	avoidWorker string
 	// stalledRuns counts the runs that were stopped because they made no progress.
--- a/process/cell/kinds_test.go
+++ b/process/cell/kinds_test.go
@@ -34,7 +34,7 @@
 }
 
 // fakeCrasher is a task of a job's first step that crashes each worker on which it has run
-// for the given time.
+// for the given time, or for almost all of its work.
 type fakeCrasher struct {
 	task  int
 	after time.Duration
--- a/process/cell/list.go
+++ b/process/cell/list.go
@@ -39,6 +39,9 @@
 	EndGangBroken EndKind = "broken"
 	// EndGangTimeout follows a timeout of the wait for the other members of the gang.
 	EndGangTimeout EndKind = "alone"
+	// EndCrashed is this scheduler's conclusion that the worker's process ended while the run
+	// was there.
+	EndCrashed EndKind = "crashed"
 	// EndVanished is this scheduler's conclusion that a run is not on its worker.
 	EndVanished EndKind = "vanished"
 )
@@ -60,7 +63,10 @@
 		return
 	}
 	defer c.excludeOnPanic(now, w)
-	c.recordReply(now, w, l.Incarnation)
+	absent := EndVanished
+	if c.recordReply(now, w, l.Incarnation) {
+		absent = EndCrashed
+	}
 	for _, end := range l.Ends {
 		c.handleEnd(now, w, end)
 	}
@@ -80,33 +86,51 @@
 	}
 	for _, r := range sortedRuns(w) {
 		if !running[r.RunKey] && r.provenAbsent(l.SentAt) {
-			c.endRun(now, r, EndVanished, "")
+			c.endRun(now, r, absent, "")
 		}
 	}
 }
 
-// recordReply marks the worker reachable and drops the state of an earlier incarnation.
-func (c *Cell) recordReply(now time.Time, w *Worker, incarnation int64) {
+// recordReply marks the worker reachable and drops the state of an earlier incarnation. It
+// reports whether there was one.
+func (c *Cell) recordReply(now time.Time, w *Worker, incarnation int64) (restarted bool) {
+	restarted = w.incarnation != 0 && w.incarnation != incarnation
+	if restarted {
+		c.noteRestart(now, w)
+	}
 	if !w.unreachableSince.IsZero() {
 		c.note(Note{Kind: NoteWorkerReachable, Worker: w.ID})
+		if !restarted {
+			c.forgetCrash(w)
+		}
 	}
-	w.unreachableSince, w.lossSign = time.Time{}, LossSilent
+	w.unreachableSince, w.lossSign, w.exposed = time.Time{}, LossSilent, nil
 	w.leaseExpired = false
 	if !w.adopted {
 		w.adopted = true
 		c.note(Note{Kind: NoteWorkerAdopted, Worker: w.ID, Address: w.Address, Runs: len(w.runs)})
 	}
 	if w.incarnation == incarnation {
-		return
+		return false
 	}
-	if w.incarnation != 0 {
-		c.note(Note{Kind: NoteWorkerRestarted, Worker: w.ID, Runs: len(w.runs)})
+	if restarted {
 		c.health.Reset(now, w.ID)
 		w.probeDue = false
 	}
 	w.incarnation = incarnation
 	w.lastEnd, w.acked, w.pendingAcks = 0, 0, nil
 	w.speed = speedRecord{}
+	return restarted
+}
+
+// noteRestart records that a worker's earlier incarnation has ended.
+func (c *Cell) noteRestart(now time.Time, w *Worker) {
+	c.note(Note{Kind: NoteWorkerRestarted, Worker: w.ID, Runs: len(w.runs)})
+	if w.unreachableSince.IsZero() {
+		w.unreachableSince = now
+		w.exposed = w.exposures(now)
+	}
+	c.recordLossSign(now, w, LossReplaced)
 }
 
 // provenAbsent reports whether r, missing from the reply to a poll sent at sentAt, is not
--- a/process/cell/load.go
+++ b/process/cell/load.go
@@ -66,6 +66,7 @@
 	}
 	job.stateVersion = row.Version
 	job.outcome, job.shown, job.endedAt, job.started = state.Outcome, state.Outcome, state.Ended, state.Started
+	job.failure = state.Failure
 	if job.shown == "" {
 		job.shown = Queued
 	}
@@ -92,6 +93,7 @@
 func (c *Cell) loadStep(s *step, row stepRow) {
 	s.checkpoint = row.Checkpoint
 	s.failedRuns = numberSet(row.Failed)
+	s.crashes = loadCrashes(row.Crashes)
 	for i, t := range s.tasks {
 		if i < len(row.Done) && row.Done[i] == '1' {
 			t.markDone()
@@ -103,6 +105,7 @@
 		}
 		t := s.tasks[tr.Index]
 		t.lastRun, t.checkpoint, t.failedRuns = tr.Last, tr.Checkpoint, numberSet(tr.Failed)
+		t.crashes = loadCrashes(tr.Crashes)
 		if tr.Worker != "" {
 			c.addRun(t, c.ensureWorker(tr.Worker), runAdopted)
 		}
@@ -137,6 +140,7 @@
 		RunKey: RunKey{Task: t.name(), Number: t.lastRun},
 		task:   t, worker: w, need: t.step.spec.Need, team: job.Team, state: state,
 	}
+	r.isolated = t.suspect()
 	r.pace = fullPace
 	if state == runAdopted {
 		r.pace = unknownPace
--- a/process/cell/notes.go
+++ b/process/cell/notes.go
@@ -28,6 +28,7 @@
 	NoteWorkerReleased
 	NoteRunStalled
 	NoteStepWaiting
+	NoteTaskGivenUp
 	NoteJobSetAside
 	NoteWorkerSetAside
 )
@@ -40,6 +41,7 @@
 	Team   string
 	Task   string
 	Run    int
+	Queue  string
 	Worker string
 	// Address is that of the worker.
 	Address string
@@ -55,4 +57,6 @@
 	Runs   int
 	Reason string
 	Error  error
+	// Common is set for crashes of many workers of a rack at the same time.
+	Common bool
 }
--- a/process/cell/place.go
+++ b/process/cell/place.go
@@ -30,10 +30,11 @@
 	r := c.newRound(now)
 	for _, u := range c.waiting(now) {
 		if r.misses >= maxMisses || c.starts.full(now) {
-			return
+			break
 		}
 		c.planStep(r, u)
 	}
+	c.planSuspects(r)
 }
 
 // planStep places a step, or sets its job aside if that panics.
@@ -50,6 +51,7 @@
 func (c *Cell) planTasks(r *round, u waitingStep) {
 	s := u.step
 	job := s.occ.job
+	suspects := r.addSuspects(u)
 	if len(r.withFreeCPU(s.spec.Need)) == 0 || c.cannotGetTicket(r, s) || !c.withinCap(job.Team, s.spec.charge()) {
 		return
 	}
@@ -57,7 +59,7 @@
 	missing := 0
 	var placed []*Run
 	for _, t := range s.tasks {
-		if !t.placeable(r.now) {
+		if !t.placeable(r.now) || (suspects && t.suspect()) {
 			continue
 		}
 		if missing > 0 {
--- a/process/cell/record.go
+++ b/process/cell/record.go
@@ -19,6 +19,7 @@
 	Queue   string    `json:"q,omitempty"`
 	Team    string    `json:"c,omitempty"`
 	Started bool      `json:"b,omitempty"`
+	Failure string    `json:"f,omitempty"`
 	Occs    []occRow  `json:"k,omitempty"`
 }
 
@@ -33,6 +34,8 @@
 	Failed     []int     `json:"f,omitempty"`
 	Checkpoint string    `json:"p,omitempty"`
 	Tasks      []taskRow `json:"t,omitempty"`
+	// Crashes holds the crashes of workers under a gang.
+	Crashes []crashRow `json:"x,omitempty"`
 }
 
 // taskRow is the progress of a task that has run and isn't done, or whose last run
@@ -44,7 +47,34 @@
 	Failed     []int  `json:"f,omitempty"`
 	Checkpoint string `json:"p,omitempty"`
 	// Worker is the worker on which the last run may still be live.
-	Worker string `json:"w,omitempty"`
+	Worker  string     `json:"w,omitempty"`
+	Crashes []crashRow `json:"x,omitempty"`
+}
+
+// crashRow is the crash of a worker under a run.
+type crashRow struct {
+	Run    int    `json:"r"`
+	Worker string `json:"w"`
+	// At is in milliseconds since 1970.
+	At       int64    `json:"t"`
+	Evidence evidence `json:"e,omitempty"`
+}
+
+func crashRows(crashes []crash) []crashRow {
+	var rows []crashRow
+	for _, one := range crashes {
+		rows = append(rows, crashRow{one.run, one.worker, one.at.UnixMilli(), one.evidence})
+	}
+	return rows
+}
+
+// loadCrashes returns the crashes of rows, of which there are at most maxCrashes.
+func loadCrashes(rows []crashRow) []crash {
+	var crashes []crash
+	for _, row := range rows[:min(len(rows), maxCrashes)] {
+		crashes = append(crashes, crash{row.Run, row.Worker, time.UnixMilli(row.At), row.Evidence})
+	}
+	return crashes
 }
 
 // hasState reports whether the job has progress to record beyond its acceptance.
@@ -65,7 +95,7 @@
 // stateRow returns the job's state row. Once the job has ended and none of its runs may still
 // occupy capacity, the row has the outcome but no progress.
 func (j *Job) stateRow() stateRow {
-	row := stateRow{Outcome: j.outcome, Ended: j.endedAt, Started: j.started}
+	row := stateRow{Outcome: j.outcome, Ended: j.endedAt, Started: j.started, Failure: j.failure}
 	if j.outcome.Ended() {
 		row.Queue, row.Team = j.Queue, j.Team
 	}
@@ -83,7 +113,7 @@
 }
 
 func (s *step) row() stepRow {
-	row := stepRow{Failed: sortedNumbers(s.failedRuns), Checkpoint: s.checkpoint}
+	row := stepRow{Failed: sortedNumbers(s.failedRuns), Checkpoint: s.checkpoint, Crashes: crashRows(s.crashes)}
 	if s.done > 0 {
 		done := make([]byte, len(s.tasks))
 		for i, t := range s.tasks {
@@ -98,7 +128,7 @@
 		if t.current == nil && (t.done || t.lastRun == 0) {
 			continue
 		}
-		tr := taskRow{Index: t.index, Last: t.lastRun, Failed: sortedNumbers(t.failedRuns), Checkpoint: t.checkpoint}
+		tr := taskRow{Index: t.index, Last: t.lastRun, Failed: sortedNumbers(t.failedRuns), Checkpoint: t.checkpoint, Crashes: crashRows(t.crashes)}
 		if t.current != nil {
 			tr.Worker = t.current.worker.ID
 		}
--- a/process/cell/round.go
+++ b/process/cell/round.go
@@ -20,7 +20,11 @@
 	// workersByEnd holds the same workers sorted by the expected end of their last run,
 	// earliest first; nil until first used.
 	workersByEnd []*Worker
-	reservations reservations
+	// isolationReady holds the workers that accept new work and are empty, have isolated runs
+	// or are kept free for such.
+	isolationReady []readyWorker
+	isolation      isolation
+	reservations   reservations
 	// misses counts the steps that found no free capacity or no ticket.
 	misses int
 	// totalFreeCPU is the free CPU of all ready workers, guaranteedCPU the CPU that steps
@@ -52,7 +56,14 @@
 	r := &round{now: now, number: c.rounds, ready: make([]readyWorker, 0, len(c.workerOrder))}
 	c.sortByFree()
 	for _, w := range c.byFree {
-		if c.acceptsWork(now, w) {
+		if !c.acceptsWork(now, w) {
+			continue
+		}
+		isolated := w.isolated(now)
+		if isolated || len(w.runList) == 0 {
+			r.isolationReady = append(r.isolationReady, readyWorker{w, w.freeCapacity.MilliCPU})
+		}
+		if !isolated {
 			w.readyIn = r.number
 			r.ready = append(r.ready, readyWorker{w, w.freeCapacity.MilliCPU})
 			r.totalFreeCPU += w.freeCapacity.MilliCPU
--- a/process/cell/runs.go
+++ b/process/cell/runs.go
@@ -29,6 +29,9 @@
 func (w *Worker) attach(r *Run) {
 	w.runs[r.RunKey] = r
 	w.runList = append(w.runList, r)
+	if r.isolated {
+		w.isolatedRuns++
+	}
 	w.addUsed(r.need)
 }
 
@@ -39,6 +42,9 @@
 		last := len(w.runList) - 1
 		w.runList[i], w.runList[last] = w.runList[last], nil
 		w.runList = w.runList[:last]
+		if r.isolated {
+			w.isolatedRuns--
+		}
 	}
 	w.addUsed(r.need.Times(-1))
 }
--- a/process/cell/simulation_test.go
+++ b/process/cell/simulation_test.go
@@ -208,7 +208,7 @@
 			continue
 		}
 		list = append(list, WorkerInfo{
-			ID: id, Upstream: "desk", Address: f.address, Rack: "r" + f.address[1:2], Capacity: f.capacity, Draining: f.draining, Incarnation: f.incarnation,
+			ID: id, Upstream: "desk", Address: f.address, Rack: f.rack(), Capacity: f.capacity, Draining: f.draining, Incarnation: f.incarnation,
 		})
 	}
 	return list
--- a/process/cell/worker.go
+++ b/process/cell/worker.go
@@ -78,6 +78,8 @@
 	pacedAt     time.Time
 	// speedSampled is set once the run has been used to estimate its worker's speed.
 	speedSampled bool
+	// isolated is set if the run was placed apart from others (isolate.go).
+	isolated bool
 
 	stop stopState
 }
@@ -112,8 +114,10 @@
 	incarnation int64
 	// unreachableSince is when calls began to fail; zero if they succeed.
 	unreachableSince time.Time
-	// lossSign is the strongest sign seen since then that the worker's process has ended.
+	// lossSign is the strongest sign seen since then that the worker's process has ended;
+	// exposed holds the runs that were there then.
 	lossSign LossSign
+	exposed  []exposure
 	// leaseExpired is set once every lease on the worker has expired.
 	leaseExpired bool
 	used         resource.Amount
@@ -138,6 +142,10 @@
 	// readyIn is the number of the last round in which the worker accepted new work.
 	readyIn  uint64
 	reserved reservation
+	// isolatedRuns counts the runs of isolated tasks; until vacatedUntil the worker is kept free
+	// for such tasks.
+	isolatedRuns int
+	vacatedUntil time.Time
 	// claimed is the capacity that gangs may take here once their calls for advice in progress
 	// are answered.
 	claimed  resource.Amount
@@ -233,9 +241,13 @@
 	}
 	if w.unreachableSince.IsZero() {
 		w.unreachableSince = now
+		w.exposed = w.exposures(now)
 		c.note(Note{Kind: NoteWorkerUnreachable, Worker: id, Runs: len(w.runs), Error: err})
 	}
 	c.recordLossSign(now, w, sign)
+	if sign == LossReplaced {
+		c.loseRuns(now, w)
+	}
 }
 
 // WorkerLeaseExpired ends the runs of an unreachable worker on which every lease has
@@ -247,7 +259,16 @@
 	}
 	w.leaseExpired = true
 	c.note(Note{Kind: NoteWorkerLeaseExpired, Worker: id, Runs: len(w.runs)})
+	c.loseRuns(now, w)
+}
+
+// loseRuns ends all runs of a worker on which nothing can be running any more.
+func (c *Cell) loseRuns(now time.Time, w *Worker) {
+	kind := EndVanished
+	if w.lossSign > LossSilent {
+		kind = EndCrashed
+	}
 	for _, r := range sortedRuns(w) {
-		c.endRun(now, r, EndVanished, "")
+		c.endRun(now, r, kind, "")
 	}
 }
--- a/process/cluster/log.go
+++ b/process/cluster/log.go
@@ -18,6 +18,8 @@
 		log.Log(events.JobEnded, n.Job, n.Team, n.State, n.Age.String())
 	case cell.NoteJobCancelled:
 		log.Log(events.JobCancelled, n.Job, n.Team, n.Age.String())
+	case cell.NoteTaskGivenUp:
+		log.Log(events.TaskGivenUp, n.Task, n.Team, n.Queue, n.Run, n.Reason)
 	case cell.NoteJobSetAside:
 		log.Log(events.JobSetAside, n.Job, n.Team, n.Reason)
 	case cell.NotePlaced, cell.NoteRunWithdrawn, cell.NoteStartFailed, cell.NoteRunEnded, cell.NoteRunStalled, cell.NoteRunUnknown, cell.NoteStepWaiting:
@@ -53,7 +55,7 @@
 	case cell.NoteWorkerUnreachable:
 		log.Log(events.CellWorkerUnreachable, n.Worker, n.Runs, n.Error)
 	case cell.NoteWorkerCrashed:
-		log.Log(events.CellWorkerCrashed, n.Worker, n.Runs, n.Reason, n.Age.String())
+		log.Log(events.CellWorkerCrashed, n.Worker, n.Runs, n.Reason, n.Age.String(), n.Common)
 	case cell.NoteWorkerReachable:
 		log.Log(events.CellWorkerReachable, n.Worker)
 	case cell.NoteWorkerLeaseExpired:
--- a/process/events/catalogue.go
+++ b/process/events/catalogue.go
@@ -76,6 +76,7 @@
 	AdviceFailed           = &Event{7207, logrus.WarnLevel, "advice call failed", []string{"step", "entry", "workers", "error"}, "Retried; check the advisory service if it persists."}
 	StepWaiting            = &Event{7208, logrus.InfoLevel, "step with the longest wait", []string{"step", "team", "age", "waited", "reason", "steps"}, "The reason counts the workers that remain after each condition."}
 	StartsNotRelayed       = &Event{7209, logrus.InfoLevel, "start commands not relayed by another entry", []string{"job", "entry", "runs", "sent", "error"}, "With sent false the scheduler sends them itself; if it persists, check that entry's network."}
+	TaskGivenUp            = &Event{7210, logrus.WarnLevel, "task given up, it crashes its workers; its job has failed", []string{"task", "team", "queue", "run", "reason"}, "See OPERATIONS.md, a task crashes its workers."}
 	CellWorkerAdopted      = &Event{7301, logrus.InfoLevel, "worker adopted by this scheduler", []string{"worker", "runs", "address"}, nothing}
 	CellWorkerUnreachable  = &Event{7302, logrus.WarnLevel, "worker unreachable", []string{"worker", "runs", "error"}, "Its runs continue under its lease and start elsewhere once the lease has expired."}
 	CellWorkerReachable    = &Event{7303, logrus.InfoLevel, "worker reachable again", []string{"worker"}, nothing}
@@ -86,7 +87,7 @@
 	CellWorkerQuarantined  = &Event{7308, logrus.WarnLevel, "worker quarantined", []string{"worker", "reason"}, "It is probed and released when it recovers; replace it if it is not released."}
 	CellWorkerSetAside     = &Event{7310, logrus.ErrorLevel, "reply of a worker could not be handled", []string{"worker", "reason"}, "Report it; the worker gets no new work for a minute."}
 	PollGroupReturned      = &Event{7311, logrus.InfoLevel, "workers polled by the scheduler again, not by another entry", []string{"entry", "workers", "reason"}, "If it persists, check that entry's network and CPU usage."}
-	CellWorkerCrashed      = &Event{7312, logrus.WarnLevel, "worker's process has ended, with runs in progress", []string{"worker", "runs", "sign", "after"}, "See OPERATIONS.md, a task crashes its workers."}
+	CellWorkerCrashed      = &Event{7312, logrus.WarnLevel, "worker's process has ended, with runs in progress", []string{"worker", "runs", "sign", "after", "common"}, "See OPERATIONS.md, a task crashes its workers."}
 	UpkeepStarted          = &Event{7401, logrus.InfoLevel, "upkeep of a machine started", []string{"machine", "wave"}, nothing}
 	WaveCompleted          = &Event{7402, logrus.InfoLevel, "upkeep wave completed", []string{"wave", "machines"}, nothing}
 	UpkeepFailed           = &Event{7403, logrus.WarnLevel, "step of an upkeep wave failed", []string{"error"}, "Retried; check the platform's machine service if it persists."}
@@ -104,7 +105,7 @@
 	SchedulerObserved, CellLeaseAcquired, SchedulerStarted, SchedulerReplaced, SchedulerStopped, TableUnreachable, TableRecovered,
 	SettingsReloaded, FeedFailed, FeedRecovered, RowIgnored, WriteSlow, HandoverDecided, HandoverDone, SchedulerLoad,
 	JobAccepted, JobRefused, JobEnded, JobCancelled, CallRefused, JobSetAside,
-	RunPlaced, RunWithdrawn, StartFailed, RunEnded, RunStalled, RunUnknown, AdviceFailed, StepWaiting, StartsNotRelayed,
+	RunPlaced, RunWithdrawn, StartFailed, RunEnded, RunStalled, RunUnknown, AdviceFailed, StepWaiting, StartsNotRelayed, TaskGivenUp,
 	CellWorkerAdopted, CellWorkerUnreachable, CellWorkerReachable, CellWorkerLeaseExpired, CellWorkerRestarted, CellWorkerDraining, CellWorkerMissing,
 	CellWorkerQuarantined, CellWorkerReleased, CellWorkerSetAside, PollGroupReturned, CellWorkerCrashed, UpkeepStarted, WaveCompleted, UpkeepFailed,
 }
