Workers lost at the same time across the fleet convict no task

A partition whose connections are refused takes workers of many racks at the same moment and looks like as many crashes; only losses within one rack counted as a common cause. Now a sixth of the fleet within 250 ms does as well.

--- a/process/cell/crash.go
+++ b/process/cell/crash.go
@@ -71,11 +71,13 @@
 	maxCrashes      = 4
 	// crashForgottenAfter is the age of a run from which earlier crashes don't count any more.
 	crashForgottenAfter = 10 * time.Minute
-	// commonCrashWindow is the time within which workers of a rack crash by a common cause.
+	// commonCrashWindow is the time within which workers that are lost by a common cause are lost.
 	commonCrashWindow = 250 * time.Millisecond
-	// minCommonCrashes is the number of workers of a rack that have to crash for that, beside
-	// half of the rack.
-	minCommonCrashes = 3
+	// minCommonCrashes is the number of workers that have to be lost for that; they are also
+	// at least one in commonRackDivisor of a rack, or in commonFleetDivisor of all.
+	minCommonCrashes   = 3
+	commonRackDivisor  = 2
+	commonFleetDivisor = 6
 )
 
 // guilty reports whether the crashes under a task show that it crashes its workers. Two are
@@ -185,22 +187,31 @@
 	}
 }
 
-// commonCrash reports whether so many workers of w's rack were lost at the time that no task
-// can be the cause.
+// commonCrash reports whether so many workers, of w's rack or in all, were lost at the time that
+// no task can be the cause.
 func (c *Cell) commonCrash(w *Worker) bool {
-	lost, all := 0, 0
+	var lost, all, lostInRack, allInRack int
 	for _, other := range c.workerOrder {
-		if other.Rack != w.Rack || other.Upstream != w.Upstream {
-			continue
-		}
+		inRack := other.Rack == w.Rack && other.FailureDomain == w.FailureDomain
 		if other.listed {
 			all++
+			allInRack += boolToInt(inRack)
 		}
-		if !other.unreachableSince.IsZero() && other.unreachableSince.Sub(w.unreachableSince).Abs() <= commonCrashWindow {
-			lost++
+		if other.unreachableSince.IsZero() || other.unreachableSince.Sub(w.unreachableSince).Abs() > commonCrashWindow {
+			continue
 		}
+		lost++
+		lostInRack += boolToInt(inRack)
+	}
+	return (lost >= minCommonCrashes && lost*commonFleetDivisor >= all) ||
+		(lostInRack >= minCommonCrashes && lostInRack*commonRackDivisor >= allInRack)
+}
+
+func boolToInt(b bool) int {
+	if b {
+		return 1
 	}
-	return lost >= minCommonCrashes && 2*lost >= all
+	return 0
 }
 
 // forgetCrash drops the records of a crash that wasn't one, as the worker responds again.
