Nothing starts on a worker whose capacity has shrunk below its use

A worker's capacity may shrink while it runs. A run was placed by the capacity of its planning and started once it was recorded, seconds later on a slow table: beyond the capacity by then (LIMIT). New jobs that fit no worker at present but did before are refused with that reason and 2 s, not 30 s; accepted ones wait.

--- a/process/cell/admit.go
+++ b/process/cell/admit.go
@@ -18,6 +18,8 @@
 	// minRetryAfter and maxRetryAfter bound the retry delay returned to clients.
 	minRetryAfter = time.Second
 	maxRetryAfter = 30 * time.Second
+	// shrunkRetryAfter is the retry delay of jobs that fitted before workers' capacities shrank.
+	shrunkRetryAfter = 2 * time.Second
 	// burstSeconds is the size of a team's token bucket, in seconds of its refill rate,
 	// which is the team's weight in jobs per second.
 	burstSeconds = 2.0
@@ -200,7 +202,10 @@
 	if len(c.live) >= maxLiveJobs {
 		return "too many jobs", maxRetryAfter
 	}
-	if step, ok := c.unplaceableStep(job); !ok {
+	if step, ok := c.unplaceableStep(job, presentCapacity); !ok {
+		if _, ok := c.unplaceableStep(job, largestCapacity); ok {
+			return fmt.Sprintf("step %d fits no worker at its present capacity", step), shrunkRetryAfter
+		}
 		return fmt.Sprintf("step %d fits no worker", step), maxRetryAfter
 	}
 	if job.Repeat > 0 {
--- a/process/cell/fit.go
+++ b/process/cell/fit.go
@@ -1,16 +1,25 @@
 package cell
 
-import "slices"
+import (
+	"slices"
 
-// unplaceableStep returns false and the index of the first step that would not fit even
-// if nothing else ran, or true if every step would fit.
-func (c *Cell) unplaceableStep(job *Job) (int, bool) {
+	"github.com/kingcuplatch/kingcuplatch/process/resource"
+)
+
+// presentCapacity and largestCapacity return a worker's capacity now, and the largest one that
+// it has had.
+func presentCapacity(w *Worker) resource.Amount { return w.Capacity }
+func largestCapacity(w *Worker) resource.Amount { return w.largest }
+
+// unplaceableStep returns false and the index of the first step that would not fit workers of
+// the given capacity even if nothing else ran, or true if every step would fit.
+func (c *Cell) unplaceableStep(job *Job, capacity func(*Worker) resource.Amount) (int, bool) {
 	if !slices.ContainsFunc(c.workerOrder, func(w *Worker) bool { return w.listed }) {
 		// The directory hasn't been read yet, so capacities are unknown.
 		return 0, true
 	}
 	for i := range job.Steps {
-		if !c.withinCapWhenIdle(job.Team, &job.Steps[i]) || !c.fitsWorkers(job, &job.Steps[i]) {
+		if !c.withinCapWhenIdle(job.Team, &job.Steps[i]) || !c.fitsWorkers(job, &job.Steps[i], capacity) {
 			return i, false
 		}
 	}
@@ -34,7 +43,7 @@
 
 // fitsWorkers reports whether the known workers, when idle, have capacity for one task
 // of the step, or for all of them at once if it is a gang.
-func (c *Cell) fitsWorkers(job *Job, s *StepSpec) bool {
+func (c *Cell) fitsWorkers(job *Job, s *StepSpec, capacity func(*Worker) resource.Amount) bool {
 	upstream := c.upstreamOf(job)
 	wanted := 1
 	if s.Gang {
@@ -43,7 +52,7 @@
 	shape := &step{spec: s, tasks: make([]*task, s.Count)}
 	for _, w := range c.workerOrder {
 		if w.Upstream == upstream && s.labelMatches(w) {
-			wanted -= shape.slotsIn(w.Capacity)
+			wanted -= shape.slotsIn(capacity(w))
 		}
 		if wanted <= 0 {
 			return true
--- a/process/cell/gang.go
+++ b/process/cell/gang.go
@@ -146,15 +146,19 @@
 	return 0
 }
 
-// slotsIn returns how many tasks of s fit into free.
+// slotsIn returns how many tasks of s fit into free: none, whatever they need, if it is negative
+// in some dimension.
 func (s *step) slotsIn(free resource.Amount) int {
 	n := s.perWorkerBound()
 	have, need := free.Vector(), s.spec.Need.Vector()
 	n = min(n, len(s.tasks))
 	for d := range have {
+		if have[d] < 0 {
+			return 0
+		}
 		// Most workers hold as many tasks as are wanted, and a division takes longest here.
 		if need[d] > 0 && need[d]*int64(n) > have[d] {
-			n = int(max(0, have[d]/need[d]))
+			n = int(have[d] / need[d])
 		}
 	}
 	return n
--- a/process/cell/worker.go
+++ b/process/cell/worker.go
@@ -121,6 +121,8 @@
 	// leaseExpired is set once every lease on the worker has expired.
 	leaseExpired bool
 	used         resource.Amount
+	// largest is the largest capacity that this incarnation has had.
+	largest resource.Amount
 	// freeCapacity is Capacity less used.
 	freeCapacity resource.Amount
 	runs         map[RunKey]*Run
@@ -161,6 +163,12 @@
 // free returns the free capacity.
 func (w *Worker) free() resource.Amount { return w.freeCapacity }
 
+// overCapacity reports whether the runs on w, planned ones included, need more than its present
+// capacity.
+func (w *Worker) overCapacity() bool {
+	return w.freeCapacity.MilliCPU < 0 || w.freeCapacity.MemoryMB < 0 || w.freeCapacity.Accelerators < 0
+}
+
 // addUsed adds amount to the used capacity; a negative amount releases it.
 func (w *Worker) addUsed(amount resource.Amount) {
 	w.forecast = runForecast{}
@@ -189,7 +197,7 @@
 		if info.Draining && !w.Draining {
 			c.note(Note{Kind: NoteWorkerDraining, Worker: info.ID})
 		}
-		w.WorkerInfo = info
+		w.setInfo(info)
 		w.addUsed(resource.Amount{})
 		w.listed = true
 	}
@@ -204,6 +212,15 @@
 	c.updateHealthMonitor(now)
 }
 
+// setInfo replaces the worker's directory entry.
+func (w *Worker) setInfo(info WorkerInfo) {
+	if info.Incarnation != w.Incarnation {
+		w.largest = resource.Amount{}
+	}
+	w.largest = w.largest.Max(info.Capacity)
+	w.WorkerInfo = info
+}
+
 // ForgetWorkers drops workers that have left the directory and have no runs, and returns
 // their ids.
 func (c *Cell) ForgetWorkers(now time.Time) []string {
