Starts that fail with their worker don't lower the limit on starts

The limit takes a start without reply for the scheduler's own overload.

TestCrashedWorkersDoNotLimitStarts: by reading it fails before (the limit is lowered by any start without reply); not run without the change.

--- a/process/cell/place.go
+++ b/process/cell/place.go
@@ -211,7 +211,7 @@
 		return
 	}
 	job := r.task.step.occ.job
-	c.starts.answered(now, now.Sub(r.sentAt), answer != StartNoReply && answer != StartNotSent)
+	c.limitStarts(now, r, answer)
 	if answer == StartOK {
 		r.state, r.answeredAt = runStarted, now
 		job.started = true
@@ -239,6 +239,25 @@
 	}
 }
 
+// limitStarts adjusts the limit on starts to the result of a start command. A worker that can't
+// be reached, or whose connection broke soon after the command, says nothing about the
+// scheduler's load.
+func (c *Cell) limitStarts(now time.Time, r *Run, answer StartAnswer) {
+	took := now.Sub(r.sentAt)
+	switch answer {
+	case StartNoReply:
+		if r.worker.unreachableSince.IsZero() && took > promptStart {
+			c.starts.answered(now, took, false)
+		}
+	case StartNotSent:
+		if r.worker.unreachableSince.IsZero() {
+			c.starts.answered(now, took, false)
+		}
+	default:
+		c.starts.answered(now, took, true)
+	}
+}
+
 // StartAnswer is the result of a start command.
 type StartAnswer int
 
--- a/process/cell/startlimit_test.go
+++ b/process/cell/startlimit_test.go
@@ -76,3 +76,19 @@
 	c.starts.limit = initialStartLimit
 	assert.Equal(t, c.starts.wait(w.now, 1000), time.Duration(0), "replies are prompt")
 }
+
+// Starts that fail because their worker has crashed must not lower the limit, which would make
+// all other work wait.
+func TestCrashedWorkersDoNotLimitStarts(t *testing.T) {
+	for _, unreachable := range []bool{true, false} {
+		c, s, now := gangOfTwo(t)
+		limit := c.starts.limit
+		now = now.Add(promptStart / 2)
+		if unreachable {
+			c.WorkerUnreachable(now, "w0", LossRefused, nil)
+			now = now.Add(promptStart)
+		}
+		c.StartAnswered(now, "w0", s.tasks[0].current.RunKey, StartNoReply)
+		assert.Equal(t, c.starts.limit, limit, "unreachable %t", unreachable)
+	}
+}
