Only crashes that nothing else can have caused convict a task

The first fix gave up tasks after two crashes of which others may have been the cause.

- A crash counts once another incarnation has replaced the worker; a refused connection alone may be a partition.
- A run counts if it had certainly begun; a start without reply may be carried out at any time, so it is as suspect as one just sent.
- Crashes with others that nothing recent explains, of a tenth of the fleet or of half a rack at once, and repeated ones of one machine don't convict.
- Two own crashes (alone; or the only one just started, then alone at once), one alone after three others, or five in any case.
- A task whose last run went on for some time isn't kept apart any more; tasks of one step share a worker as their siblings run well; those that most likely crash workers leave half of the slots to others, and workers are vacated only for tasks that may occupy them.
- Queues with such tasks are placed apart from others where there is room.

--- a/process/cell/cell.go
+++ b/process/cell/cell.go
@@ -61,6 +61,13 @@
 	slowAdviceCalls, quickAdviceCalls int
 	adviceLimits                      AdviceLimits
 	starts                            *startLimiter
+	// lastIsolation describes the tasks that the last round had to place apart; empty if none.
+	lastIsolation string
+	// riskyUntil is until when a queue's tasks are likely to crash their workers.
+	riskyUntil map[string]time.Time
+	// machineCrashes is when a worker last crashed, by its address, as far as no task that has
+	// been given up was the cause.
+	machineCrashes map[string]time.Time
 
 	// seq numbers the changes of jobs; markDirty increments it.
 	seq uint64
@@ -95,6 +102,7 @@
 		usage: make(map[string]resource.Amount), teams: make(map[string]*tokenBucket),
 		allowedShares: make(map[string]float64), refused: newRefusedJobs(), placementRates: make(map[string]*placementRate),
 		health: health.New(), adviceLimits: AdviceLimits{Slow: 1, Quick: 2}, starts: newStartLimiter(),
+		machineCrashes: make(map[string]time.Time), riskyUntil: make(map[string]time.Time),
 	}
 }
 
@@ -265,6 +273,8 @@
 	for _, w := range c.workerOrder {
 		c.tickWorker(now, w)
 	}
+	c.forgetMachineCrashes(now)
+	c.forgetRisks(now)
 	c.retire(now)
 	c.explain(now)
 }
--- a/process/cell/crash.go
+++ b/process/cell/crash.go
@@ -1,6 +1,7 @@
 package cell
 
 import (
+	"maps"
 	"slices"
 	"time"
 )
@@ -43,65 +44,120 @@
 type evidence int
 
 const (
+	// evidenceNone: many workers were lost at the same time, so hardly by a task.
+	evidenceNone evidence = iota
 	// evidenceWeak: the run had been there for some time, as others had, or its age isn't known.
-	evidenceWeak evidence = iota
+	evidenceWeak
 	// evidenceRecent: the run had just been started, as had others.
 	evidenceRecent
 	// evidenceSole: of all runs there only this one had just been started.
 	evidenceSole
 	// evidenceAlone: no other task ran there.
 	evidenceAlone
+	// evidenceAloneRecent: it had just been started, and no other task ran there.
+	evidenceAloneRecent
 )
 
 // crash is the crash of a worker under a run of a task.
 type crash struct {
-	run      int
-	worker   string
+	run    int
+	worker string
+	// machine is the worker's address, which stays with the machine.
+	machine  string
 	at       time.Time
 	evidence evidence
+	// started is set if the run had certainly begun: the worker had said so, or had nothing else
+	// that could crash it.
+	started bool
+	// doubtful is set if other workers that no task can have crashed were lost at the same time.
+	doubtful bool
+	// confirmed is set once another incarnation has responded in place of the worker. Until
+	// then it may be cut off by something that refuses connections, and its runs go on.
+	confirmed bool
 }
 
 const (
 	// recentStart is how long before a crash a run was started at most to count as just
 	// started.
-	recentStart = 500 * time.Millisecond
-	// crashesToGiveUp is the number of crashes after which a task is given up if the last of
-	// them can only be its own; maxCrashes that after which it is given up in any case.
-	crashesToGiveUp = 3
-	maxCrashes      = 4
+	recentStart = 300 * time.Millisecond
+	// ownCrashesToGiveUp is the number of crashes that can hardly be another's after which a task
+	// is given up.
+	ownCrashesToGiveUp = 2
+	// maxWeakCrashes is the number of crashes long after its start from which a task is kept
+	// apart; with one more, and nothing else there, it is given up.
+	maxWeakCrashes = 3
+	// maxCrashes is the number of crashes after which a task is given up in any case.
+	maxCrashes = 5
+	// maxCrashLog bounds the crashes that are kept for a task, unconfirmed ones included.
+	maxCrashLog = 8
 	// crashForgottenAfter is the age of a run from which earlier crashes don't count any more.
 	crashForgottenAfter = 10 * time.Minute
-	// commonCrashWindow is the time within which workers that are lost by a common cause are lost.
-	commonCrashWindow = 250 * time.Millisecond
-	// minCommonCrashes is the number of workers that have to be lost for that; they are also
-	// at least one in commonRackDivisor of a rack, or in commonFleetDivisor of all.
-	minCommonCrashes   = 3
-	commonRackDivisor  = 2
-	commonFleetDivisor = 6
+	// lossWindow is the time within which workers that are lost by a common cause are lost.
+	lossWindow = 250 * time.Millisecond
+	// Workers are lost by a common cause if they are at least minRackLosses and one in
+	// rackLossDivisor of a rack, or minFleetLosses and one in fleetLossDivisor of all.
+	minRackLosses    = 3
+	rackLossDivisor  = 2
+	minFleetLosses   = 8
+	fleetLossDivisor = 10
+	// machineCrashWindow is how long a crash counts against its machine.
+	machineCrashWindow = 30 * time.Second
 )
 
-// guilty reports whether the crashes under a task show that it crashes its workers. Two are
-// enough if it had just been started both times and the last one can only be its own.
+// guilty reports whether the crashes under a task show that it crashes its workers: two with
+// nothing else there that could be the cause, or one of these right after its start when it had
+// been the only one just started at an earlier crash, or one of these after several others.
 func guilty(crashes []crash) bool {
-	n := len(crashes)
-	if n < 2 {
-		return false
+	confirmed := slices.DeleteFunc(slices.Clone(crashes), func(one crash) bool { return !one.confirmed })
+	if len(confirmed) >= maxCrashes {
+		return true
 	}
-	last, before := crashes[n-1], crashes[n-2]
-	switch {
-	case n >= maxCrashes:
+	own := slices.DeleteFunc(confirmed, func(one crash) bool { return one.doubtful || !one.started || one.evidence < evidenceSole })
+	if len(own) >= ownCrashesToGiveUp && own[len(own)-1].evidence == evidenceAloneRecent {
 		return true
-	case last.evidence < evidenceSole:
-		return false
-	default:
-		return n >= crashesToGiveUp || before.evidence >= evidenceRecent
 	}
+	alone := ownOrOtherMachines(slices.DeleteFunc(own, func(one crash) bool { return one.evidence < evidenceAlone }))
+	return len(alone) >= ownCrashesToGiveUp || (len(alone) > 0 && len(confirmed) > maxWeakCrashes)
+}
+
+// ownOrOtherMachines returns the crashes without those of a machine on which an earlier one
+// happened, unless the run had just been started: such a machine may crash by itself.
+func ownOrOtherMachines(crashes []crash) []crash {
+	var kept []crash
+	for _, one := range crashes {
+		sameMachine := slices.ContainsFunc(kept, func(k crash) bool { return k.machine == one.machine })
+		if !sameMachine || one.evidence == evidenceAloneRecent {
+			kept = append(kept, one)
+		}
+	}
+	return kept
+}
+
+// suspicionOf returns how much the crashes speak against a task: the evidence of those with
+// nothing else on the worker, or else that of the last one. A task whose last run had gone on for
+// some time isn't one that crashes its worker at once.
+func suspicionOf(crashes []crash) evidence {
+	suspicion := evidenceNone
+	for _, one := range crashes {
+		if one.evidence != evidenceNone && suspicion < evidenceAlone {
+			suspicion = one.evidence
+		}
+	}
+	return suspicion
 }
 
 // suspected reports whether a task with these crashes is to be kept apart from others.
 func suspected(crashes []crash) bool {
-	n := len(crashes)
-	return n >= 2 || (n == 1 && crashes[0].evidence >= evidenceRecent)
+	return suspicionOf(crashes) >= evidenceRecent || countTelling(crashes) >= maxWeakCrashes
+}
+
+// countTelling counts the crashes that say something about the task.
+func countTelling(crashes []crash) int {
+	n := 0
+	for _, one := range crashes {
+		n += boolToInt(one.evidence > evidenceNone)
+	}
+	return n
 }
 
 // crashLog returns the crashes under the task, or under its gang.
@@ -121,6 +177,7 @@
 	task     *task
 	run      int
 	evidence evidence
+	started  bool
 }
 
 // exposures returns the runs that may be on the worker at the given time.
@@ -131,8 +188,10 @@
 		if r.state == runPlanned {
 			continue
 		}
-		e := exposure{task: r.task, run: r.Number}
-		if !r.sentAt.IsZero() && now.Sub(r.sentAt) <= recentStart {
+		e := exposure{task: r.task, run: r.Number, started: r.state == runStarted || r.state == runListed}
+		// A start without reply may be carried out at any time.
+		unanswered := r.state == runStarting || r.state == runOutcomeUnknown
+		if unanswered || (!r.sentAt.IsZero() && now.Sub(r.sentAt) <= recentStart) {
 			e.evidence = evidenceRecent
 			recent = append(recent, r.task)
 		}
@@ -141,16 +200,28 @@
 	alone := len(w.unknownRuns) == 0 && !slices.ContainsFunc(exposed, func(e exposure) bool { return !sameUnit(e.task, exposed[0].task) })
 	sole := !slices.ContainsFunc(recent, func(t *task) bool { return !sameUnit(t, recent[0]) })
 	for i := range exposed {
-		switch {
-		case alone:
-			exposed[i].evidence = evidenceAlone
-		case sole && exposed[i].evidence == evidenceRecent:
-			exposed[i].evidence = evidenceSole
-		}
+		exposed[i].evidence = combineEvidence(exposed[i].evidence == evidenceRecent, sole, alone)
+		exposed[i].started = exposed[i].started || alone
 	}
 	return exposed
 }
 
+// combineEvidence returns the evidence of a crash against a run that had just been started or
+// not, was the only one of these or not, and was alone or not.
+func combineEvidence(recent, sole, alone bool) evidence {
+	switch {
+	case alone && recent:
+		return evidenceAloneRecent
+	case alone:
+		return evidenceAlone
+	case recent && sole:
+		return evidenceSole
+	case recent:
+		return evidenceRecent
+	}
+	return evidenceWeak
+}
+
 // sameUnit reports whether two tasks start and end together: a task and itself, or members
 // of a gang.
 func sameUnit(a, b *task) bool { return a == b || (a.step == b.step && a.step.spec.Gang) }
@@ -163,50 +234,111 @@
 	}
 	first := w.lossSign == LossSilent
 	w.lossSign = sign
-	if first && !w.Draining && !c.isCordoned(w) {
+	if w.Draining || c.isCordoned(w) {
+		return
+	}
+	if first {
 		c.recordCrash(now, w, sign)
 	}
+	if sign == LossReplaced {
+		c.confirmCrash(now, w)
+	}
 }
 
 // recordCrash records the crash of a worker with the tasks that ran there.
 func (c *Cell) recordCrash(now time.Time, w *Worker, sign LossSign) {
-	common := c.commonCrash(w)
+	losses := c.countLosses(w)
+	common := losses.common()
+	at := w.unreachableSince.Truncate(time.Millisecond)
+	c.machineCrashes[w.Address] = w.unreachableSince
 	c.note(Note{Kind: NoteWorkerCrashed, Worker: w.ID, Runs: len(w.exposed), Reason: sign.String(), Age: now.Sub(w.unreachableSince), Common: common})
-	if common {
-		return
-	}
 	for _, e := range w.exposed {
 		job := e.task.step.occ.job
 		log := e.task.crashLog()
 		known := slices.ContainsFunc(*log, func(one crash) bool { return one.run == e.run })
-		if known || e.task.done || job.outcome.Ended() || len(*log) >= maxCrashes {
+		if known || e.task.done || job.outcome.Ended() || len(*log) >= maxCrashLog {
 			continue
 		}
-		*log = append(*log, crash{run: e.run, worker: w.ID, at: w.unreachableSince.Truncate(time.Millisecond), evidence: e.evidence})
+		one := crash{
+			run: e.run, worker: w.ID, machine: w.Address, at: at,
+			evidence: e.evidence, started: e.started, doubtful: losses.unexplained(),
+		}
+		if common {
+			one.evidence = evidenceNone
+		}
+		*log = append(*log, one)
 		c.markDirty(job)
 	}
 }
 
-// commonCrash reports whether so many workers, of w's rack or in all, were lost at the time that
-// no task can be the cause.
-func (c *Cell) commonCrash(w *Worker) bool {
-	var lost, all, lostInRack, allInRack int
+// confirmCrash confirms the recorded crash of a worker, and gives up the tasks that it shows to
+// be guilty.
+func (c *Cell) confirmCrash(now time.Time, w *Worker) {
+	for _, e := range w.exposed {
+		log := *e.task.crashLog()
+		i := slices.IndexFunc(log, func(one crash) bool { return one.run == e.run && one.worker == w.ID })
+		if i < 0 || log[i].confirmed {
+			continue
+		}
+		log[i].confirmed = true
+		if log[i].started && !log[i].doubtful && log[i].evidence >= evidenceSole {
+			c.noteRisk(now, e.task)
+		}
+		c.markDirty(e.task.step.occ.job)
+		c.giveUpIfGuilty(now, e.task)
+	}
+}
+
+// crashedLately reports whether a worker at w's address, so one of the same machine, has crashed
+// lately by no task's fault that is known.
+func (c *Cell) crashedLately(now time.Time, w *Worker) bool {
+	at, ok := c.machineCrashes[w.Address]
+	return ok && now.Sub(at) < machineCrashWindow
+}
+
+// forgetMachineCrashes drops the crashes of machines that are long ago.
+func (c *Cell) forgetMachineCrashes(now time.Time) {
+	maps.DeleteFunc(c.machineCrashes, func(_ string, at time.Time) bool { return now.Sub(at) >= machineCrashWindow })
+}
+
+// losses counts the workers that were lost at the same time as another: those in all and in its
+// rack, and the workers there are; recent counts those on which a task had just been started.
+type losses struct {
+	lost, all             int
+	lostInRack, allInRack int
+	recent                int
+}
+
+// countLosses counts the workers that were lost at the same time as w.
+func (c *Cell) countLosses(w *Worker) losses {
+	var l losses
 	for _, other := range c.workerOrder {
-		inRack := other.Rack == w.Rack && other.FailureDomain == w.FailureDomain
+		inRack := boolToInt(other.Rack == w.Rack && other.FailureDomain == w.FailureDomain)
 		if other.listed {
-			all++
-			allInRack += boolToInt(inRack)
+			l.all++
+			l.allInRack += inRack
 		}
-		if other.unreachableSince.IsZero() || other.unreachableSince.Sub(w.unreachableSince).Abs() > commonCrashWindow {
+		if other.unreachableSince.IsZero() || other.unreachableSince.Sub(w.unreachableSince).Abs() > lossWindow {
 			continue
 		}
-		lost++
-		lostInRack += boolToInt(inRack)
+		l.lost++
+		l.lostInRack += inRack
+		l.recent += boolToInt(slices.ContainsFunc(other.exposed, func(e exposure) bool { return e.evidence >= evidenceRecent }))
 	}
-	return (lost >= minCommonCrashes && lost*commonFleetDivisor >= all) ||
-		(lostInRack >= minCommonCrashes && lostInRack*commonRackDivisor >= allInRack)
+	return l
+}
+
+// common reports whether so many workers, in all or of the rack, were lost that no task can be
+// the cause.
+func (l losses) common() bool {
+	return (l.lost >= minFleetLosses && l.lost*fleetLossDivisor >= l.all) ||
+		(l.lostInRack >= minRackLosses && l.lostInRack*rackLossDivisor >= l.allInRack)
 }
 
+// unexplained reports whether several workers were lost, some of them without a task that had
+// just been started.
+func (l losses) unexplained() bool { return l.lost >= minRackLosses && l.recent < l.lost }
+
 func boolToInt(b bool) int {
 	if b {
 		return 1
@@ -243,8 +375,11 @@
 	return true
 }
 
-// exonerate drops a crash from the logs of all tasks.
+// exonerate drops a crash from the logs of all tasks, and of its machine.
 func (c *Cell) exonerate(one crash) {
+	if c.machineCrashes[one.machine].Truncate(time.Millisecond).Equal(one.at) {
+		delete(c.machineCrashes, one.machine)
+	}
 	for _, job := range c.live {
 		for _, o := range job.occurrences {
 			for _, s := range o.steps {
@@ -269,8 +404,8 @@
 	return report
 }
 
-// reviewCrashes drops the crashes under a task whose run has lasted so long that they say
-// nothing about it.
+// reviewCrashes drops the crashes under a task whose run has lasted so long that they say nothing
+// about it.
 func (c *Cell) reviewCrashes(now time.Time, r *Run) {
 	log := r.task.crashLog()
 	if len(*log) == 0 || r.listedAt.IsZero() || now.Sub(r.listedAt) < crashForgottenAfter || !r.worker.unreachableSince.IsZero() {
--- a/process/cell/crash_test.go
+++ b/process/cell/crash_test.go
@@ -37,6 +37,9 @@
 		if j.crasher != nil {
 			crashers++
 			want = Failed
+			if n := w.crashedUnder[j.crasherTask()]; n < 2 {
+				w.violate("LOST %s is failed after %d crashes", id, n)
+			}
 		}
 		if !ok || state != want {
 			w.violate("LOST %s (%s) is %q, not %q", id, j.kind, state, want)
--- a/process/cell/explain.go
+++ b/process/cell/explain.go
@@ -69,7 +69,11 @@
 			reserved += n
 		}
 	}
+	isolation := ""
+	if c.lastIsolation != "" {
+		isolation = "; " + c.lastIsolation
+	}
 	return fmt.Sprintf("of %d workers %d usable, %d eligible, %d advised, %d with a ticket; capacity for %d of %d tasks, %d of it reserved for other steps; "+
-		"advice requests in flight: %d; %d starts in progress, limit %.0f",
-		len(c.workerOrder), usable, eligible, advised, ticketed, slots, count, reserved, s.advice.calls, len(c.starts.inProgress), c.starts.limit)
+		"advice requests in flight: %d; %d starts in progress, limit %.0f%s",
+		len(c.workerOrder), usable, eligible, advised, ticketed, slots, count, reserved, s.advice.calls, len(c.starts.inProgress), c.starts.limit, isolation)
 }
--- a/process/cell/fleet_test.go
+++ b/process/cell/fleet_test.go
@@ -39,6 +39,8 @@
 	silent bool
 	// partitioned workers can't be reached but keep running.
 	partitioned bool
+	// refuses is set if connections to it are refused while it is partitioned.
+	refuses bool
 	// hang stops the progress of all runs, fails makes all runs fail.
 	hang     bool
 	fails    bool
@@ -188,14 +190,15 @@
 	run := &fakeRun{RunKey: command.RunKey, worker: f, need: step.Need, checkpoints: step.Checkpointing}
 	run.length = time.Duration(float64(job.times[ref.step][ref.index]) / f.speed)
 	f.running[command.RunKey] = run
-	w.scheduleCrash(job, ref, run)
 	f.extendLease(w.now.Add(1500 * time.Millisecond))
 	w.checkStart(job, ref, command, f)
 	if step.Gang {
 		w.joinGang(run, ref, step.Count, command.Checkpoint)
+		w.scheduleCrash(job, ref, run)
 		return StartOK
 	}
 	w.resume(run, command.Checkpoint)
+	w.scheduleCrash(job, ref, run)
 	w.begin(run)
 	return StartOK
 }
@@ -455,7 +458,7 @@
 	if job.crasher == nil || ref.step != 0 || ref.index != job.crasher.task {
 		return
 	}
-	w.after(min(job.crasher.after, r.length*9/10), func() {
+	w.after(min(job.crasher.after, (r.length-r.done)*9/10), func() {
 		if r.worker.running[r.RunKey] == r {
 			w.crashedUnder[r.Task]++
 			w.crashAndReplace(r.worker.id, crasherDownTime)
--- a/process/cell/gang.go
+++ b/process/cell/gang.go
@@ -137,10 +137,10 @@
 	return cmp.Or(cmp.Compare(b.tasks, a.tasks), cmp.Compare(b.worker.freeCapacity.MilliCPU, a.worker.freeCapacity.MilliCPU))
 }
 
-// gangPenalty returns 1 for workers that are slow or on which the gang failed, else 0:
-// the slowest member determines the duration of the gang.
+// gangPenalty returns 1 for workers that are slow, on which the gang failed or that are likelier
+// to crash than others, else 0: the slowest member determines the duration of the gang.
 func (c *Cell) gangPenalty(w *Worker, s *step) int {
-	if c.slowness(w) > slowThreshold || slices.ContainsFunc(s.tasks, func(t *task) bool { return t.avoidWorker == w.ID }) {
+	if c.slowness(w) > slowThreshold || c.mixes(s, w) || slices.ContainsFunc(s.tasks, func(t *task) bool { return t.avoidWorker == w.ID }) {
 		return 1
 	}
 	return 0
--- a/process/cell/isolate.go
+++ b/process/cell/isolate.go
@@ -2,23 +2,32 @@
 
 import (
 	"cmp"
+	"fmt"
 	"slices"
 	"time"
 )
 
 // Tasks that may have crashed their worker run apart from others until they are done, so that
-// a further crash costs nobody else anything and shows which of them is to blame. Those with
-// one crash share workers, one start at a time: only the one that was started last can be the
-// cause of a crash right after. Those with more crashes run alone.
+// a further crash costs nobody else anything and shows which of them is to blame. Those that
+// several others may have to answer for share workers, one start at a time, or some of the same
+// step once others of it run well. Those that alone had just been started at the crash, and those
+// with several crashes, run alone.
 //
 // Load pattern: none are waiting in almost all rounds. When workers crash, some ten tasks a
 // crash wait for the few workers that are empty.
 
 const (
-	// isolationDivisor bounds the workers that isolated tasks occupy to one in this many, as
-	// long as that is at least minIsolationWorkers. One team may occupy half of them.
+	// isolationDivisor bounds the workers that isolated tasks occupy to one in this many of the
+	// fleet, or minIsolationWorkers, or one in emptyDivisor of those that are empty anyway, or all
+	// of these while half of the fleet's processors are free. While several teams' tasks wait,
+	// teamDivisor divides that for one team.
 	isolationDivisor    = 6
 	minIsolationWorkers = 2
+	emptyDivisor        = 2
+	teamDivisor         = 2
+	// probableDivisor bounds those of these workers for tasks that most likely crash them to one
+	// in this many, or to the empty ones, while others wait: their jobs will hardly be done.
+	probableDivisor = 2
 	// vacatingTime is how long a worker is kept free of other work for isolated tasks that
 	// wait.
 	vacatingTime = 500 * time.Millisecond
@@ -35,10 +44,13 @@
 // isolation is the state of isolated tasks in a round.
 type isolation struct {
 	waiting []waitingSuspect
-	// limit bounds the workers that isolated tasks occupy, used is their number, byTeam that
-	// of each team.
-	limit, used int
-	byTeam      map[string]int
+	// limit bounds the workers that isolated tasks occupy, teamLimit those for one team; used
+	// is their number, byTeam that of each team.
+	limit, teamLimit, used int
+	byTeam                 map[string]int
+	// probable is the number of workers with tasks that most likely crash them, probableLimit
+	// its bound.
+	probable, probableLimit int
 }
 
 // isolated reports whether w runs isolated tasks or is kept free for some.
@@ -63,11 +75,10 @@
 // their worker: their jobs will hardly be done, and those of the others may still be in time.
 func (c *Cell) planSuspects(r *round) {
 	if len(r.isolation.waiting) == 0 {
+		c.lastIsolation = ""
 		return
 	}
-	slices.SortStableFunc(r.isolation.waiting, func(a, b waitingSuspect) int {
-		return cmp.Compare(a.task.suspicion(), b.task.suspicion())
-	})
+	slices.SortStableFunc(r.isolation.waiting, compareSuspects)
 	c.countIsolation(r)
 	for _, waiting := range r.isolation.waiting {
 		if c.starts.full(r.now) {
@@ -75,17 +86,28 @@
 		}
 		c.planSuspect(r, waiting)
 	}
+	c.lastIsolation = r.isolation.String()
 }
 
-// suspicion returns the strongest evidence against the task.
-func (t *task) suspicion() evidence {
-	strongest := evidenceWeak
-	for _, one := range t.crashes {
-		strongest = max(strongest, one.evidence)
-	}
-	return strongest
+// String returns the state as it appears in logs.
+func (i *isolation) String() string {
+	return fmt.Sprintf("%d tasks wait to run apart; %d workers for such tasks, limit %d; %d for those that most likely crash them, limit %d",
+		len(i.waiting), i.used, i.limit, i.probable, i.probableLimit)
+}
+
+// compareSuspects orders suspects: first those that are hardly to blame, then those with most
+// crashes, of which one more may be the last, then those that wait longest.
+func compareSuspects(a, b waitingSuspect) int {
+	return cmp.Or(
+		cmp.Compare(boolToInt(a.task.suspicion() >= evidenceSole), boolToInt(b.task.suspicion() >= evidenceSole)),
+		cmp.Compare(len(b.task.crashes), len(a.task.crashes)),
+		a.step.waitingSince.Compare(b.step.waitingSince),
+	)
 }
 
+// suspicion returns how much the crashes under the task speak against it.
+func (t *task) suspicion() evidence { return suspicionOf(*t.crashLog()) }
+
 // countIsolation counts the workers that isolated tasks occupy, also those that have crashed
 // under them and aren't back yet.
 func (c *Cell) countIsolation(r *round) {
@@ -98,9 +120,29 @@
 		i.used++
 		if len(w.runList) > 0 && w.isolatedRuns > 0 {
 			i.byTeam[w.runList[0].team]++
+			i.probable += boolToInt(w.runList[0].task.suspicion() >= evidenceSole)
+		}
+	}
+	empty := 0
+	for _, w := range r.isolationReady {
+		if len(w.runList) == 0 {
+			empty++
 		}
 	}
-	i.limit = max(minIsolationWorkers, len(c.workerOrder)/isolationDivisor)
+	spare := empty / emptyDivisor
+	if 2*r.totalFreeCPU > r.totalCPU {
+		spare = empty
+	}
+	i.limit = max(minIsolationWorkers, len(r.ready)/isolationDivisor, i.used+spare)
+	i.probableLimit = i.limit
+	if i.waiting[0].task.suspicion() < evidenceSole {
+		i.probableLimit = max(1, i.limit/probableDivisor, spare)
+	}
+	i.teamLimit = i.limit
+	team := i.waiting[0].task.step.occ.job.Team
+	if slices.ContainsFunc(i.waiting, func(w waitingSuspect) bool { return w.task.step.occ.job.Team != team }) {
+		i.teamLimit = max(1, i.limit/teamDivisor)
+	}
 }
 
 // planSuspect places a suspect, or has a worker kept free for it.
@@ -111,8 +153,12 @@
 	if !s.mayTry(r.now) || !c.withinCap(s.occ.job.Team, s.spec.charge()) || c.cannotGetTicket(r, s) {
 		return
 	}
-	w := c.isolationWorker(r, t)
+	mayOccupy := r.isolation.mayOccupy(t)
+	w := c.isolationWorker(r, t, mayOccupy)
 	if w == nil {
+		if !mayOccupy {
+			return
+		}
 		c.vacate(r, s)
 		c.requestIsolationAdvice(r, s)
 		return
@@ -122,6 +168,7 @@
 	}
 	if w.isolatedRuns == 0 {
 		r.isolation.byTeam[s.occ.job.Team]++
+		r.isolation.probable += boolToInt(t.suspicion() >= evidenceSole)
 	}
 	c.notePlaced(r.now, s, []*Run{c.place(r.now, t, w)})
 }
@@ -150,10 +197,11 @@
 }
 
 // isolationWorker returns the worker on which a suspect can be started now: one that has only
-// other suspects that run well, or else an empty one. It returns nil if there is none.
-func (c *Cell) isolationWorker(r *round, t *task) *Worker {
+// other suspects that run well, or else an empty one if it may occupy one. It returns nil if
+// there is none.
+func (c *Cell) isolationWorker(r *round, t *task, mayOccupy bool) *Worker {
 	s := t.step
-	alone := len(t.crashes) > 1
+	alone := t.runsAlone()
 	var empty *Worker
 	for _, rw := range r.isolationReady {
 		w := rw.Worker
@@ -161,37 +209,58 @@
 			continue
 		}
 		if len(w.runList) > 0 {
-			if !alone && w.takesSuspect(r.now) {
+			if !alone && w.takesSuspect(r.now, s) {
 				return w
 			}
 			continue
 		}
-		if empty == nil || (w.vacatedUntil.After(r.now) && !empty.vacatedUntil.After(r.now)) {
+		if !mayOccupy || (w.vacatedUntil.After(r.now) && w.vacatedFor != s) || (r.isolation.used >= r.isolation.limit && !w.isolated(r.now)) {
+			continue
+		}
+		if empty == nil || c.isolationRank(r.now, t, w) > c.isolationRank(r.now, t, empty) {
 			empty = w
 		}
 	}
-	if empty == nil || !r.isolation.mayOccupy(r.now, empty, s.occ.job.Team) {
-		return nil
-	}
 	return empty
 }
 
-// takesSuspect reports whether one more suspect with a single crash can be started on w: all runs
-// there are isolated and run well, and none of them has to be alone.
-func (w *Worker) takesSuspect(now time.Time) bool {
+// isolationRank orders empty workers for a suspect: those kept free for it come first, and those
+// of machines that have crashed lately, or even under it, last: another crash there would say
+// little.
+func (c *Cell) isolationRank(now time.Time, t *task, w *Worker) int {
+	before := slices.ContainsFunc(*t.crashLog(), func(one crash) bool { return one.machine == w.Address })
+	return 2*boolToInt(w.vacatedUntil.After(now)) - boolToInt(c.crashedLately(now, w)) - 4*boolToInt(before)
+}
+
+// runsAlone reports whether a suspect must be the only task on its worker.
+func (t *task) runsAlone() bool {
+	return t.step.spec.Gang || t.suspicion() >= evidenceSole || countTelling(t.crashes) >= maxWeakCrashes
+}
+
+// takesSuspect reports whether one more suspect of s that may share its worker can be started on
+// w: all runs there are isolated, none of them has to be alone, and those of other steps run
+// well.
+func (w *Worker) takesSuspect(now time.Time, s *step) bool {
 	return !slices.ContainsFunc(w.runList, func(r *Run) bool {
-		return !r.isolated || len(*r.task.crashLog()) > 1 || !r.startedWell(now)
+		return !r.isolated || r.task.runsAlone() || (r.task.step != s && !r.startedWell(now))
 	})
 }
 
-// mayOccupy reports whether isolated tasks of a team may occupy an empty worker.
-func (i *isolation) mayOccupy(now time.Time, w *Worker, team string) bool {
-	return (i.used < i.limit || w.isolated(now)) && i.byTeam[team] < max(1, i.limit/2)
+// mayOccupy reports whether a suspect may occupy one more worker.
+func (i *isolation) mayOccupy(t *task) bool {
+	if t.suspicion() >= evidenceSole && i.probable >= i.probableLimit {
+		return false
+	}
+	return i.byTeam[t.step.occ.job.Team] < i.teamLimit
 }
 
 // vacate keeps the worker that is expected to be empty first, of those on which s may run, free
 // of other work, if isolated tasks may occupy another one.
 func (c *Cell) vacate(r *round, s *step) {
+	if w := r.vacatedFor(s); w != nil {
+		w.vacatedUntil = r.now.Add(vacatingTime)
+		return
+	}
 	if r.isolation.used >= r.isolation.limit {
 		return
 	}
@@ -200,12 +269,22 @@
 			!s.eligible(c.upstreamOf(s.occ.job), w) || !s.advice.allows(s, w) || !fits(&s.spec.Need, &w.Capacity) {
 			continue
 		}
-		w.vacatedUntil = r.now.Add(vacatingTime)
+		w.vacatedUntil, w.vacatedFor = r.now.Add(vacatingTime), s
 		r.isolation.used++
 		return
 	}
 }
 
+// vacatedFor returns the worker that is kept free for s, or nil.
+func (r *round) vacatedFor(s *step) *Worker {
+	for _, w := range r.isolationReady {
+		if w.vacatedFor == s && w.vacatedUntil.After(r.now) {
+			return w.Worker
+		}
+	}
+	return nil
+}
+
 // runsLong reports whether w has a long-running task.
 func (w *Worker) runsLong() bool {
 	return slices.ContainsFunc(w.runList, func(r *Run) bool { return r.task.step.spec.LongRunning })
--- a/process/cell/kinds_test.go
+++ b/process/cell/kinds_test.go
@@ -40,6 +40,9 @@
 	after time.Duration
 }
 
+// crasherTask returns the name of the job's task that crashes its workers.
+func (j *fakeJob) crasherTask() string { return fmt.Sprintf("%s.0.0.%d", j.spec.ID, j.crasher.task) }
+
 // allowedShares is the fraction of workers that advice allows, by queue.
 var allowedShares = map[string]float64{"roster": 0.3, "provision": 0.45, "quote": 0.7}
 
--- a/process/cell/model_test.go
+++ b/process/cell/model_test.go
@@ -66,8 +66,8 @@
 	faultyWorkers bool
 }
 
-// randomizeJob randomly adds to a job a second step, checkpoints, a limit per worker, or
-// tasks that always fail.
+// randomizeJob randomly adds to a job a second step, checkpoints, a limit per worker, tasks that
+// always fail, or one that crashes its workers.
 func (m *model) randomizeJob(j *fakeJob) {
 	steps := &j.spec.Steps
 	(*steps)[0].Checkpointing = m.rand.IntN(2) == 0
@@ -84,6 +84,10 @@
 		(*steps)[0].MaxPerWorker = 2
 	}
 	j.alwaysFails = m.rand.IntN(25) == 0
+	if !j.alwaysFails && m.rand.IntN(25) == 0 {
+		after := time.Duration(m.rand.IntN(1500)) * time.Millisecond
+		j.crasher = &fakeCrasher{task: m.rand.IntN((*steps)[0].Count), after: after}
+	}
 }
 
 // faultTime returns a random time for a fault or a cancellation.
@@ -141,7 +145,7 @@
 		m.after(faultTime, func() { set(true) })
 		m.after(faultTime+duration, func() { set(false) })
 	}
-	switch m.rand.IntN(13) {
+	switch m.rand.IntN(17) {
 	case 0:
 		m.after(faultTime, m.takeover)
 	case 1:
@@ -170,6 +174,14 @@
 		during(func(on bool) { f.fails = on })
 	case 12:
 		during(func(on bool) { m.lostAdvice = map[bool]float64{true: 0.5}[on] })
+	case 13:
+		during(func(on bool) { f.partitioned, f.refuses = on, on })
+	case 14:
+		m.after(faultTime, func() { m.crashAndReplace(f.id, duration) })
+	case 15, 16:
+		for _, id := range m.order[:modelWorkers/3] {
+			m.after(faultTime, func() { m.shrink(m.workers[id], 0.3+0.4*m.rand.Float64(), 3*time.Second+2*duration) })
+		}
 	}
 }
 
@@ -198,8 +210,10 @@
 		switch {
 		case !ok:
 			m.violate("LOST %s is missing", id)
-		case state == Cancelled && !j.cancelling, state == Failed && !j.alwaysFails && !m.faultyWorkers, state == Completed && j.alwaysFails:
+		case state == Cancelled && !j.cancelling, state == Failed && !j.alwaysFails && j.crasher == nil && !m.faultyWorkers, state == Completed && (j.alwaysFails || j.crasher != nil):
 			m.violate("LOST %s is %s without cause", id, state)
+		case state == Failed && j.crasher != nil && m.crashedUnder[j.crasherTask()] < 2 && !m.faultyWorkers:
+			m.violate("LOST %s is failed after %d crashes", id, m.crashedUnder[j.crasherTask()])
 		case !state.Ended():
 			m.violate("LOST %s is %s in the end, %s", id, state, m.describe(id))
 		case state == Completed:
--- a/process/cell/record.go
+++ b/process/cell/record.go
@@ -53,26 +53,36 @@
 
 // crashRow is the crash of a worker under a run.
 type crashRow struct {
-	Run    int    `json:"r"`
-	Worker string `json:"w"`
+	Run     int    `json:"r"`
+	Worker  string `json:"w"`
+	Machine string `json:"m,omitempty"`
 	// At is in milliseconds since 1970.
-	At       int64    `json:"t"`
-	Evidence evidence `json:"e,omitempty"`
+	At        int64    `json:"t"`
+	Evidence  evidence `json:"e,omitempty"`
+	Started   bool     `json:"s,omitempty"`
+	Doubtful  bool     `json:"d,omitempty"`
+	Confirmed bool     `json:"c,omitempty"`
 }
 
 func crashRows(crashes []crash) []crashRow {
 	var rows []crashRow
 	for _, one := range crashes {
-		rows = append(rows, crashRow{one.run, one.worker, one.at.UnixMilli(), one.evidence})
+		rows = append(rows, crashRow{
+			Run: one.run, Worker: one.worker, Machine: one.machine, At: one.at.UnixMilli(),
+			Evidence: one.evidence, Started: one.started, Doubtful: one.doubtful, Confirmed: one.confirmed,
+		})
 	}
 	return rows
 }
 
-// loadCrashes returns the crashes of rows, of which there are at most maxCrashes.
+// loadCrashes returns the crashes of rows, of which there are at most maxCrashLog.
 func loadCrashes(rows []crashRow) []crash {
 	var crashes []crash
-	for _, row := range rows[:min(len(rows), maxCrashes)] {
-		crashes = append(crashes, crash{row.Run, row.Worker, time.UnixMilli(row.At), row.Evidence})
+	for _, row := range rows[:min(len(rows), maxCrashLog)] {
+		crashes = append(crashes, crash{
+			run: row.Run, worker: row.Worker, machine: row.Machine, at: time.UnixMilli(row.At),
+			evidence: row.Evidence, started: row.Started, doubtful: row.Doubtful, confirmed: row.Confirmed,
+		})
 	}
 	return crashes
 }
--- a/process/cell/round.go
+++ b/process/cell/round.go
@@ -27,9 +27,10 @@
 	reservations   reservations
 	// misses counts the steps that found no free capacity or no ticket.
 	misses int
-	// totalFreeCPU is the free CPU of all ready workers, guaranteedCPU the CPU that steps
+	// totalFreeCPU is the free CPU of all ready workers, of totalCPU in all, guaranteedCPU the CPU that steps
 	// within their teams' guaranteed shares wait for, both in thousandths of a core.
 	totalFreeCPU  int64
+	totalCPU      int64
 	guaranteedCPU int64
 }
 
@@ -67,6 +68,7 @@
 			w.readyIn = r.number
 			r.ready = append(r.ready, readyWorker{w, w.freeCapacity.MilliCPU})
 			r.totalFreeCPU += w.freeCapacity.MilliCPU
+			r.totalCPU += w.Capacity.MilliCPU
 		}
 	}
 	return r
--- a/process/cell/runtime_test.go
+++ b/process/cell/runtime_test.go
@@ -256,6 +256,8 @@
 // lossSign returns what a poll of a worker that is not up shows.
 func (f *fakeWorker) lossSign() LossSign {
 	switch {
+	case f.partitioned && f.refuses:
+		return LossRefused
 	case f.partitioned || f.silent:
 		return LossSilent
 	case f.successor != nil && f.successor.up:
--- a/process/cell/worker.go
+++ b/process/cell/worker.go
@@ -145,9 +145,10 @@
 	readyIn  uint64
 	reserved reservation
 	// isolatedRuns counts the runs of isolated tasks; until vacatedUntil the worker is kept free
-	// for such tasks.
+	// for such tasks of the step vacatedFor.
 	isolatedRuns int
 	vacatedUntil time.Time
+	vacatedFor   *step
 	// claimed is the capacity that gangs may take here once their calls for advice in progress
 	// are answered.
 	claimed  resource.Amount
