Cost of crash accounts in plans; polls of replaced workers are rare

A worker in whose place another responds is polled once a second, not each 0.15 s, until it is forgotten.

Tests: refused connections and other incarnations at the port of workers; runs end with their worker; partitions, silence, drains and upkeep are no crashes.

--- a/process/cell/crash_test.go
+++ b/process/cell/crash_test.go
@@ -6,6 +6,9 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"github.com/kingcuplatch/kingcuplatch/process/resource"
+	"github.com/kingcuplatch/kingcuplatch/version/catalog"
 )
 
 // crashSome makes every n-th of a kind's jobs that are submitted in the given time have a task
@@ -121,3 +124,90 @@
 	w.run(90 * time.Second)
 	w.checkClean()
 }
+
+// runningCell returns a cell with the given workers, at addresses of their own, and one run that is
+// listed on each of them.
+func runningCell(t *testing.T, ids ...string) (*Cell, time.Time) {
+	t.Helper()
+	now := time.Unix(1_700_000_000, 0)
+	c := New(Settings{KeepEnded: time.Minute}, catalog.New(1, nil, nil, nil, catalog.Limits{}))
+	var list []WorkerInfo
+	for _, id := range ids {
+		list = append(list, WorkerInfo{ID: id, Upstream: "desk", Address: "at-" + id, Rack: id, Capacity: resource.Amount{MilliCPU: 1000}, Incarnation: 1})
+	}
+	c.SetWorkers(now, list)
+	for _, id := range ids {
+		c.Listed(now, id, Listing{SentAt: now, Incarnation: 1})
+		spec := JobSpec{ID: "job-" + id, Team: "team", Upstream: "desk", Steps: []StepSpec{{Count: 1, Need: resource.Amount{MilliCPU: 1000}, Estimate: time.Second}}}
+		assert.Equal(t, c.Submit(now, spec, func(Recorded) {}).Verdict, Recording)
+	}
+	c.Plan(now)
+	record(t, c, now)
+	for _, start := range c.TakeActions().Starts {
+		c.StartAnswered(now, start.Worker, start.RunKey, StartOK)
+	}
+	return c, now
+}
+
+// The runs of a worker that has been replaced end at once, not only with its lease, whether a poll
+// or the directory shows it.
+func TestRunsEndWithTheirWorker(t *testing.T) {
+	for name, replace := range map[string]func(*Cell, time.Time){
+		"poll": func(c *Cell, now time.Time) { c.WorkerUnreachable(now, "w0", LossReplaced, nil) },
+		"directory": func(c *Cell, now time.Time) {
+			c.WorkerUnreachable(now, "w0", LossRefused, nil)
+			c.SetWorkers(now, []WorkerInfo{{ID: "w0-2", Upstream: "desk", Address: "at-w0", Capacity: resource.Amount{MilliCPU: 1000}, Incarnation: 2}})
+		},
+	} {
+		c, now := runningCell(t, "w0")
+		c.WorkerUnreachable(now.Add(time.Second), "w0", LossRefused, nil)
+		assert.Equal(t, len(c.workers["w0"].runs), 1, "a refused connection may be a partition")
+		replace(c, now.Add(2*time.Second))
+		assert.Equal(t, len(c.workers["w0"].runs), 0, name)
+		log := c.jobs["job-w0"].occurrences[0].steps[0].tasks[0].crashes
+		assert.Equal(t, len(log), 1, name)
+		assert.Assert(t, log[0].confirmed && log[0].started && log[0].evidence == evidenceAlone, "%s: %+v", name, log[0])
+	}
+}
+
+// A worker that refused connections and responds again has not crashed: nothing speaks against its
+// tasks. The same loss learned twice counts once.
+func TestPartitionThatRefusesConnectionsIsNoCrash(t *testing.T) {
+	c, now := runningCell(t, "w0")
+	for range 3 {
+		now = now.Add(150 * time.Millisecond)
+		c.WorkerUnreachable(now, "w0", LossRefused, nil)
+	}
+	task := c.jobs["job-w0"].occurrences[0].steps[0].tasks[0]
+	assert.Equal(t, len(task.crashes), 1)
+	c.Listed(now, "w0", Listing{SentAt: now, Incarnation: 1, Running: []ListedRun{{RunKey: task.current.RunKey}}})
+	assert.Equal(t, len(task.crashes), 0)
+}
+
+// Silence, a drain and an upkeep are no crashes.
+func TestWorkersThatLeaveHaveNotCrashed(t *testing.T) {
+	for name, prepare := range map[string]func(*Cell, time.Time){
+		"silent": func(c *Cell, now time.Time) { c.WorkerUnreachable(now, "w0", LossSilent, nil) },
+		"draining": func(c *Cell, now time.Time) {
+			c.SetWorkers(now, []WorkerInfo{{ID: "w0", Upstream: "desk", Address: "at-w0", Incarnation: 1, Draining: true}})
+			c.WorkerUnreachable(now, "w0", LossRefused, nil)
+		},
+		"cordoned": func(c *Cell, now time.Time) {
+			c.SetCordon(map[string]bool{"w0": true})
+			c.WorkerUnreachable(now, "w0", LossReplaced, nil)
+		},
+	} {
+		c, now := runningCell(t, "w0")
+		prepare(c, now.Add(time.Second))
+		c.WorkerLeaseExpired(now.Add(10*time.Second), "w0")
+		assert.Equal(t, len(c.jobs["job-w0"].occurrences[0].steps[0].tasks[0].crashes), 0, name)
+	}
+}
+
+// A long-running task is started ever later after each crash, and not without end.
+func TestLongRunningTaskWaitsLongerAfterEachCrash(t *testing.T) {
+	assert.Equal(t, crashDelay(1), time.Duration(0))
+	assert.Equal(t, crashDelay(2), firstCrashDelay)
+	assert.Equal(t, crashDelay(4), 4*firstCrashDelay)
+	assert.Equal(t, crashDelay(maxCrashLog), min(firstCrashDelay<<(maxCrashLog-2), maxCrashDelay))
+}
--- a/process/cell/crashrisk.go
+++ b/process/cell/crashrisk.go
@@ -30,9 +30,6 @@
 
 // mixes reports whether a task of s on w would share it with a task of another risk.
 func (c *Cell) mixes(s *step, w *Worker) bool {
-	if len(c.riskyUntil) == 0 {
-		return false
-	}
 	_, risky := c.riskyUntil[s.occ.job.Queue]
 	for _, r := range w.runList {
 		if _, other := c.riskyUntil[r.task.step.occ.job.Queue]; other != risky {
--- a/process/cell/isolate.go
+++ b/process/cell/isolate.go
@@ -44,6 +44,8 @@
 // isolation is the state of isolated tasks in a round.
 type isolation struct {
 	waiting []waitingSuspect
+	// candidates holds the workers that accept new work and are isolated or empty.
+	candidates []*Worker
 	// limit bounds the workers that isolated tasks occupy, teamLimit those for one team; used
 	// is their number, byTeam that of each team.
 	limit, teamLimit, used int
@@ -55,7 +57,7 @@
 
 // isolated reports whether w runs isolated tasks or is kept free for some.
 func (w *Worker) isolated(now time.Time) bool {
-	return w.isolatedRuns > 0 || w.vacatedUntil.After(now)
+	return w.isolatedRuns > 0 || (w.vacatedFor != nil && w.vacatedUntil.After(now))
 }
 
 // addSuspects adds the step's waiting suspects to those of the round, and reports whether there
@@ -63,7 +65,7 @@
 func (r *round) addSuspects(u waitingStep) bool {
 	found := false
 	for _, t := range u.step.tasks {
-		if len(*t.crashLog()) == 0 || !t.placeable(r.now) || !t.suspect() {
+		if len(t.crashes) == 0 || !t.placeable(r.now) || !t.suspect() {
 			continue
 		}
 		found = true
@@ -126,14 +128,18 @@
 			i.probable += boolToInt(w.runList[0].task.suspicion() >= evidenceSole)
 		}
 	}
+	i.candidates = slices.Clone(r.isolatedReady)
 	empty := 0
-	for _, w := range r.isolationReady {
+	var free, all int64
+	for _, w := range r.ready {
+		free, all = free+w.freeCapacity.MilliCPU, all+w.Capacity.MilliCPU
 		if len(w.runList) == 0 {
+			i.candidates = append(i.candidates, w.Worker)
 			empty++
 		}
 	}
 	spare := empty / emptyDivisor
-	if 2*r.totalFreeCPU > r.totalCPU {
+	if 2*free > all {
 		spare = empty
 	}
 	i.limit = max(minIsolationWorkers, len(r.ready)/isolationDivisor, i.used+spare)
@@ -206,8 +212,7 @@
 	s := t.step
 	alone := t.runsAlone()
 	var empty *Worker
-	for _, rw := range r.isolationReady {
-		w := rw.Worker
+	for _, w := range r.isolation.candidates {
 		if !fits(&s.spec.Need, &w.freeCapacity) || !s.eligible(c.upstreamOf(s.occ.job), w) || !c.hasTicket(r.now, s, w) || s.runsOn(w) >= s.perWorkerBound() {
 			continue
 		}
@@ -280,9 +285,9 @@
 
 // vacatedFor returns the worker that is kept free for s, or nil.
 func (r *round) vacatedFor(s *step) *Worker {
-	for _, w := range r.isolationReady {
+	for _, w := range r.isolatedReady {
 		if w.vacatedFor == s && w.vacatedUntil.After(r.now) {
-			return w.Worker
+			return w
 		}
 	}
 	return nil
@@ -301,9 +306,9 @@
 	}
 	upstream := c.upstreamOf(s.occ.job)
 	var candidates []workerSlots
-	for _, rw := range r.isolationReady {
-		if c.lacksTicket(r, s, rw.Worker, upstream) && fits(&s.spec.Need, &rw.freeCapacity) {
-			candidates = append(candidates, workerSlots{worker: rw.Worker, tasks: 1, allowed: s.advice.allows(s, rw.Worker)})
+	for _, w := range r.isolation.candidates {
+		if c.lacksTicket(r, s, w, upstream) && fits(&s.spec.Need, &w.freeCapacity) {
+			candidates = append(candidates, workerSlots{worker: w, tasks: 1, allowed: s.advice.allows(s, w)})
 		}
 	}
 	if len(candidates) == 0 {
--- a/process/cell/place.go
+++ b/process/cell/place.go
@@ -185,7 +185,7 @@
 	if c.reservedLately(w, t.step) {
 		left += reservedPenalty
 	}
-	if c.mixes(t.step, w) {
+	if len(c.riskyUntil) > 0 && c.mixes(t.step, w) {
 		left += mixPenalty
 	}
 	return left + slowPenalty*max(0, c.slowness(w)-1)
--- a/process/cell/round.go
+++ b/process/cell/round.go
@@ -20,17 +20,16 @@
 	// workersByEnd holds the same workers sorted by the expected end of their last run,
 	// earliest first; nil until first used.
 	workersByEnd []*Worker
-	// isolationReady holds the workers that accept new work and are empty, have isolated runs
-	// or are kept free for such.
-	isolationReady []readyWorker
-	isolation      isolation
-	reservations   reservations
+	// isolatedReady holds the workers that accept new work and have isolated runs or are kept
+	// free for such. ready holds all others.
+	isolatedReady []*Worker
+	isolation     isolation
+	reservations  reservations
 	// misses counts the steps that found no free capacity or no ticket.
 	misses int
-	// totalFreeCPU is the free CPU of all ready workers, of totalCPU in all, guaranteedCPU the CPU that steps
+	// totalFreeCPU is the free CPU of all ready workers, guaranteedCPU the CPU that steps
 	// within their teams' guaranteed shares wait for, both in thousandths of a core.
 	totalFreeCPU  int64
-	totalCPU      int64
 	guaranteedCPU int64
 }
 
@@ -60,16 +59,13 @@
 		if !c.acceptsWork(now, w) {
 			continue
 		}
-		isolated := w.isolated(now)
-		if isolated || len(w.runList) == 0 {
-			r.isolationReady = append(r.isolationReady, readyWorker{w, w.freeCapacity.MilliCPU})
-		}
-		if !isolated {
-			w.readyIn = r.number
-			r.ready = append(r.ready, readyWorker{w, w.freeCapacity.MilliCPU})
-			r.totalFreeCPU += w.freeCapacity.MilliCPU
-			r.totalCPU += w.Capacity.MilliCPU
+		if w.isolated(now) {
+			r.isolatedReady = append(r.isolatedReady, w)
+			continue
 		}
+		w.readyIn = r.number
+		r.ready = append(r.ready, readyWorker{w, w.freeCapacity.MilliCPU})
+		r.totalFreeCPU += w.freeCapacity.MilliCPU
 	}
 	return r
 }
--- a/process/cluster/worker.go
+++ b/process/cluster/worker.go
@@ -16,6 +16,9 @@
 	pollTimeout = 700 * time.Millisecond
 	// unreachablePollDelay is the pause between polls of a worker that does not answer.
 	unreachablePollDelay = 150 * time.Millisecond
+	// replacedPollDelay replaces it once another incarnation responds at the worker's address:
+	// the worker can only come back at another one.
+	replacedPollDelay = time.Second
 	// ackWait bounds the wait, before the next poll, for the records of ended runs.
 	ackWait = 120 * time.Millisecond
 	// stopTimeout bounds a stop command. It is shorter than commandTimeout since a stop may be
@@ -95,7 +98,7 @@
 		if err != nil {
 			unreachable = true
 			r.pollFailed(w, err)
-			sleep(ctx, unreachablePollDelay)
+			sleep(ctx, failedPollDelay(err))
 			continue
 		}
 		unreachable = false
@@ -106,6 +109,14 @@
 	}
 }
 
+// failedPollDelay returns the pause after a poll that failed.
+func failedPollDelay(err error) time.Duration {
+	if errors.Is(err, ErrOtherIncarnation) {
+		return replacedPollDelay
+	}
+	return unreachablePollDelay
+}
+
 // nextPoll prepares a poll. A worker that did not answer the last one is polled without a
 // wait and without extending its lease, so that the lease can expire.
 func (r *leadership) nextPoll(w *workerLoop, unreachable bool) (PollCall, Target) {
