--- a/process/cell/isolate.go
+++ b/process/cell/isolate.go
@@ -17,8 +17,8 @@
 // crash wait for the few workers that are empty.
 
 const (
-	// isolationDivisor bounds the workers that isolated tasks occupy to one in this many of the
-	// fleet, or minIsolationWorkers, or one in emptyDivisor of those that are empty anyway, or all
+	// isolationDivisor bounds the workers that isolated tasks occupy to one in this many of those
+	// that accept other work, or minIsolationWorkers, or one in emptyDivisor of those that are empty anyway, or all
 	// of these while half of the fleet's processors are free. While several teams' tasks wait,
 	// teamDivisor divides that for one team.
 	isolationDivisor    = 6
