--- a/process/cluster/metrics.go
+++ b/process/cluster/metrics.go
@@ -1,6 +1,7 @@
 package cluster
 
 import (
+	"fmt"
 	"io"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -90,6 +91,8 @@
 		m.stalled.Inc()
 	case cell.NoteWorkerUnreachable:
 		m.unreachable.Inc()
+	case cell.NoteTaskGivenUp:
+		m.set.GetOrCreateCounter(fmt.Sprintf("kingcuplatch_cell_tasks_given_up_total{queue=%q}", n.Queue)).Inc()
 	case cell.NoteWorkerCrashed:
 		m.crashed.Inc()
 	case cell.NoteJobSetAside, cell.NoteWorkerSetAside:
