--- a/process/cell/fleet_test.go
+++ b/process/cell/fleet_test.go
@@ -61,50 +61,6 @@
 	polledAt  time.Time
 }
 
-// pastCapacity is a capacity that a worker had until the given time.
-type pastCapacity struct {
-	until  time.Time
-	amount resource.Amount
-}
-
-// Times after which a smaller capacity counts: a worker reports it with its next renewal of
-// the directory, and the scheduler has some time to learn of it.
-const (
-	fakeRenewal  = 1500 * time.Millisecond
-	fakeContact  = 3 * time.Second
-	shrinkLeeway = fakeContact + fakeRenewal
-)
-
-// setCapacity changes the worker's capacity. The directory shows it up to fakeRenewal later.
-func (w *simulation) setCapacity(f *fakeWorker, amount resource.Amount) {
-	f.earlier = append(f.earlier, pastCapacity{w.now, f.capacity})
-	f.capacity = amount
-	w.after(time.Duration(w.rand.Int64N(int64(fakeRenewal))), func() {
-		f.reported = f.capacity
-		w.setListed(f, f.listed)
-	})
-}
-
-// holds reports whether the worker may have started a task that brings its use to the given
-// amount: a capacity that it had within shrinkLeeway suffices.
-func (f *fakeWorker) holds(now time.Time, used resource.Amount) bool {
-	if used.Fits(f.capacity) {
-		return true
-	}
-	return slices.ContainsFunc(f.earlier, func(p pastCapacity) bool {
-		return now.Sub(p.until) <= shrinkLeeway && used.Fits(p.amount)
-	})
-}
-
-// shrink takes a share of 30 to 70 percent of the worker's capacity for the given time.
-func (w *simulation) shrink(f *fakeWorker, share float64, lasts time.Duration) {
-	full := resource.Amount{MilliCPU: 32000, MemoryMB: 65536}
-	w.setCapacity(f, resource.Amount{
-		MilliCPU: int64(float64(full.MilliCPU) * (1 - share)), MemoryMB: int64(float64(full.MemoryMB) * (1 - share)),
-	})
-	w.after(lasts, func() { w.setCapacity(f, full) })
-}
-
 // rack returns the rack of the worker's machine, ten to a rack.
 func (f *fakeWorker) rack() string { return "r" + f.address[1:3] }
 
@@ -390,86 +346,6 @@
 	return runs
 }
 
-// crash ends a worker's process. It restarts as a new incarnation after down, or never if
-// down is 0.
-func (w *simulation) crash(id string, down time.Duration) {
-	f := w.workers[id]
-	if !w.endProcess(f) || down == 0 {
-		return
-	}
-	w.after(down, func() {
-		f.up = true
-		f.incarnation++
-		w.setListed(f, true)
-	})
-}
-
-// crashAndReplace ends a worker's process. After down a worker with another id responds at its
-// address.
-func (w *simulation) crashAndReplace(id string, down time.Duration) {
-	f := w.workers[id]
-	if !w.endProcess(f) {
-		return
-	}
-	w.after(down, func() {
-		f.silent = false
-		next := &fakeWorker{
-			id: fmt.Sprintf("%s-%d", f.address, f.incarnation+1), address: f.address, capacity: f.capacity, reported: f.capacity, speed: f.speed, up: true,
-			incarnation: f.incarnation + 1, running: make(map[RunKey]*fakeRun), lastEnded: make(map[string]int),
-		}
-		f.successor = next
-		w.workers[next.id] = next
-		w.order = append(w.order, next.id)
-		w.setListed(next, true)
-	})
-}
-
-// endProcess ends a worker's process with everything that runs on it, and reports whether the
-// worker was up.
-func (w *simulation) endProcess(f *fakeWorker) bool {
-	if !f.up {
-		return false
-	}
-	f.up = false
-	if f.polling {
-		w.pollFailed(f)
-	}
-	f.polling = false
-	runs := f.sortedRuns()
-	f.running, f.ends, f.seq, f.lastEnded, f.fence = make(map[RunKey]*fakeRun), nil, 0, make(map[string]int), 0
-	for _, r := range runs {
-		w.runningTasks[r.Task]--
-		w.crashedWith[r.Task]++
-		w.breakGang(r)
-	}
-	w.runsLost += len(runs)
-	w.after(directoryExpiry, func() {
-		if !f.up {
-			w.setListed(f, false)
-		}
-	})
-	return true
-}
-
-// crasherDownTime is how long a worker is down after a task has crashed it.
-const crasherDownTime = 3300 * time.Millisecond
-
-// scheduleCrash crashes the run's worker if the run is that of a crasher.
-func (w *simulation) scheduleCrash(job *fakeJob, ref taskRef, r *fakeRun) {
-	if job.crasher == nil || ref.step != 0 || ref.index != job.crasher.task {
-		return
-	}
-	w.after(min(job.crasher.after, (r.length-r.done)*9/10), func() {
-		if r.worker.running[r.RunKey] == r {
-			w.crashedUnder[r.Task]++
-			w.crashAndReplace(r.worker.id, crasherDownTime)
-		}
-	})
-}
-
-// directoryExpiry is how long the directory lists a worker after its crash.
-const directoryExpiry = 4500 * time.Millisecond
-
 // setListed changes whether the directory lists a worker and updates the cell.
 func (w *simulation) setListed(f *fakeWorker, listed bool) {
 	f.listed = listed
--- a/process/cell/guilty_test.go
+++ b/process/cell/guilty_test.go
@@ -36,6 +36,7 @@
 		{"several beside others", []crash{own("a", evidenceWeak), own("b", evidenceWeak), own("c", evidenceWeak), own("d", evidenceWeak)}, false},
 		{"the most that may be", []crash{own("a", evidenceWeak), own("b", evidenceWeak), own("c", evidenceWeak), own("d", evidenceWeak), own("e", evidenceWeak)}, true},
 		{"the most that may be, one by another task", []crash{own("a", evidenceWeak), own("b", evidenceNone), own("c", evidenceWeak), own("d", evidenceWeak), own("e", evidenceWeak)}, false},
+		{"the most that may be, one alone", []crash{own("a", evidenceNone), own("b", evidenceWeak), own("c", evidenceNone), own("d", evidenceWeak), {machine: "e", evidence: evidenceAlone, doubtful: true, started: true, confirmed: true}}, true},
 		{"some by other tasks, then alone", []crash{own("a", evidenceNone), own("b", evidenceNone), own("c", evidenceWeak), own("d", evidenceAlone)}, true},
 	} {
 		assert.Equal(t, guilty(test.crashes), test.want, test.name)
