--- a/process/cell/crash.go
+++ b/process/cell/crash.go
@@ -38,10 +38,8 @@
 	}
 }
 
-const (
-	// crashForgottenAfter is the age of a run from which earlier crashes don't count any more.
-	crashForgottenAfter = 10 * time.Minute
-)
+// crashForgottenAfter is the age of a run from which earlier crashes don't count any more.
+const crashForgottenAfter = 10 * time.Minute
 
 // recordLossSign records a sign that an unreachable worker's process has ended. The first such
 // sign counts as a crash, unless the worker was to go down anyway.
--- a/process/cell/exposure.go
+++ b/process/cell/exposure.go
@@ -5,11 +5,8 @@
 	"time"
 )
 
-const (
-	// recentStart is how long before a crash a run was started at most to count as just
-	// started.
-	recentStart = 300 * time.Millisecond
-)
+// recentStart is how long before a crash a run was started at most to count as just started.
+const recentStart = 300 * time.Millisecond
 
 // exposure is a run that was on a worker when the worker was lost, with what that says about
 // its task if the worker has crashed.
