--- a/process/cell/doc.go
+++ b/process/cell/doc.go
@@ -29,6 +29,16 @@
 // first, and the task runs elsewhere only after a list requested after the reply to
 // the stop does not show the run.
 //
+// A worker's capacity may change while it runs. A start is checked against the present one again
+// when it is sent.
+//
+// # Crashes
+//
+// A worker's process may end without notice, by its own fault or by that of a task. Each task keeps
+// the crashes of workers under its runs and what they say about it: had it just been started,
+// was it the only one, was it alone. Tasks that may be to blame run apart from others, and are given
+// up once their crashes can't have another cause.
+//
 // # Order
 //
 // Waiting steps are sorted by the latest time at which they can start and still meet
