--- a/process/cell/crash.go
+++ b/process/cell/crash.go
@@ -109,6 +109,9 @@
 	for _, e := range w.exposed {
 		dropCrash(e.task.crashLog(), w.ID, w.unreachableSince.Truncate(time.Millisecond))
 	}
+	if c.machineCrashes[w.Address].Equal(w.unreachableSince) {
+		delete(c.machineCrashes, w.Address)
+	}
 }
 
 // dropCrash removes the crash of a worker at the given time from a log.
--- a/process/cell/isolate.go
+++ b/process/cell/isolate.go
@@ -87,7 +87,7 @@
 	c.countIsolation(r)
 	for _, waiting := range r.isolation.waiting {
 		if c.starts.full(r.now) {
-			return
+			break
 		}
 		c.planSuspect(r, waiting)
 	}
@@ -242,7 +242,7 @@
 
 // runsAlone reports whether a suspect must be the only task on its worker.
 func (t *task) runsAlone() bool {
-	return t.step.spec.Gang || t.suspicion() >= evidenceSole || countTelling(t.crashes) >= maxWeakCrashes
+	return t.step.spec.Gang || mustRunAlone(t.crashes)
 }
 
 // takesSuspect reports whether one more suspect of s that may share its worker can be started on
--- a/process/cell/shrink_test.go
+++ b/process/cell/shrink_test.go
@@ -44,11 +44,7 @@
 	}
 	w.after(11*time.Second, w.takeover)
 	w.run(90 * time.Second)
-	for id, j := range w.jobs {
-		if _, _, _, ok := w.cell.StateOf(id); !ok && !j.accepted {
-			j.rejected = true
-		}
-	}
+	w.rejectUnrecorded()
 	w.checkClean()
 }
 
--- a/process/cell/suspicion.go
+++ b/process/cell/suspicion.go
@@ -117,7 +117,14 @@
 
 // suspected reports whether a task with these crashes is to be kept apart from others.
 func suspected(crashes []crash) bool {
-	return suspicionOf(crashes) >= evidenceRecent || countTelling(crashes) >= maxWeakCrashes
+	return suspicionOf(crashes) >= evidenceRecent || mustRunAlone(crashes)
+}
+
+// mustRunAlone reports whether a task with these crashes must be the only one on its worker: it was
+// the only one that had just been started, it has several crashes, or one more is the last that
+// it may have, so that must tell.
+func mustRunAlone(crashes []crash) bool {
+	return suspicionOf(crashes) >= evidenceSole || countTelling(crashes) >= maxWeakCrashes || len(crashes) >= maxCrashes-1
 }
 
 // countTelling counts the crashes that say something about the task.
