--- a/process/cell/admit.go
+++ b/process/cell/admit.go
@@ -202,11 +202,8 @@
 	if len(c.live) >= maxLiveJobs {
 		return "too many jobs", maxRetryAfter
 	}
-	if step, ok := c.unplaceableStep(job, presentCapacity); !ok {
-		if _, ok := c.unplaceableStep(job, largestCapacity); ok {
-			return fmt.Sprintf("step %d fits no worker at its present capacity", step), shrunkRetryAfter
-		}
-		return fmt.Sprintf("step %d fits no worker", step), maxRetryAfter
+	if reason, after := c.misfit(now, job); reason != "" {
+		return reason, after
 	}
 	if job.Repeat > 0 {
 		return "", 0
@@ -228,6 +225,23 @@
 	return "", 0
 }
 
+// misfit returns why no worker could run some step of the job even if nothing else ran, and the
+// retry delay. The reason is empty if every step fits.
+func (c *Cell) misfit(now time.Time, job *Job) (string, time.Duration) {
+	step, ok := c.unplaceableStep(job, c.openCapacity)
+	if ok {
+		return "", 0
+	}
+	if _, ok := c.unplaceableStep(job, presentCapacity); ok {
+		// How long the operators keep the domain empty isn't known; the time so far is the only sign.
+		return fmt.Sprintf("step %d fits only workers of an evacuated failure domain", step), OutageRetryAfter(c.evacuation.LongestFor(now))
+	}
+	if _, ok := c.unplaceableStep(job, largestCapacity); ok {
+		return fmt.Sprintf("step %d fits no worker at its present capacity", step), shrunkRetryAfter
+	}
+	return fmt.Sprintf("step %d fits no worker", step), maxRetryAfter
+}
+
 // retryAfter rounds a wait up to whole seconds, between minRetryAfter and
 // maxRetryAfter.
 func retryAfter(wait time.Duration) time.Duration {
--- a/process/cell/batch.go
+++ b/process/cell/batch.go
@@ -311,6 +311,8 @@
 		return "worker unreachable"
 	case w.Draining:
 		return "worker draining"
+	case c.evacuated(w):
+		return "failure domain evacuated"
 	case w.overCapacity():
 		return "worker's capacity has shrunk"
 	case r.ticket != "" && !r.ticketUntil.After(now.Add(ticketMargin)):
--- a/process/cell/cell.go
+++ b/process/cell/cell.go
@@ -4,6 +4,7 @@
 	"strings"
 	"time"
 
+	"github.com/kingcuplatch/kingcuplatch/process/evacuation"
 	"github.com/kingcuplatch/kingcuplatch/process/health"
 	"github.com/kingcuplatch/kingcuplatch/process/resource"
 	"github.com/kingcuplatch/kingcuplatch/version/catalog"
@@ -88,6 +89,8 @@
 	// cordoned holds the workers that get no new work because their machines are about to
 	// go down.
 	cordoned map[string]bool
+	// evacuation holds the failure domains that are being emptied.
+	evacuation evacuation.Requests
 	// rounds counts the calls of Plan.
 	rounds uint64
 	// explainedAt is when explain last looked for a waiting step.
@@ -273,6 +276,7 @@
 	for _, w := range c.workerOrder {
 		c.tickWorker(now, w)
 	}
+	c.noteEmptied(now)
 	c.forgetMachineCrashes(now)
 	c.forgetRisks(now)
 	c.retire(now)
--- a/process/cell/cordon.go
+++ b/process/cell/cordon.go
@@ -71,5 +71,5 @@
 
 // acceptsWork reports whether new work may be placed on w now.
 func (c *Cell) acceptsWork(now time.Time, w *Worker) bool {
-	return w.usable(now) && c.healthy(now, w) && !c.isCordoned(w)
+	return w.usable(now) && c.healthy(now, w) && !c.isCordoned(w) && !c.evacuated(w)
 }
--- a/process/cell/fit.go
+++ b/process/cell/fit.go
@@ -6,14 +6,19 @@
 	"github.com/kingcuplatch/kingcuplatch/process/resource"
 )
 
-// presentCapacity and largestCapacity return a worker's capacity now, and the largest one that
-// it has had.
-func presentCapacity(w *Worker) resource.Amount { return w.Capacity }
-func largestCapacity(w *Worker) resource.Amount { return w.largest }
+// A capacityView is what a worker counts for in a check of whether a job fits; ok is false if
+// the worker doesn't count.
+type capacityView func(w *Worker) (capacity resource.Amount, ok bool)
+
+// openCapacity counts the present capacity of the workers outside evacuated failure domains,
+// presentCapacity that of all workers, and largestCapacity the largest one that each has had.
+func (c *Cell) openCapacity(w *Worker) (resource.Amount, bool) { return w.Capacity, !c.evacuated(w) }
+func presentCapacity(w *Worker) (resource.Amount, bool)        { return w.Capacity, true }
+func largestCapacity(w *Worker) (resource.Amount, bool)        { return w.largest, true }
 
 // unplaceableStep returns false and the index of the first step that would not fit workers of
 // the given capacity even if nothing else ran, or true if every step would fit.
-func (c *Cell) unplaceableStep(job *Job, capacity func(*Worker) resource.Amount) (int, bool) {
+func (c *Cell) unplaceableStep(job *Job, capacity capacityView) (int, bool) {
 	if !slices.ContainsFunc(c.workerOrder, func(w *Worker) bool { return w.listed }) {
 		// The directory hasn't been read yet, so capacities are unknown.
 		return 0, true
@@ -43,7 +48,7 @@
 
 // fitsWorkers reports whether the known workers, when idle, have capacity for one task
 // of the step, or for all of them at once if it is a gang.
-func (c *Cell) fitsWorkers(job *Job, s *StepSpec, capacity func(*Worker) resource.Amount) bool {
+func (c *Cell) fitsWorkers(job *Job, s *StepSpec, capacity capacityView) bool {
 	upstream := c.upstreamOf(job)
 	wanted := 1
 	if s.Gang {
@@ -51,8 +56,9 @@
 	}
 	shape := &step{spec: s, tasks: make([]*task, s.Count)}
 	for _, w := range c.workerOrder {
-		if w.Upstream == upstream && s.labelMatches(w) {
-			wanted -= shape.slotsIn(capacity(w))
+		amount, ok := capacity(w)
+		if ok && w.Upstream == upstream && s.labelMatches(w) {
+			wanted -= shape.slotsIn(amount)
 		}
 		if wanted <= 0 {
 			return true
--- a/process/cell/fleet_test.go
+++ b/process/cell/fleet_test.go
@@ -35,6 +35,8 @@
 	// crash, if it has an id of its own.
 	address   string
 	successor *fakeWorker
+	// domain is its failure domain.
+	domain string
 	// silent is set while its machine is down, so that it doesn't refuse connections.
 	silent bool
 	// partitioned workers can't be reached but keep running.
@@ -147,6 +149,7 @@
 	run.length = time.Duration(float64(job.times[ref.step][ref.index]) / f.speed)
 	f.running[command.RunKey] = run
 	f.extendLease(w.now.Add(1500 * time.Millisecond))
+	w.checkEvacuated(command, f)
 	w.checkStart(job, ref, command, f)
 	if step.Gang {
 		w.joinGang(run, ref, step.Count, command.Checkpoint)
--- a/process/cell/gangadvice.go
+++ b/process/cell/gangadvice.go
@@ -33,7 +33,7 @@
 		if capacity == 0 || r.reservedForOther(w, s) {
 			continue
 		}
-		penalty := c.gangPenalty(w, s)
+		penalty := c.gangPenalty(r.now, w, s)
 		f.empty = append(f.empty, workerSlots{worker: w, tasks: capacity})
 		if penalty == 0 {
 			f.whenEmpty += capacity
--- a/process/cell/notes.go
+++ b/process/cell/notes.go
@@ -31,6 +31,9 @@
 	NoteTaskGivenUp
 	NoteJobSetAside
 	NoteWorkerSetAside
+	NoteEvacuationBegun
+	NoteEvacuationEmpty
+	NoteEvacuationEnded
 )
 
 // Note is a log record of one decision with its inputs. Fields that don't apply are
@@ -43,6 +46,9 @@
 	Run    int
 	Queue  string
 	Worker string
+	// FailureDomain is that of an evacuation, Count the number of its workers.
+	FailureDomain string
+	Count         int
 	// Address is that of the worker.
 	Address string
 	// Workers holds the workers of a placement, one per task.
--- a/process/cell/place.go
+++ b/process/cell/place.go
@@ -16,6 +16,8 @@
 	// reservedPenalty is for a worker that a gang waits for. Work that may come first takes
 	// other workers if there are any.
 	reservedPenalty = 2.0
+	// coldPenalty is for a worker that has just started and says that it is slow.
+	coldPenalty = 1.0
 	// slowPenalty is multiplied by the slowness of a worker beyond that of the fleet.
 	slowPenalty = 0.5
 )
@@ -69,7 +71,7 @@
 		if !c.withinCap(job.Team, s.spec.charge()) || !r.keepsGuaranteed(u) || c.starts.full(r.now) {
 			break
 		}
-		w := c.bestWorker(t, workers)
+		w := c.bestWorker(r.now, t, workers)
 		if w == nil {
 			missing++
 			continue
@@ -124,7 +126,7 @@
 
 // bestWorker returns the worker with the lowest score among those with enough free
 // capacity, or nil if there is none.
-func (c *Cell) bestWorker(t *task, workers []*Worker) *Worker {
+func (c *Cell) bestWorker(now time.Time, t *task, workers []*Worker) *Worker {
 	s := t.step
 	var best *Worker
 	bestScore := 0.0
@@ -132,7 +134,7 @@
 		if !fits(&s.spec.Need, &w.freeCapacity) || (len(w.runs) > 0 && c.health.Quarantined(w.ID)) || s.runsOn(w) >= s.perWorkerBound() {
 			continue
 		}
-		score := c.score(t, w)
+		score := c.score(now, t, w)
 		if best == nil || score < bestScore {
 			best, bestScore = w, score
 		}
@@ -169,7 +171,7 @@
 }
 
 // score returns the capacity left over after placing the task (best fit), plus penalties.
-func (c *Cell) score(t *task, w *Worker) float64 {
+func (c *Cell) score(now time.Time, t *task, w *Worker) float64 {
 	left := leftover(w, t.step.spec.Need)
 	if t.step.spec.BestEffort {
 		// Best-effort tasks get most done, and affect others least, on the worker with
@@ -185,6 +187,9 @@
 	if c.reservedLately(w, t.step) {
 		left += reservedPenalty
 	}
+	if w.cold(now) {
+		left += coldPenalty
+	}
 	if len(c.riskyUntil) > 0 && c.mixes(t.step, w) {
 		left += mixPenalty
 	}
--- a/process/cell/progress.go
+++ b/process/cell/progress.go
@@ -79,7 +79,7 @@
 // sampleSpeed compares the duration of a run with those of the step's other tasks on
 // other workers.
 func (c *Cell) sampleSpeed(now time.Time, r *Run, duration time.Duration) {
-	if r.speedSampled || r.listedAt.IsZero() || duration <= 0 {
+	if r.speedSampled || r.listedAt.IsZero() || duration <= 0 || r.listedAt.Before(r.worker.ColdUntil) {
 		return
 	}
 	s := r.task.step
@@ -268,7 +268,7 @@
 	c.note(Note{Kind: NoteRunStalled, Task: r.Task, Run: r.Number, Worker: w.ID, Age: now.Sub(since), Reason: s.progress()})
 	r.task.avoidWorker = w.ID
 	r.task.stalledRuns = min(r.task.stalledRuns+1, maxStallDoublings)
-	if r.causesStall() {
+	if r.causesStall() && !w.cold(now) {
 		c.attributeFailure(now, r, "tasks without progress")
 	}
 	c.stopRun(now, r)
--- a/process/cell/simulation_test.go
+++ b/process/cell/simulation_test.go
@@ -98,7 +98,9 @@
 	// crashed because of it, startsAfterCrashes the
 	// task's starts after maxCrashesUnder of them; runsLost counts the runs that ended with
 	// their worker.
-	crashedWith        map[string]int
+	crashedWith map[string]int
+	// evacuatedSince holds the failure domains that operators have emptied.
+	evacuatedSince     map[string]time.Time
 	crashedUnder       map[string]int
 	startsAfterCrashes map[string]int
 	runsLost           int
@@ -157,7 +159,7 @@
 	for i := range n {
 		id := fmt.Sprintf("w%03d", i)
 		w.workers[id] = &fakeWorker{
-			id: id, address: id, capacity: resource.Amount{MilliCPU: 32000, MemoryMB: 65536}, reported: resource.Amount{MilliCPU: 32000, MemoryMB: 65536}, speed: speeds[i%3], up: true, listed: true, incarnation: 1,
+			id: id, address: id, domain: fmt.Sprint("d", i%3), capacity: resource.Amount{MilliCPU: 32000, MemoryMB: 65536}, reported: resource.Amount{MilliCPU: 32000, MemoryMB: 65536}, speed: speeds[i%3], up: true, listed: true, incarnation: 1,
 			running: make(map[RunKey]*fakeRun), lastEnded: make(map[string]int),
 		}
 		w.order = append(w.order, id)
@@ -191,6 +193,7 @@
 		if w.cell != c {
 			return
 		}
+		c.SetEvacuated(w.now, w.evacuated())
 		c.Tick(w.now)
 		w.expireUnlisted()
 		for _, id := range c.ForgetWorkers(w.now) {
@@ -210,7 +213,7 @@
 			continue
 		}
 		list = append(list, WorkerInfo{
-			ID: id, Upstream: "desk", Address: f.address, Rack: f.rack(), Capacity: f.reported, Draining: f.draining, Incarnation: f.incarnation,
+			ID: id, Upstream: "desk", Address: f.address, FailureDomain: f.domain, Rack: f.rack(), Capacity: f.reported, Draining: f.draining, Incarnation: f.incarnation,
 		})
 	}
 	return list
@@ -299,6 +302,7 @@
 	slices.SortFunc(rows, func(a, b platform.Row) int { return compareStrings(a.Key, b.Key) })
 	loaded := Load(Settings{KeepEnded: 5 * time.Minute}, rows)
 	loaded.SetCatalog(w.catalog)
+	loaded.SetEvacuated(w.now, w.evacuated())
 	w.cell = loaded
 	w.fence++
 	w.leadingSince = w.now
--- a/process/cell/wait.go
+++ b/process/cell/wait.go
@@ -57,7 +57,7 @@
 func (c *Cell) capacity(now time.Time, upstream string) float64 {
 	var sum int64
 	for _, w := range c.workerOrder {
-		if w.Upstream == upstream && w.usable(now) && !c.health.Quarantined(w.ID) {
+		if w.Upstream == upstream && w.usable(now) && !c.health.Quarantined(w.ID) && !c.evacuated(w) {
 			sum += w.Capacity.MilliCPU
 		}
 	}
--- a/process/cell/worker.go
+++ b/process/cell/worker.go
@@ -19,6 +19,8 @@
 	Draining      bool
 	// Incarnation identifies this incarnation of the worker by the time of its start.
 	Incarnation int64
+	// ColdUntil is until when the worker expects to be slow after its start; zero if it doesn't.
+	ColdUntil time.Time
 }
 
 // RunKey identifies one run of a task.
@@ -198,6 +200,7 @@
 		if info.Draining && !w.Draining {
 			c.note(Note{Kind: NoteWorkerDraining, Worker: info.ID})
 		}
+		info.ColdUntil = limitCold(now, info.ColdUntil)
 		w.setInfo(info)
 		w.addUsed(resource.Amount{})
 		w.listed = true
--- a/process/cluster/leadership.go
+++ b/process/cluster/leadership.go
@@ -104,6 +104,7 @@
 	read := time.Now()
 	loaded := cell.Load(cell.Settings{KeepEnded: n.timings().KeepEnded}, rows)
 	loaded.SetCatalog(n.catalog())
+	loaded.SetEvacuated(read, n.evacuated())
 	r := &leadership{
 		node: n, fence: fence, timings: n.timings(), began: since, cell: loaded,
 		planSignal: make(chan struct{}, 1), recordSignal: make(chan struct{}, 1),
@@ -236,11 +237,13 @@
 		limits := adviceLimits(len(r.node.liveMembers()))
 		decisionTime := r.node.lag.decisionTime()
 		compress := r.node.allInflate()
+		evacuated := r.node.evacuated()
 		r.change(func(now time.Time, c *cell.Cell) {
 			c.SetTableUnavailable(refusing)
 			c.SetAdviceLimits(limits)
 			c.SetDecisionTime(decisionTime)
 			c.SetCompression(compress)
+			c.SetEvacuated(now, evacuated)
 			if refusing > 0 {
 				c.RefuseUnrecorded(now.Add(-refuseUnrecordedAfter))
 			}
--- a/process/cluster/node.go
+++ b/process/cluster/node.go
@@ -50,7 +50,9 @@
 	Advisor   Advisor
 	// Machines is nil if this cluster does not maintain machines.
 	Machines Machines
-	Peers    peer.Caller
+	// Evacuations is nil if no operator can have a failure domain emptied.
+	Evacuations Evacuations
+	Peers       peer.Caller
 	// Traffic counts the bytes that this entry sends and receives.
 	Traffic *traffic.Meter
 	Log     *events.Logger
@@ -240,6 +242,14 @@
 
 func (n *Node) takesLeaseLocked() bool { return !n.leaving || n.offer.toMe() }
 
+// evacuated returns the failure domains that the operators have emptied, as last read.
+func (n *Node) evacuated() []string {
+	if n.config.Evacuations == nil {
+		return nil
+	}
+	return n.config.Evacuations.Evacuated()
+}
+
 // serveCatalog returns the configuration in force to another entry.
 func (n *Node) serveCatalog(context.Context, json.RawMessage) (any, error) {
 	n.mu.Lock()
--- a/process/cluster/ports.go
+++ b/process/cluster/ports.go
@@ -83,6 +83,12 @@
 	Follow(ctx context.Context, update func([]cell.WorkerInfo))
 }
 
+// Evacuations holds the operators' requests to empty failure domains.
+type Evacuations interface {
+	// Evacuated returns the failure domains to be emptied, as last read.
+	Evacuated() []string
+}
+
 // Publication is a version of the catalog with its encoded form, which entries forward to
 // each other.
 type Publication struct {
--- a/process/events/catalogue.go
+++ b/process/events/catalogue.go
@@ -91,6 +91,9 @@
 	UpkeepStarted          = &Event{7401, logrus.InfoLevel, "upkeep of a machine started", []string{"machine", "wave"}, nothing}
 	WaveCompleted          = &Event{7402, logrus.InfoLevel, "upkeep wave completed", []string{"wave", "machines"}, nothing}
 	UpkeepFailed           = &Event{7403, logrus.WarnLevel, "step of an upkeep wave failed", []string{"error"}, "Retried; check the platform's machine service if it persists."}
+	EvacuationBegun        = &Event{7404, logrus.InfoLevel, "failure domain evacuated, it gets no new work", []string{"failure_domain", "workers", "runs"}, "See OPERATIONS.md, emptying a failure domain; a domain without workers may be misspelled."}
+	EvacuationEmpty        = &Event{7405, logrus.InfoLevel, "evacuated failure domain is empty", []string{"failure_domain", "workers", "after"}, nothing}
+	EvacuationEnded        = &Event{7406, logrus.InfoLevel, "evacuation taken back, the failure domain gets work", []string{"failure_domain", "workers", "runs"}, nothing}
 	CellWorkerReleased     = &Event{7309, logrus.InfoLevel, "worker released from quarantine", []string{"worker"}, nothing}
 )
 
@@ -108,4 +111,5 @@
 	RunPlaced, RunWithdrawn, StartFailed, RunEnded, RunStalled, RunUnknown, AdviceFailed, StepWaiting, StartsNotRelayed, TaskGivenUp,
 	CellWorkerAdopted, CellWorkerUnreachable, CellWorkerReachable, CellWorkerLeaseExpired, CellWorkerRestarted, CellWorkerDraining, CellWorkerMissing,
 	CellWorkerQuarantined, CellWorkerReleased, CellWorkerSetAside, PollGroupReturned, CellWorkerCrashed, UpkeepStarted, WaveCompleted, UpkeepFailed,
+	EvacuationBegun, EvacuationEmpty, EvacuationEnded,
 }
