Half the messages of the scheduler: gangs end without stop commands, all polls of large fleets are relayed

The stops go to members of gangs that have ended: with the end of one member the workers end the others.

Change: a member that is known to be on its worker gets a stop command only 0.6 s after the end of another one; a scheduler whose fleet exceeds what it may poll itself polls none while entries can; heartbeats of standbys beyond the first eight are each 15 ms times the number of entries.

--- a/process/cell/cell.go
+++ b/process/cell/cell.go
@@ -298,7 +298,7 @@
 		if r.task.done && r.task.step.spec.Gang && now.Sub(r.plannedAt) > r.task.step.spec.Estimate+gangStopGrace && r.listedTooLong(now) {
 			c.stopRun(now, r)
 		}
-		if r.stopDue() {
+		if r.stopDue(now) {
 			c.sendStop(r)
 		}
 		c.checkProgress(now, r)
@@ -309,8 +309,8 @@
 
 // stopDue reports whether a stop command is to be sent again. Another one beside a command in
 // progress would only add to the load that makes it late.
-func (r *Run) stopDue() bool {
-	return r.stop.wanted && r.state != runPlanned && r.stop.answeredAt.IsZero() && !r.stop.inProgress
+func (r *Run) stopDue(now time.Time) bool {
+	return r.stop.wanted && r.state != runPlanned && r.stop.answeredAt.IsZero() && !r.stop.inProgress && !now.Before(r.stop.notBefore)
 }
 
 // gangStopGrace is how much longer than their step's estimate members of a completed gang
--- a/process/cell/ends.go
+++ b/process/cell/ends.go
@@ -32,7 +32,7 @@
 	case EndStopped, EndLeaseExpired, EndGangBroken, EndGangTimeout, EndVanished:
 	}
 	if t.step.spec.Gang && kind != EndDone {
-		c.stopGang(now, t.step)
+		c.expectGangEnd(now, t.step)
 	}
 	c.markDirty(job)
 	c.completeIfDone(now, job)
@@ -136,14 +136,43 @@
 	}
 }
 
+// memberEndGrace is how long after the end of one member of a gang the others, which the workers
+// end by themselves, may still be listed before each gets a stop command: some times the interval
+// between two replies to polls.
+const memberEndGrace = 600 * time.Millisecond
+
+// expectGangEnd stops those remaining members of a gang that don't end by themselves. With the end
+// of one member the workers end all others that are there; stop commands to them would cost a call
+// each and change nothing. A member whose start may still be carried out is stopped at once.
+func (c *Cell) expectGangEnd(now time.Time, s *step) {
+	for _, member := range s.tasks {
+		if r := member.current; r != nil {
+			c.expectEnd(now, r)
+		}
+	}
+}
+
+// expectEnd requests the stop of a run, and leaves it memberEndGrace to end by itself if it has
+// been seen on its worker.
+func (c *Cell) expectEnd(now time.Time, r *Run) {
+	onWorker := r.state == runStarted || r.state == runListed
+	if !onWorker || !r.worker.unreachableSince.IsZero() {
+		c.stopRun(now, r)
+		return
+	}
+	if !r.stop.wanted {
+		r.stop.wanted, r.stop.notBefore = true, now.Add(memberEndGrace)
+	}
+}
+
 // stopRun requests the stop of a run. A planned run gets no stop command, since its
 // start hasn't been sent: runRecorded withdraws it.
 func (c *Cell) stopRun(now time.Time, r *Run) {
-	if r.stop.wanted {
+	if r.stop.wanted && r.stop.notBefore.IsZero() {
 		return
 	}
-	r.stop.wanted = true
-	if r.state == runPlanned {
+	r.stop.wanted, r.stop.notBefore = true, time.Time{}
+	if r.state == runPlanned || r.stop.inProgress {
 		return
 	}
 	c.sendStop(r)
@@ -187,7 +216,7 @@
 		for _, s := range o.steps {
 			for _, t := range s.tasks {
 				if t.current != nil {
-					c.stopRun(now, t.current)
+					c.finishRun(now, t.current)
 				}
 			}
 		}
@@ -196,6 +225,16 @@
 	c.note(Note{Kind: NoteJobEnded, Job: job.ID, Team: job.Team, State: outcome, Age: now.Sub(job.FirstSeen)})
 }
 
+// finishRun ends a run of a job that has reached its final state. A gang that is done ends by
+// itself.
+func (c *Cell) finishRun(now time.Time, r *Run) {
+	if r.task.done && r.task.step.spec.Gang {
+		c.expectEnd(now, r)
+		return
+	}
+	c.stopRun(now, r)
+}
+
 // completeIfDone finishes a job whose tasks are all done.
 func (c *Cell) completeIfDone(now time.Time, job *Job) {
 	if !job.outcome.Ended() && job.complete() {
--- a/process/cell/runtime_test.go
+++ b/process/cell/runtime_test.go
@@ -157,6 +157,7 @@
 const startCommandExpiry = 1500 * time.Millisecond
 
 func (w *simulation) sendStop(command StopCommand) {
+	w.stopCommands++
 	c, fence := w.cell, w.fence
 	f := w.workers[command.Worker]
 	incarnation := f.incarnation
--- a/process/cell/simulation_test.go
+++ b/process/cell/simulation_test.go
@@ -104,6 +104,8 @@
 	crashedUnder       map[string]int
 	startsAfterCrashes map[string]int
 	runsLost           int
+	// stopCommands counts the stop commands sent.
+	stopCommands int
 }
 
 type event struct {
--- a/process/cluster/heartbeat.go
+++ b/process/cluster/heartbeat.go
@@ -23,7 +23,7 @@
 	// entry, up to maxHeartbeatPeriod, so that the scheduler's work doesn't grow with the
 	// number of entries.
 	frequentStandbys        = 8
-	heartbeatPeriodPerEntry = 5 * time.Millisecond
+	heartbeatPeriodPerEntry = 15 * time.Millisecond
 	maxHeartbeatPeriod      = 500 * time.Millisecond
 )
 
--- a/process/cluster/pollrelay.go
+++ b/process/cluster/pollrelay.go
@@ -8,9 +8,9 @@
 )
 
 const (
-	// directPollsPerCore is the number of workers that a scheduler polls itself, for each of
-	// its cores; relayedPollsPerCore that which another entry polls for it. Fewer, fuller
-	// groups make fewer messages.
+	// directPollsPerCore is the number of workers up to which a scheduler polls all itself, for
+	// each of its cores; of a larger fleet it polls none while other entries can. relayedPollsPerCore
+	// is the number which another entry polls for it. Fewer, fuller groups make fewer messages.
 	directPollsPerCore  = 120
 	relayedPollsPerCore = 240
 	// requestPause is the least time between two requests to an entry, for each entry that
@@ -54,10 +54,14 @@
 }
 
 // chooseGroup returns the entry that is to poll a further worker, and false if the scheduler
-// does: first the scheduler up to its share, then one entry after the other up to theirs,
-// those with the most cores first, and beyond all shares the least loaded entry.
-func chooseGroup(own Member, direct int, candidates []Member, polled map[string]int) (Member, bool) {
-	if float64(direct) < directPollsPerCore*own.Cores || len(candidates) == 0 {
+// does: the scheduler if the fleet is small enough for it, else one entry after the other up to
+// their shares, those with the most cores first, and beyond all shares the least loaded entry.
+//
+// Load pattern: many short tasks on a large fleet. Each end of a task is a reply to a poll, and a
+// scheduler that polls some workers itself has a message for each of these ends, while an entry
+// with many workers reports several ends in one.
+func chooseGroup(own Member, workers int, candidates []Member, polled map[string]int) (Member, bool) {
+	if float64(workers) <= directPollsPerCore*own.Cores || len(candidates) == 0 {
 		return Member{}, false
 	}
 	load := func(m Member) float64 { return float64(polled[m.Name]) / (relayedPollsPerCore * m.Cores) }
@@ -103,7 +107,7 @@
 func (p *pollRelays) assign(w *workerLoop) (*pollGroup, *groupMember) {
 	r := p.leadership
 	own := r.node.self()
-	if p.withinOwnShare(own) {
+	if p.pollsAll(own) {
 		return nil, nil
 	}
 	candidates := r.node.relayCandidates()
@@ -118,7 +122,7 @@
 	for name, g := range p.groups {
 		polled[name] = len(g.members)
 	}
-	entry, ok := chooseGroup(own, p.direct-1, candidates, polled)
+	entry, ok := chooseGroup(own, p.workers(), candidates, polled)
 	if !ok {
 		return nil, nil
 	}
@@ -134,11 +138,20 @@
 	return g, m
 }
 
-// withinOwnShare reports whether the scheduler polls no more workers than its share.
-func (p *pollRelays) withinOwnShare(own Member) bool {
+// pollsAll reports whether the fleet is small enough for the scheduler to poll all workers.
+func (p *pollRelays) pollsAll(own Member) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return float64(p.direct) <= directPollsPerCore*own.Cores
+	return float64(p.workers()) <= directPollsPerCore*own.Cores
+}
+
+// workers returns the number of polled workers. p.mu must be held.
+func (p *pollRelays) workers() int {
+	n := p.direct
+	for _, g := range p.groups {
+		n += len(g.members)
+	}
+	return n
 }
 
 // newGroup adds the group of an entry and starts its loop. p.mu must be held.
