Large values beside their messages; admission by measured lines; throttles by team

A message between entries is decoded some five times by the layers of jsonrpc2, and refusals for want of time didn't count for the entries' throttles, so all of them reached it.

Change: parameters and results from 200 bytes on are sent beside the JSON-RPC object between peers that have announced it (conn/peer/codec.go), and are decoded once. process/admission estimates waits from the line of a job's class; jobs with less than 2 s to spare that would be late by it are refused. Throttles are per queue and team and count these refusals. What is left of a job is cached.

--- a/conn/peer/links.go
+++ b/conn/peer/links.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
 	"net"
 	"sync"
@@ -42,6 +43,7 @@
 // set before ready is closed.
 type link struct {
 	ready chan struct{}
+	codec *linkCodec
 	rpc   *jsonrpc2.Conn
 	conn  *watchedConn
 	err   error
@@ -76,7 +78,12 @@
 		return eris.Wrapf(errors.Join(ErrNotSent, err), "%s: dial peer %s", method, address)
 	}
 	defer ln.endCall()
-	waiter, err := ln.rpc.DispatchCall(ctx, method, params)
+	offered, err := ln.codec.offer(params)
+	if err != nil {
+		return eris.Wrapf(errors.Join(ErrNotSent, err), "%s: encode for peer %s", method, address)
+	}
+	waiter, err := ln.rpc.DispatchCall(ctx, method, offered)
+	ln.codec.withdraw(offered)
 	if errors.Is(err, jsonrpc2.ErrClosed) {
 		l.drop(address, ln)
 		return eris.Wrapf(ErrNotSent, "%s: link to peer %s is closed", method, address)
@@ -85,7 +92,26 @@
 		l.drop(address, ln)
 		return eris.Wrapf(errors.Join(ErrUnknown, err), "%s: send to peer %s", method, address)
 	}
-	return callError(waiter.Wait(ctx, result), method, address)
+	return callError(ln.awaitResult(ctx, waiter, result), method, address)
+}
+
+// awaitResult waits for the reply to a call and decodes it into result.
+func (ln *link) awaitResult(ctx context.Context, waiter jsonrpc2.Waiter, result any) error {
+	var reply json.RawMessage
+	if err := waiter.Wait(ctx, &reply); err != nil {
+		return err
+	}
+	value, err := ln.codec.resolve(reply)
+	if err != nil || result == nil {
+		return err
+	}
+	return json.Unmarshal(value, result)
+}
+
+// announcePayloads tells the peer that messages with payloads are read here.
+func announcePayloads(rpc *jsonrpc2.Conn) {
+	// An error means that the link is closed.
+	_ = rpc.Notify(context.Background(), payloadsMethod, nil)
 }
 
 // begin begins a call on the open link to a peer, or on a new one if that is retired.
@@ -165,8 +191,10 @@
 	}
 	ln.conn = newWatchedConn(conn, clientIdle)
 	ln.conn.mayEnd = ln.retireIfIdle
-	stream := jsonrpc2.NewBufferedStream(ln.conn, boundedCodec{limit: MaxMessageBytes})
-	ln.rpc = jsonrpc2.NewConn(context.Background(), stream, stopHandler{ln}, jsonrpc2.SetLogger(discardLogger{}))
+	ln.codec = newLinkCodec()
+	stream := jsonrpc2.NewBufferedStream(ln.conn, ln.codec)
+	ln.rpc = jsonrpc2.NewConn(context.Background(), stream, noticeHandler{ln}, jsonrpc2.SetLogger(discardLogger{}))
+	go announcePayloads(ln.rpc)
 	go l.watch(address, ln)
 }
 
@@ -258,13 +286,17 @@
 	}
 }
 
-// stopHandler retires a link when the peer sends that it is stopping. Other requests of
-// the peer are ignored.
-type stopHandler struct{ ln *link }
+// noticeHandler takes the notifications of a peer's server: that it is stopping, which retires the
+// link, and that it reads payloads. Other requests of the peer are ignored.
+type noticeHandler struct{ ln *link }
 
 // Handle implements jsonrpc2.Handler.
-func (h stopHandler) Handle(_ context.Context, _ *jsonrpc2.Conn, r *jsonrpc2.Request) {
-	if r.Notif && r.Method == stoppingMethod {
+func (h noticeHandler) Handle(_ context.Context, _ *jsonrpc2.Conn, r *jsonrpc2.Request) {
+	switch {
+	case !r.Notif:
+	case r.Method == payloadsMethod:
+		h.ln.codec.peerReads.Store(true)
+	case r.Method == stoppingMethod:
 		<-h.ln.ready
 		h.ln.retire()
 	}
--- a/conn/peer/server.go
+++ b/conn/peer/server.go
@@ -182,9 +182,10 @@
 
 func (s *Server) serveLink(conn net.Conn) {
 	watched := newWatchedConn(conn, serverIdle)
-	stream := jsonrpc2.NewBufferedStream(watched, boundedCodec{limit: MaxMessageBytes})
+	codec := newLinkCodec()
+	stream := jsonrpc2.NewBufferedStream(watched, codec)
 	ctx, cancel := context.WithCancel(context.Background())
-	handler := &linkHandler{server: s, slots: make(chan struct{}, maxCallsPerLink)}
+	handler := &linkHandler{server: s, codec: codec, slots: make(chan struct{}, maxCallsPerLink)}
 	link := jsonrpc2.NewConn(ctx, stream, handler, jsonrpc2.SetLogger(discardLogger{}))
 	if !s.track(link) {
 		cancel()
@@ -239,6 +240,7 @@
 // linkHandler runs each call of a link in its own goroutine.
 type linkHandler struct {
 	server *Server
+	codec  *linkCodec
 	// slots holds an element per call in progress.
 	slots chan struct{}
 }
@@ -246,6 +248,10 @@
 // Handle implements jsonrpc2.Handler.
 func (h *linkHandler) Handle(ctx context.Context, link *jsonrpc2.Conn, req *jsonrpc2.Request) {
 	if req.Notif {
+		if req.Method == payloadsMethod {
+			h.codec.peerReads.Store(true)
+			go announcePayloads(link)
+		}
 		return
 	}
 	handler, ok := h.server.handlers[req.Method]
@@ -273,9 +279,10 @@
 
 // run calls the handler and sends its result or error.
 func (h *linkHandler) run(ctx context.Context, link *jsonrpc2.Conn, req *jsonrpc2.Request, handler Handler) {
-	var params json.RawMessage
-	if req.Params != nil {
-		params = *req.Params
+	params, err := h.params(req)
+	if err != nil {
+		h.replyError(ctx, link, req, CodeHandler, err.Error())
+		return
 	}
 	result, err := handler(ctx, params)
 	var coded *RemoteError
@@ -287,7 +294,26 @@
 		h.replyError(ctx, link, req, CodeHandler, err.Error())
 		return
 	}
-	_ = link.Reply(ctx, req.ID, result)
+	h.reply(ctx, link, req, result)
+}
+
+// params returns the parameters of a request.
+func (h *linkHandler) params(req *jsonrpc2.Request) (json.RawMessage, error) {
+	if req.Params == nil {
+		return nil, nil
+	}
+	return h.codec.resolve(*req.Params)
+}
+
+// reply sends the result of a request.
+func (h *linkHandler) reply(ctx context.Context, link *jsonrpc2.Conn, req *jsonrpc2.Request, result any) {
+	offered, err := h.codec.offer(result)
+	if err != nil {
+		h.replyError(ctx, link, req, CodeHandler, err.Error())
+		return
+	}
+	_ = link.Reply(ctx, req.ID, offered)
+	h.codec.withdraw(offered)
 }
 
 func (h *linkHandler) replyError(ctx context.Context, link *jsonrpc2.Conn, req *jsonrpc2.Request, code int64, message string) {
--- a/process/cell/admit.go
+++ b/process/cell/admit.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"math"
 	"time"
+
+	"github.com/kingcuplatch/kingcuplatch/process/admission"
 )
 
 // Limits of admission.
@@ -66,7 +68,8 @@
 	Verdict    Verdict
 	Reason     string
 	RetryAfter time.Duration
-	// Overloaded is set if a job is refused because the scheduler itself has too much to do.
+	// Overloaded is set if a job is refused because there is too much work, for the workers or for
+	// the scheduler itself.
 	Overloaded bool
 }
 
@@ -149,7 +152,7 @@
 	if reason, after := c.refusal(now, job); reason != "" {
 		c.refused.add(now, spec.ID, first)
 		c.note(Note{Kind: NoteJobRefused, Job: spec.ID, Team: spec.Team, Reason: reason, Wait: after})
-		return Admission{Verdict: Refused, Reason: reason, RetryAfter: after, Overloaded: reason == overloaded}
+		return Admission{Verdict: Refused, Reason: reason, RetryAfter: after, Overloaded: reason == overloaded || reason == cantBeInTime}
 	}
 	c.jobs[spec.ID] = job
 	c.live = append(c.live, job)
@@ -215,16 +218,33 @@
 	if over := now.Sub(job.FirstSeen) + startWait + job.fullCriticalPath() - job.objective(); startWait > 0 && over > 0 {
 		return overloaded, retryAfter(min(over, max(startWait, minRetryAfter)))
 	}
-	useful := deadlineFactor * job.objective()
-	if job.OverShare {
-		wait, useful = c.overShareWait(now, job.Queue), job.objective()
+	request := admission.Job{Waited: now.Sub(job.FirstSeen), Path: job.fullCriticalPath(), Within: deadlineFactor * job.objective()}
+	if !job.OverShare && request.Overdue(wait) > 0 {
+		return cantBeInTime, retryAfter(request.ReturnAfter(wait, minRetryAfter))
+	}
+	request.Within = job.objective()
+	line := c.line(now, job.class())
+	if job.OverShare && request.Overdue(line.LongestWait()) > 0 {
+		return cantBeInTime, retryAfter(request.ReturnAfter(line.LongestWait(), minRetryAfter))
 	}
-	if over := now.Sub(job.FirstSeen) + wait + job.fullCriticalPath() - useful; over > 0 {
-		return "can't be done in time", retryAfter(min(over, max(wait, minRetryAfter)))
+	// The path of the job has its own call for advice; those that wait have theirs in their ages.
+	if measured := line.Wait() - job.adviceTime(); request.DecidedBy(measured) {
+		return cantBeInTime, retryAfter(request.ReturnAfter(measured, minRetryAfter))
 	}
 	return "", 0
 }
 
+// cantBeInTime is the reason of refusals because of the work that waits.
+const cantBeInTime = "can't be done in time"
+
+// adviceTime returns the time of one call for advice of the job's steps.
+func (j *Job) adviceTime() time.Duration {
+	if j.Policy.Advice == nil {
+		return 0
+	}
+	return j.Policy.Advice.CallTime(typicalAdviceWorkers)
+}
+
 // misfit returns why no worker could run some step of the job even if nothing else ran, and the
 // retry delay. The reason is empty if every step fits.
 func (c *Cell) misfit(now time.Time, job *Job) (string, time.Duration) {
--- a/process/cell/batch.go
+++ b/process/cell/batch.go
@@ -49,6 +49,7 @@
 // markDirty marks a job as changed and queues it for recording.
 func (c *Cell) markDirty(job *Job) {
 	c.seq++
+	job.remaining.known = false
 	if job.dirty || job.setAside {
 		return
 	}
--- a/process/cell/cell.go
+++ b/process/cell/cell.go
@@ -48,9 +48,8 @@
 	// usage is the amount that each team has running or planned.
 	usage map[string]resource.Amount
 	teams map[string]*tokenBucket
-	// placementRates measures, by queue, the first placements of over-share jobs: those
-	// beyond their team's guaranteed share.
-	placementRates map[string]*placementRate
+	// lines measures what jobs wait for their first placement.
+	lines lines
 	// refused holds the first submission of each recently refused job.
 	refused *refusedJobs
 	// allowedShares is the estimated fraction of workers on which the advisory service
@@ -103,7 +102,7 @@
 		settings: settings, catalog: published,
 		jobs: make(map[string]*Job), workers: make(map[string]*Worker),
 		usage: make(map[string]resource.Amount), teams: make(map[string]*tokenBucket),
-		allowedShares: make(map[string]float64), refused: newRefusedJobs(), placementRates: make(map[string]*placementRate),
+		allowedShares: make(map[string]float64), refused: newRefusedJobs(), lines: newLines(),
 		health: health.New(), adviceLimits: AdviceLimits{Slow: 1, Quick: 2}, starts: newStartLimiter(),
 		machineCrashes: make(map[string]time.Time), riskyUntil: make(map[string]time.Time),
 	}
@@ -295,7 +294,7 @@
 	defer c.excludeOnPanic(now, w)
 	c.adjustBestEffortPace(now, w)
 	for _, r := range sortedRuns(w) {
-		if r.task.done && r.task.step.spec.Gang && now.Sub(r.plannedAt) > r.task.step.spec.Estimate+gangStopGrace && r.listedTooLong(now) {
+		if !r.stop.wanted && r.task.done && r.task.step.spec.Gang && now.Sub(r.plannedAt) > r.task.step.spec.Estimate+gangStopGrace && r.listedTooLong(now) {
 			c.stopRun(now, r)
 		}
 		if r.stopDue(now) {
--- a/process/cell/ends.go
+++ b/process/cell/ends.go
@@ -21,6 +21,9 @@
 		t.current = nil
 	}
 	c.keepCheckpoint(t, checkpoint)
+	if t.step.spec.Gang && kind != EndDone {
+		c.expectGangEnd(now, t.step)
+	}
 	switch kind {
 	case EndDone:
 		c.taskDone(now, t)
@@ -31,9 +34,6 @@
 		c.taskCrashed(now, t)
 	case EndStopped, EndLeaseExpired, EndGangBroken, EndGangTimeout, EndVanished:
 	}
-	if t.step.spec.Gang && kind != EndDone {
-		c.expectGangEnd(now, t.step)
-	}
 	c.markDirty(job)
 	c.completeIfDone(now, job)
 }
@@ -225,10 +225,10 @@
 	c.note(Note{Kind: NoteJobEnded, Job: job.ID, Team: job.Team, State: outcome, Age: now.Sub(job.FirstSeen)})
 }
 
-// finishRun ends a run of a job that has reached its final state. A gang that is done ends by
-// itself.
+// finishRun ends a run of a job that has reached its final state. A gang that is done, or of which
+// a member has ended, ends by itself.
 func (c *Cell) finishRun(now time.Time, r *Run) {
-	if r.task.done && r.task.step.spec.Gang {
+	if r.task.step.spec.Gang && (r.task.done || r.stop.wanted) {
 		c.expectEnd(now, r)
 		return
 	}
--- a/process/cell/job.go
+++ b/process/cell/job.go
@@ -127,6 +127,8 @@
 	retired bool
 	// waiters are called once the outcome of recording the pending change is known.
 	waiters []Waiter
+	// remaining is the cached work that isn't done.
+	remaining remaining
 	// cachedFullPath is the cached result of fullCriticalPath.
 	cachedFullPath time.Duration
 }
--- /dev/null
+++ b/process/cell/lines.go
@@ -0,0 +1,72 @@
+package cell
+
+import (
+	"time"
+
+	"github.com/kingcuplatch/kingcuplatch/process/admission"
+)
+
+// linePeriod is how long the measured lines of waiting jobs are used before they are measured
+// again. Measuring goes over all live jobs.
+const linePeriod = 20 * time.Millisecond
+
+// lines holds what the jobs of each class wait for their first placement.
+type lines struct {
+	rates      map[admission.Class]*placementRate
+	measuredAt time.Time
+	ages       map[admission.Class][]time.Duration
+}
+
+func newLines() lines { return lines{rates: make(map[admission.Class]*placementRate)} }
+
+func (j *Job) class() admission.Class {
+	return admission.Class{Queue: j.Queue, OverShare: j.OverShare}
+}
+
+// rate returns the placement rate of a class.
+func (l *lines) rate(now time.Time, class admission.Class) *placementRate {
+	p := l.rates[class]
+	if p == nil {
+		p = &placementRate{windowStart: now}
+		l.rates[class] = p
+	}
+	return p
+}
+
+// countFirstPlaced counts the first placement of a job.
+func (c *Cell) countFirstPlaced(now time.Time, job *Job) {
+	if job.placed {
+		return
+	}
+	job.placed = true
+	p := c.lines.rate(now, job.class())
+	p.roll(now)
+	p.placed++
+}
+
+// line returns the jobs of a class that wait for their first placement.
+func (c *Cell) line(now time.Time, class admission.Class) admission.Line {
+	if c.lines.ages == nil || now.Sub(c.lines.measuredAt) >= linePeriod {
+		c.measureLines(now)
+	}
+	return admission.Line{Ages: c.lines.ages[class], PerSecond: c.lines.rate(now, class).rate(now)}
+}
+
+// measureLines measures the lines of all classes. Work within guaranteed shares that is late comes
+// after work that isn't, so new jobs don't wait for it.
+func (c *Cell) measureLines(now time.Time) {
+	c.lines.measuredAt = now
+	c.lines.ages = make(map[admission.Class][]time.Duration)
+	for _, j := range c.live {
+		if j.placed || j.outcome.Ended() || j.Repeat > 0 || (!j.OverShare && j.late(now)) {
+			continue
+		}
+		class := j.class()
+		c.lines.ages[class] = append(c.lines.ages[class], now.Sub(j.arrivedAt))
+	}
+}
+
+// late reports whether a job that hasn't begun can't meet its objective any more.
+func (j *Job) late(now time.Time) bool {
+	return now.Add(j.fullCriticalPath()).After(j.FirstSeen.Add(j.objective()))
+}
--- a/process/cell/wait.go
+++ b/process/cell/wait.go
@@ -15,13 +15,32 @@
 	starts := 0
 	for _, other := range c.live {
 		if !other.outcome.Ended() && other.comesBefore(now, job, due) {
-			ahead += other.remainingWork()
-			starts += other.startsLeft()
+			left := other.workLeft()
+			ahead += left.work
+			starts += left.starts
 		}
 	}
 	return time.Duration(ahead / capacity * float64(time.Second)), c.starts.wait(now, starts)
 }
 
+// remaining is what is left of a job. It is the most frequent question about jobs that wait, and
+// changes only with the job.
+type remaining struct {
+	known bool
+	// work is in thousandths of a core times seconds.
+	work float64
+	// starts is the number of tasks that are neither done nor have a run.
+	starts int
+}
+
+// workLeft returns what is left of the job.
+func (j *Job) workLeft() remaining {
+	if !j.remaining.known {
+		j.remaining = remaining{known: true, work: j.remainingWork(), starts: j.startsLeft()}
+	}
+	return j.remaining
+}
+
 // startsLeft returns the number of tasks that are neither done nor have a run.
 func (j *Job) startsLeft() int {
 	left := 0
--- a/process/cluster/pollgroup.go
+++ b/process/cluster/pollgroup.go
@@ -28,8 +28,9 @@
 	changed     bool
 	urgent      bool
 	outstanding int
-	// sentAt are the times of the last requests, by their numbers.
+	// sentAt are the times of the last requests, by their numbers, which sent holds in their order.
 	sentAt map[uint64]time.Time
+	sent   []uint64
 }
 
 // groupMember is a worker of a group.
@@ -85,12 +86,7 @@
 	}
 	p.lastSeq++
 	request := pollRequest{Fence: r.fence, Set: g.set, Seq: p.lastSeq}
-	g.sentAt[p.lastSeq] = now
-	for seq, at := range g.sentAt {
-		if now.Sub(at) > keepSentFor {
-			delete(g.sentAt, seq)
-		}
-	}
+	g.noteSent(now, p.lastSeq)
 	for id, m := range g.members {
 		if g.changed {
 			request.Workers = append(request.Workers, polledWorker(m.loop.target))
@@ -114,6 +110,17 @@
 	return request, true
 }
 
+// noteSent keeps the time of a request, and drops those of requests to which no reply can come.
+// The lock of pollRelays must be held.
+func (g *pollGroup) noteSent(now time.Time, seq uint64) {
+	g.sentAt[seq] = now
+	g.sent = append(g.sent, seq)
+	for now.Sub(g.sentAt[g.sent[0]]) > keepSentFor {
+		delete(g.sentAt, g.sent[0])
+		g.sent = g.sent[1:]
+	}
+}
+
 // send sends a request and applies the reports that its reply brings.
 func (g *pollGroup) send(request pollRequest) {
 	r := g.relays.leadership
--- a/process/cluster/throttle.go
+++ b/process/cluster/throttle.go
@@ -41,23 +41,26 @@
 	return max(0, (t.requests-throttleRatio*t.accepts)/(t.requests+1))
 }
 
-// throttles holds the throttle of each queue. Queues are told apart: a scheduler that is late
-// refuses jobs with little slack before others.
+// throttleKey tells submissions apart: a scheduler that is late refuses jobs of queues with little
+// slack before others, and those of teams beyond their shares.
+type throttleKey struct{ queue, team string }
+
+// throttles holds the throttle of each queue and team.
 type throttles struct {
-	mu      sync.Mutex
-	byQueue map[string]*throttle
-	random  func() float64
+	mu     sync.Mutex
+	lines  map[throttleKey]*throttle
+	random func() float64
 }
 
 func newThrottles() throttles {
-	return throttles{byQueue: make(map[string]*throttle), random: rand.Float64}
+	return throttles{lines: make(map[throttleKey]*throttle), random: rand.Float64}
 }
 
 // refuse reports whether a submission is refused here, and with which reply.
-func (t *throttles) refuse(now time.Time, queue string) (Reply, bool) {
+func (t *throttles) refuse(now time.Time, line throttleKey) (Reply, bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	q := t.byQueue[queue]
+	q := t.lines[line]
 	if q == nil {
 		return Reply{}, false
 	}
@@ -71,16 +74,16 @@
 
 // observe counts a submission that was forwarded. A reply that says nothing of the
 // scheduler's load counts as accepted, since the scheduler may be about to change.
-func (t *throttles) observe(now time.Time, queue string, reply Reply) {
+func (t *throttles) observe(now time.Time, line throttleKey, reply Reply) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	q := t.byQueue[queue]
+	q := t.lines[line]
 	if q == nil {
 		if !reply.Overloaded {
 			return
 		}
 		q = &throttle{at: now}
-		t.byQueue[queue] = q
+		t.lines[line] = q
 	}
 	q.decay(now)
 	q.requests++
