Shares of contended capacity by weight; waits and refusals by team and queue

Change: process/shares computes weighted max-min shares over dominant resources; while capacity is contended, work of teams that want no more than their share comes first, then that of teams that use less than theirs. Lines of admission are told apart in the same way.

--- a/internal/imports/imports_test.go
+++ b/internal/imports/imports_test.go
@@ -82,9 +82,9 @@
 // platform.
 func TestCellImports(t *testing.T) {
 	all := importsOf(t)
-	allowed := []string{"process/resource", "process/admission", "process/evacuation", "process/health", "process/platform", "version/catalog"}
-	for _, decision := range []string{"process/cell", "process/admission", "process/evacuation", "process/upkeep", "version/catalog"} {
-		assert.Assert(t, slices.Contains([]string{"process/upkeep", "process/evacuation", "process/admission"}, decision) || len(all[decision]) > 0, decision)
+	allowed := []string{"process/resource", "process/admission", "process/evacuation", "process/shares", "process/health", "process/platform", "version/catalog"}
+	for _, decision := range []string{"process/cell", "process/admission", "process/evacuation", "process/shares", "process/upkeep", "version/catalog"} {
+		assert.Assert(t, slices.Contains([]string{"process/upkeep", "process/evacuation", "process/admission", "process/shares"}, decision) || len(all[decision]) > 0, decision)
 		for _, name := range all[decision] {
 			assert.Assert(t, slices.Contains(allowed, name), "decision package %s imports %s", decision, name)
 		}
--- a/process/admission/admission.go
+++ b/process/admission/admission.go
@@ -4,8 +4,8 @@
 // all the same ends late, is worth little to its callers then, and takes the place of work that
 // could still be in time; so what can't be in time is refused at once.
 //
-// Jobs of one class (a queue, and within or beyond their teams' guaranteed shares) wait in one
-// line. What limits them may be capacity, advice, the rate of starts or the scheduler's processor;
+// Jobs of one class (a queue, within or beyond their teams' guaranteed shares, and the standing of
+// their teams) wait in one line. What limits them may be capacity, advice, the rate of starts or the scheduler's processor;
 // the estimate doesn't need to know: it measures the line. Those that wait have ages between zero
 // and the wait of the one that comes next, so twice their median age estimates that wait, and a few
 // that wait for something of their own (a label, a quota) don't move it. The length of the line over
@@ -16,12 +16,17 @@
 import (
 	"slices"
 	"time"
+
+	"github.com/kingcuplatch/kingcuplatch/process/shares"
 )
 
 // Class is the work that waits in one line.
 type Class struct {
 	Queue     string
 	OverShare bool
+	// Standing is how the teams stand to their shares of contended capacity: work of lower ones comes
+	// first.
+	Standing shares.Standing
 }
 
 // Line describes the jobs of a class that wait for their first placement.
--- a/process/cell/admit.go
+++ b/process/cell/admit.go
@@ -139,7 +139,7 @@
 	}
 	if c.tableUnavailableFor > 0 || (c.tableSlow && c.countUnaccepted() >= maxUnaccepted) {
 		wait := OutageRetryAfter(c.tableUnavailableFor)
-		c.note(Note{Kind: NoteJobRefused, Job: spec.ID, Team: spec.Team, Reason: tableUnavailable, Wait: wait})
+		c.note(Note{Kind: NoteJobRefused, Job: spec.ID, Team: spec.Team, Queue: spec.Queue, Cause: CauseTable, Reason: tableUnavailable, Wait: wait})
 		return Admission{Verdict: Unavailable, Reason: tableUnavailable, RetryAfter: wait}
 	}
 	first := c.refused.lookup(now, spec.ID)
@@ -151,7 +151,7 @@
 	job.arrivedAt = now
 	if reason, after := c.refusal(now, job); reason != "" {
 		c.refused.add(now, spec.ID, first)
-		c.note(Note{Kind: NoteJobRefused, Job: spec.ID, Team: spec.Team, Reason: reason, Wait: after})
+		c.note(Note{Kind: NoteJobRefused, Job: spec.ID, Team: spec.Team, Queue: spec.Queue, Cause: causeOf(reason), Reason: reason, Wait: after})
 		return Admission{Verdict: Refused, Reason: reason, RetryAfter: after, Overloaded: reason == overloaded || reason == cantBeInTime}
 	}
 	c.jobs[spec.ID] = job
@@ -223,7 +223,7 @@
 		return cantBeInTime, retryAfter(request.ReturnAfter(wait, minRetryAfter))
 	}
 	request.Within = job.objective()
-	line := c.line(now, job.class())
+	line := c.line(now, c.classOf(now, job))
 	if job.OverShare && request.Overdue(line.LongestWait()) > 0 {
 		return cantBeInTime, retryAfter(request.ReturnAfter(line.LongestWait(), minRetryAfter))
 	}
@@ -234,6 +234,18 @@
 	return "", 0
 }
 
+// causeOf returns what a refusal with this reason is for want of.
+func causeOf(reason string) Cause {
+	switch reason {
+	case overloaded:
+		return CauseScheduler
+	case cantBeInTime:
+		return CauseTime
+	default:
+		return CauseCapacity
+	}
+}
+
 // cantBeInTime is the reason of refusals because of the work that waits.
 const cantBeInTime = "can't be done in time"
 
--- a/process/cell/lines.go
+++ b/process/cell/lines.go
@@ -19,8 +19,13 @@
 
 func newLines() lines { return lines{rates: make(map[admission.Class]*placementRate)} }
 
-func (j *Job) class() admission.Class {
-	return admission.Class{Queue: j.Queue, OverShare: j.OverShare}
+// classOf returns the class of a job.
+func (c *Cell) classOf(now time.Time, j *Job) admission.Class {
+	class := admission.Class{Queue: j.Queue, OverShare: j.OverShare}
+	if !j.OverShare {
+		class.Standing = c.standing(now, j.Team)
+	}
+	return class
 }
 
 // rate returns the placement rate of a class.
@@ -39,7 +44,7 @@
 		return
 	}
 	job.placed = true
-	p := c.lines.rate(now, job.class())
+	p := c.lines.rate(now, c.classOf(now, job))
 	p.roll(now)
 	p.placed++
 }
@@ -61,7 +66,7 @@
 		if j.placed || j.outcome.Ended() || j.Repeat > 0 || (!j.OverShare && j.late(now)) {
 			continue
 		}
-		class := j.class()
+		class := c.classOf(now, j)
 		c.lines.ages[class] = append(c.lines.ages[class], now.Sub(j.arrivedAt))
 	}
 }
--- a/process/cell/notes.go
+++ b/process/cell/notes.go
@@ -36,6 +36,21 @@
 	NoteEvacuationEnded
 )
 
+// Cause is what a refused job would have needed, as a few words that metrics can tell apart.
+type Cause string
+
+// The causes of refusals.
+const (
+	// CauseTime: the work that comes first leaves too little time.
+	CauseTime Cause = "time"
+	// CauseScheduler: the scheduler's own processor has too much to do.
+	CauseScheduler Cause = "scheduler"
+	// CauseTable: nothing can be recorded.
+	CauseTable Cause = "table"
+	// CauseCapacity: no worker could run it, or there are too many jobs.
+	CauseCapacity Cause = "capacity"
+)
+
 // Note is a log record of one decision with its inputs. Fields that don't apply are
 // zero.
 type Note struct {
@@ -62,7 +77,9 @@
 	// Runs is the number of runs, for NoteStepWaiting that of waiting steps.
 	Runs   int
 	Reason string
-	Error  error
+	// Cause is that of a refusal.
+	Cause Cause
+	Error error
 	// Common is set for crashes of many workers of a rack at the same time.
 	Common bool
 }
--- a/process/cell/order.go
+++ b/process/cell/order.go
@@ -4,6 +4,8 @@
 	"cmp"
 	"slices"
 	"time"
+
+	"github.com/kingcuplatch/kingcuplatch/process/shares"
 )
 
 // tier is the first sort key of waiting steps; lower tiers come first.
@@ -42,6 +44,8 @@
 	tier tier
 	// priority is the priority of the job's queue; 0 comes first.
 	priority int
+	// standing is how the team stands to its share of contended capacity.
+	standing shares.Standing
 	// latest is the latest start time that meets the objective.
 	latest time.Time
 }
@@ -54,13 +58,22 @@
 			continue
 		}
 		for _, o := range job.occurrences {
+			known := len(pending)
 			pending = o.appendWaiting(now, pending)
+			c.markStanding(now, job, pending[known:])
 		}
 	}
 	slices.SortStableFunc(pending, compareWaiting)
 	return pending
 }
 
+// markStanding sets the standing of a job's team on its steps.
+func (c *Cell) markStanding(now time.Time, job *Job, steps []waitingStep) {
+	for i := range steps {
+		steps[i].standing = c.standing(now, job.Team)
+	}
+}
+
 func (o *occurrence) appendWaiting(now time.Time, pending []waitingStep) []waitingStep {
 	var u waitingStep
 	for _, s := range o.steps {
@@ -120,6 +133,9 @@
 	return !o.hasLongRunning() && now.Add(o.criticalPath()).After(o.due.Add(deadlineFactor*o.job.objective()))
 }
 
+// compareWaiting orders waiting steps. The standing comes after the priority: urgent work of a team
+// above its share is still more urgent than batch work of another. It comes before the latest start: a
+// team with much work would else have the earliest ones.
 func compareWaiting(a, b waitingStep) int {
-	return cmp.Or(cmp.Compare(a.tier, b.tier), cmp.Compare(a.priority, b.priority), a.latest.Compare(b.latest))
+	return cmp.Or(cmp.Compare(a.tier, b.tier), cmp.Compare(a.priority, b.priority), cmp.Compare(a.standing, b.standing), a.latest.Compare(b.latest))
 }
--- a/process/cell/place.go
+++ b/process/cell/place.go
@@ -114,7 +114,7 @@
 		return
 	}
 	job := s.occ.job
-	n := Note{Kind: NotePlaced, Job: job.ID, Team: job.Team, Task: placed[0].Task, Run: placed[0].Number, Runs: len(placed), Age: now.Sub(job.FirstSeen), Wait: now.Sub(s.waitingSince)}
+	n := Note{Kind: NotePlaced, Job: job.ID, Team: job.Team, Queue: job.Queue, Task: placed[0].Task, Run: placed[0].Number, Runs: len(placed), Age: now.Sub(job.FirstSeen), Wait: now.Sub(s.waitingSince)}
 	for _, r := range placed {
 		n.Workers = append(n.Workers, r.worker.ID)
 	}
--- a/process/cell/wait.go
+++ b/process/cell/wait.go
@@ -1,6 +1,10 @@
 package cell
 
-import "time"
+import (
+	"time"
+
+	"github.com/kingcuplatch/kingcuplatch/process/resource"
+)
 
 // expectedWait estimates the queueing time of the job: the remaining work of live jobs that
 // are placed before it, divided by the processors of all workers. startWait is the part of
@@ -29,31 +33,35 @@
 	known bool
 	// work is in thousandths of a core times seconds.
 	work float64
-	// starts is the number of tasks that are neither done nor have a run.
-	starts int
+	// starts is the number of tasks that are neither done nor have a run, waiting what these charge
+	// to their team.
+	starts  int
+	waiting resource.Amount
 }
 
 // workLeft returns what is left of the job.
 func (j *Job) workLeft() remaining {
 	if !j.remaining.known {
-		j.remaining = remaining{known: true, work: j.remainingWork(), starts: j.startsLeft()}
+		j.remaining = remaining{known: true, work: j.remainingWork()}
+		j.countWaiting(&j.remaining)
 	}
 	return j.remaining
 }
 
-// startsLeft returns the number of tasks that are neither done nor have a run.
-func (j *Job) startsLeft() int {
-	left := 0
+// countWaiting counts the tasks that are neither done nor have a run.
+func (j *Job) countWaiting(left *remaining) {
 	for _, o := range j.occurrences {
 		for _, s := range o.steps {
+			n := 0
 			for _, t := range s.tasks {
 				if !t.done && t.current == nil {
-					left++
+					n++
 				}
 			}
+			left.starts += n
+			left.waiting = left.waiting.Add(s.spec.charge().Times(int64(n)))
 		}
 	}
-	return left
 }
 
 // comesBefore reports whether j's work is placed before that of a new job with the
--- a/process/cluster/loadlog.go
+++ b/process/cluster/loadlog.go
@@ -1,12 +1,15 @@
 package cluster
 
 import (
+	"cmp"
 	"fmt"
+	"slices"
 	"strings"
 	"syscall"
 	"time"
 
 	"github.com/kingcuplatch/kingcuplatch/conn/traffic"
+	"github.com/kingcuplatch/kingcuplatch/process/cell"
 	"github.com/kingcuplatch/kingcuplatch/process/events"
 )
 
@@ -29,7 +32,12 @@
 		now := time.Now()
 		r.mu.Lock()
 		starts := r.cell.StartLoad(now)
+		teamShares := r.cell.TeamShares()
+		evacuated := r.cell.EvacuatedRuns()
 		r.mu.Unlock()
+		r.node.metrics.setShares(teamShares)
+		r.node.metrics.setEvacuated(evacuated)
+		r.logShares(teamShares)
 		current := readTraffic(r.node.config.Traffic, now)
 		sent, received := current.ratesSince(before)
 		before = current
@@ -40,6 +48,22 @@
 	}
 }
 
+// logShares logs the teams that use most of contended capacity.
+func (r *leadership) logShares(list []cell.TeamShare) {
+	if len(list) == 0 {
+		return
+	}
+	slices.SortFunc(list, func(a, b cell.TeamShare) int { return cmp.Compare(b.Used, a.Used) })
+	parts := make([]string, 0, maxLoggedTeams)
+	for _, s := range list[:min(len(list), maxLoggedTeams)] {
+		parts = append(parts, fmt.Sprintf("%s=%.3f/%.3f", s.Team, s.Used, s.Entitled))
+	}
+	r.node.log.Log(events.TeamShares, r.fence, len(list), strings.Join(parts, " "))
+}
+
+// maxLoggedTeams bounds the teams in one line.
+const maxLoggedTeams = 12
+
 // processorTime returns the processor time that this process has used; 0 if the system
 // doesn't say.
 func processorTime() time.Duration {
--- a/process/cluster/metrics.go
+++ b/process/cluster/metrics.go
@@ -76,12 +76,16 @@
 		m.acceptTime.Update(n.Age.Seconds())
 	case cell.NoteJobRefused:
 		m.refused.Inc()
+		m.set.GetOrCreateCounter(fmt.Sprintf("kingcuplatch_cell_refusals_total{team=%q,queue=%q,cause=%q}", n.Team, n.Queue, n.Cause)).Inc()
 	case cell.NoteJobEnded:
 		m.ended.Inc()
 	case cell.NotePlaced:
 		m.placed.Add(n.Runs)
 		if n.Run == 1 {
 			m.placeTime.Update(n.Age.Seconds())
+			labels := fmt.Sprintf("{team=%q,queue=%q}", n.Team, n.Queue)
+			m.set.GetOrCreateCounter("kingcuplatch_cell_first_placements_total" + labels).Inc()
+			m.set.GetOrCreateFloatCounter("kingcuplatch_cell_first_placement_wait_seconds_total" + labels).Add(n.Wait.Seconds())
 		}
 	case cell.NoteRunWithdrawn:
 		m.withdrawn.Inc()
@@ -100,5 +104,21 @@
 	}
 }
 
+// setShares sets the gauges of what teams use and are entitled to, as parts of the capacity. Teams
+// are left as they were last while nothing is contended.
+func (m *nodeMetrics) setShares(list []cell.TeamShare) {
+	for _, s := range list {
+		m.set.GetOrCreateGauge(fmt.Sprintf("kingcuplatch_cell_team_used{team=%q}", s.Team), nil).Set(s.Used)
+		m.set.GetOrCreateGauge(fmt.Sprintf("kingcuplatch_cell_team_entitled{team=%q}", s.Team), nil).Set(s.Entitled)
+	}
+}
+
+// setEvacuated sets the gauges of the runs left in failure domains that are being emptied.
+func (m *nodeMetrics) setEvacuated(runs map[string]int) {
+	for domain, n := range runs {
+		m.set.GetOrCreateGauge(fmt.Sprintf("kingcuplatch_cell_evacuated_runs{failure_domain=%q}", domain), nil).Set(float64(n))
+	}
+}
+
 // WriteMetrics writes the node's metrics in the Prometheus text format.
 func (n *Node) WriteMetrics(w io.Writer) { n.metrics.set.WritePrometheus(w) }
--- a/process/events/catalogue.go
+++ b/process/events/catalogue.go
@@ -59,6 +59,8 @@
 	// received), or the replies of workers.
 	SchedulerLoad = &Event{7015, logrus.InfoLevel, "load of the scheduler since the line before", []string{"fence", "cores", "lag", "starting", "limit", "replies_per_s", "sent_bytes_per_s", "received_bytes_per_s"}, "Compare the bytes with the instance's link; see OPERATIONS.md, an overloaded scheduler."}
 
+	TeamShares = &Event{7016, logrus.InfoLevel, "capacity is contended; what teams use and are entitled to, as parts of it", []string{"fence", "teams", "used_and_entitled"}, "See OPERATIONS.md, which team's work waits, and why."}
+
 	JobAccepted  = &Event{7101, logrus.InfoLevel, "job accepted", []string{"job", "team", "age"}, nothing}
 	JobRefused   = &Event{7102, logrus.InfoLevel, "job refused, it will not run", []string{"job", "team", "reason", "retry_after"}, nothing}
 	JobEnded     = &Event{7103, logrus.InfoLevel, "job ended", []string{"job", "team", "state", "age"}, nothing}
@@ -106,7 +108,7 @@
 	RequestOutcomeUnknown,
 	CoordinatorFailed,
 	SchedulerObserved, CellLeaseAcquired, SchedulerStarted, SchedulerReplaced, SchedulerStopped, TableUnreachable, TableRecovered,
-	SettingsReloaded, FeedFailed, FeedRecovered, RowIgnored, WriteSlow, HandoverDecided, HandoverDone, SchedulerLoad,
+	SettingsReloaded, FeedFailed, FeedRecovered, RowIgnored, WriteSlow, HandoverDecided, HandoverDone, SchedulerLoad, TeamShares,
 	JobAccepted, JobRefused, JobEnded, JobCancelled, CallRefused, JobSetAside,
 	RunPlaced, RunWithdrawn, StartFailed, RunEnded, RunStalled, RunUnknown, AdviceFailed, StepWaiting, StartsNotRelayed, TaskGivenUp,
 	CellWorkerAdopted, CellWorkerUnreachable, CellWorkerReachable, CellWorkerLeaseExpired, CellWorkerRestarted, CellWorkerDraining, CellWorkerMissing,
