Admission in two questions, one for the scheduler's load and one for the work; only steps that may begin count as wanted

What a team wants included steps whose predecessors run, so a fleet could count as contended by work of the future. The throttle's reason said overload of the scheduler also where work leaves no time.

--- a/process/cell/admit.go
+++ b/process/cell/admit.go
@@ -211,27 +211,51 @@
 	if job.Repeat > 0 {
 		return "", 0
 	}
+	wait, startWait := c.expectedWait(now, job)
+	if after := c.schedulerDelay(now, job, startWait); after > 0 {
+		return overloaded, retryAfter(after)
+	}
+	if after := c.workDelay(now, job, wait); after > 0 {
+		return cantBeInTime, retryAfter(after)
+	}
+	return "", 0
+}
+
+// schedulerDelay returns when to come back if the scheduler's own load alone makes the job late;
+// 0 if it doesn't. startWait is the time until the starts of the work before it have been sent.
+func (c *Cell) schedulerDelay(now time.Time, job *Job, startWait time.Duration) time.Duration {
 	if slack := job.objective() - job.fullCriticalPath(); c.decisionTime > slack {
-		return overloaded, retryAfter(c.decisionTime)
+		return c.decisionTime
 	}
-	wait, startWait := c.expectedWait(now, job)
-	if over := now.Sub(job.FirstSeen) + startWait + job.fullCriticalPath() - job.objective(); startWait > 0 && over > 0 {
-		return overloaded, retryAfter(min(over, max(startWait, minRetryAfter)))
+	request := job.request(now, job.objective())
+	if startWait > 0 && request.Overdue(startWait) > 0 {
+		return request.ReturnAfter(startWait, minRetryAfter)
 	}
-	request := admission.Job{Waited: now.Sub(job.FirstSeen), Path: job.fullCriticalPath(), Within: deadlineFactor * job.objective()}
-	if !job.OverShare && request.Overdue(wait) > 0 {
-		return cantBeInTime, retryAfter(request.ReturnAfter(wait, minRetryAfter))
+	return 0
+}
+
+// workDelay returns when to come back if the work before it makes the job late; 0 if it doesn't.
+// byWork is the wait as estimated from the remaining work of other jobs, which decides only whether
+// the result of a job within its team's share would be of any use.
+func (c *Cell) workDelay(now time.Time, job *Job, byWork time.Duration) time.Duration {
+	if useful := job.request(now, deadlineFactor*job.objective()); !job.OverShare && useful.Overdue(byWork) > 0 {
+		return useful.ReturnAfter(byWork, minRetryAfter)
 	}
-	request.Within = job.objective()
+	request := job.request(now, job.objective())
 	line := c.line(now, c.classOf(now, job))
-	if job.OverShare && request.Overdue(line.LongestWait()) > 0 {
-		return cantBeInTime, retryAfter(request.ReturnAfter(line.LongestWait(), minRetryAfter))
+	if longest := line.LongestWait(); job.OverShare && request.Overdue(longest) > 0 {
+		return request.ReturnAfter(longest, minRetryAfter)
 	}
 	// The path of the job has its own call for advice; those that wait have theirs in their ages.
 	if measured := line.Wait() - job.adviceTime(); request.DecidedBy(measured) {
-		return cantBeInTime, retryAfter(request.ReturnAfter(measured, minRetryAfter))
+		return request.ReturnAfter(measured, minRetryAfter)
 	}
-	return "", 0
+	return 0
+}
+
+// request returns what admission needs to know of the job if its result is wanted within a time.
+func (j *Job) request(now time.Time, within time.Duration) admission.Job {
+	return admission.Job{Waited: now.Sub(j.FirstSeen), Path: j.fullCriticalPath(), Within: within}
 }
 
 // causeOf returns what a refusal with this reason is for want of.
--- a/process/cell/cell.go
+++ b/process/cell/cell.go
@@ -46,8 +46,9 @@
 	// if workers were added or removed since.
 	byFree []*Worker
 	// usage is the amount that each team has running or planned.
-	usage  map[string]resource.Amount
-	teams  map[string]*tokenBucket
+	usage map[string]resource.Amount
+	teams map[string]*tokenBucket
+	// shares holds how the teams stand to their shares of contended capacity.
 	shares teamShares
 	// lines measures what jobs wait for their first placement.
 	lines lines
--- a/process/cell/wait.go
+++ b/process/cell/wait.go
@@ -33,8 +33,8 @@
 	known bool
 	// work is in thousandths of a core times seconds.
 	work float64
-	// starts is the number of tasks that are neither done nor have a run, waiting what these charge
-	// to their team.
+	// starts is the number of tasks that are neither done nor have a run, waiting what those of them
+	// charge to their team whose steps may begin.
 	starts  int
 	waiting resource.Amount
 }
@@ -59,7 +59,9 @@
 				}
 			}
 			left.starts += n
-			left.waiting = left.waiting.Add(s.spec.charge().Times(int64(n)))
+			if s.ready() {
+				left.waiting = left.waiting.Add(s.spec.charge().Times(int64(n)))
+			}
 		}
 	}
 }
--- a/process/cluster/throttle.go
+++ b/process/cluster/throttle.go
@@ -10,7 +10,7 @@
 // A scheduler that refuses a submission because of its own load has decoded and examined it,
 // and refused callers come again: refusals alone can keep it overloaded. So entries refuse a
 // part of the submissions themselves, by client-side throttling (Beyer et al., Site
-// Reliability Engineering, "Handling Overload"): out of the submissions of a queue, throttleRatio
+// Reliability Engineering, "Handling Overload"): out of a team's submissions to a queue, throttleRatio
 // times as many reach the scheduler as it accepts.
 const (
 	throttleRatio = 2.0
@@ -18,7 +18,7 @@
 	throttleWindow = 3 * time.Second
 )
 
-// throttle counts the submissions of one queue at this entry. Both counts decay.
+// throttle counts the submissions of one queue and team at this entry. Both counts decay.
 type throttle struct {
 	at time.Time
 	// requests counts all submissions, accepts those that the scheduler did not refuse
@@ -69,7 +69,7 @@
 		return Reply{}, false
 	}
 	q.requests++
-	return Reply{Result: ResultRefused, Reason: "the scheduler is overloaded, by its last replies", RetryAfter: q.retryAfter, Overloaded: true}, true
+	return Reply{Result: ResultRefused, Reason: "too much work, by the scheduler's last replies", RetryAfter: q.retryAfter, Overloaded: true}, true
 }
 
 // observe counts a submission that was forwarded. A reply that says nothing of the
