--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -25,12 +25,13 @@
 type scenario func(ctx context.Context, s *site, trouble bool) (broken []string, err error)
 
 var scenarios = map[string]scenario{
-	"cancel":   playCancel,
-	"smaller":  playSmaller,
-	"upkeep":   playUpkeep,
-	"pace":     playPace,
-	"crashes":  playCrashes,
-	"lateness": playLateStart,
+	"cancel":     playCancel,
+	"smaller":    playSmaller,
+	"upkeep":     playUpkeep,
+	"pace":       playPace,
+	"crashes":    playCrashes,
+	"late-start": playLateStart,
+	"holder":     playHolder,
 }
 
 func main() {
