--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -25,6 +25,7 @@
 type scenario func(ctx context.Context, s *site, trouble bool) (broken []string, err error)
 
 var scenarios = map[string]scenario{
+	"silent":     playSilent,
 	"cancel":     playCancel,
 	"smaller":    playSmaller,
 	"upkeep":     playUpkeep,
--- a/review/standin/store.go
+++ b/review/standin/store.go
@@ -34,6 +34,8 @@
 	changes []row
 	version uint64
 	changed chan struct{}
+	// silent is set while calls get no answer.
+	silent bool
 }
 
 func newStore() *store {
@@ -45,7 +47,24 @@
 	mux.HandleFunc("POST /kingcuplatch/rows-tx", s.transact)
 	mux.HandleFunc("GET /kingcuplatch/rows-get", s.get)
 	mux.HandleFunc("GET /kingcuplatch/rows-feed", s.feed)
-	return mux
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		s.mu.Lock()
+		silent := s.silent
+		s.mu.Unlock()
+		if silent {
+			// The call is lost; its sender hears nothing on this connection.
+			<-r.Context().Done()
+			panic(http.ErrAbortHandler)
+		}
+		mux.ServeHTTP(w, r)
+	})
+}
+
+func (s *store) setSilent(silent bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.silent = silent
+	s.notify()
 }
 
 // write applies one change. The store's lock must be held.
@@ -190,6 +209,11 @@
 	deadline := time.After(time.Duration(wait) * time.Millisecond)
 	for {
 		s.mu.Lock()
+		if s.silent {
+			s.mu.Unlock()
+			<-r.Context().Done()
+			panic(http.ErrAbortHandler)
+		}
 		rows := s.since(q.Get("table"), after)
 		if len(rows) > 0 {
 			s.reply(w, http.StatusOK, rows, false)
