--- a/review/standin/upkeep.go
+++ b/review/standin/upkeep.go
@@ -29,12 +29,12 @@
 	mu     sync.Mutex
 	states map[string]string
 	done   map[string]bool
-	// atWorkSince and away say, for each task of the service, since when it is at work or away,
-	// and whether it was ended by an upkeep.
 	tasks  map[string]*taskState
 	broken []string
 }
 
+// taskState says where a task of the service is at work, or since when it is away and whether an
+// upkeep ended it.
 type taskState struct {
 	worker    *worker
 	awaySince time.Time
--- a/review/standin/worker.go
+++ b/review/standin/worker.go
@@ -37,9 +37,8 @@
 	number  int
 	work    work
 	startAt time.Time
-	percent int
-	pace    int
-	// generation invalidates timers of runs that have ended.
+	// pace is the share of its full speed at which the run works, in percent.
+	pace  int
 	ended bool
 }
 
