--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -33,6 +33,7 @@
 	"upkeep":     playUpkeep,
 	"crashes":    playCrashes,
 	"late-start": playLateStart,
+	"dark":       playDark,
 	"holder":     playHolder,
 }
 
--- a/review/standin/worker.go
+++ b/review/standin/worker.go
@@ -72,6 +72,7 @@
 	sequence  int
 	draining  bool
 	server    *http.Server
+	listener  net.Listener
 	stopLife  chan struct{}
 	// unknownStops counts the stop commands for runs that weren't there.
 	unknownStops int
@@ -95,11 +96,11 @@
 	w.endSignal, w.stopLife = make(chan struct{}), make(chan struct{})
 	w.sequence, w.draining = 0, false
 	mux := http.NewServeMux()
-	mux.HandleFunc("POST /kingcuplatch/run-start", w.command(w.runStart))
-	mux.HandleFunc("POST /kingcuplatch/run-stop", w.command(w.runStop))
-	mux.HandleFunc("POST /kingcuplatch/pace", w.command(w.setPace))
-	mux.HandleFunc("POST /kingcuplatch/hold", w.command(w.hold))
-	w.server = &http.Server{Handler: mux}
+	mux.HandleFunc("POST /kingcuplatch/run-start", w.command(w.born, w.runStart))
+	mux.HandleFunc("POST /kingcuplatch/run-stop", w.command(w.born, w.runStop))
+	mux.HandleFunc("POST /kingcuplatch/pace", w.command(w.born, w.setPace))
+	mux.HandleFunc("POST /kingcuplatch/hold", w.command(w.born, w.hold))
+	w.server, w.listener = &http.Server{Handler: mux}, listener
 	server, life, born := w.server, w.stopLife, w.born
 	w.mu.Unlock()
 	w.register()
@@ -109,20 +110,38 @@
 	return nil
 }
 
-// crash ends a life of the worker: nothing runs there any more.
+// crash ends a life of the worker: nothing runs there any more, and its connections are closed.
 func (w *worker) crash() {
+	server := w.end("crashes")
+	_ = server.Close()
+}
+
+// goDark ends a life of the worker like a loss of power: its connections go silent for good, and
+// new ones get no answer until it starts again.
+func (w *worker) goDark() { w.end("goes dark") }
+
+// end ends a life of the worker and returns its server.
+func (w *worker) end(how string) *http.Server {
 	w.mu.Lock()
-	server := w.server
+	defer w.mu.Unlock()
 	close(w.stopLife)
-	w.site.log.printf("worker %s crashes with %d runs", w.id, len(w.runs))
+	w.site.log.printf("worker %s %s with %d runs", w.id, how, len(w.runs))
 	for _, r := range w.runs {
 		r.ended = true
 		w.site.ended(w, r, "lost")
 	}
 	w.runs = make(map[string]*taskRun)
 	w.born = time.Time{}
+	return w.server
+}
+
+// startAfterDark begins a life after goDark.
+func (w *worker) startAfterDark() error {
+	w.mu.Lock()
+	listener := w.listener
 	w.mu.Unlock()
-	_ = server.Close()
+	_ = listener.Close()
+	return w.start()
 }
 
 // live registers the worker periodically and lets its lease end.
@@ -186,7 +205,7 @@
 }
 
 // command decodes a command, checks for whom and by whom it is, and carries it out.
-func (w *worker) command(do func(http.ResponseWriter, *http.Request, order)) http.HandlerFunc {
+func (w *worker) command(born time.Time, do func(http.ResponseWriter, *http.Request, order)) http.HandlerFunc {
 	return func(rw http.ResponseWriter, r *http.Request) {
 		var o order
 		if err := json.NewDecoder(r.Body).Decode(&o); err != nil {
@@ -200,9 +219,8 @@
 		}
 		w.mu.Lock()
 		defer w.mu.Unlock()
-		if w.born.IsZero() {
-			// The process has ended: nobody answers.
-			panic(http.ErrAbortHandler)
+		if w.born != born {
+			w.staySilent(r)
 		}
 		if o.Fence < w.fence {
 			w.refuse(rw, "fence")
@@ -213,6 +231,15 @@
 	}
 }
 
+// staySilent ends a call to a life that has ended: there is no answer, and nothing more on the
+// connection until the caller closes it. The worker's lock must be held.
+func (w *worker) staySilent(r *http.Request) {
+	w.mu.Unlock()
+	<-r.Context().Done()
+	w.mu.Lock()
+	panic(http.ErrAbortHandler)
+}
+
 // extend takes a lease. The worker's lock must be held.
 func (w *worker) extend(notAfter int64) {
 	if notAfter <= 0 {
@@ -330,7 +357,7 @@
 		w.mu.Lock()
 	}
 	if w.born != born {
-		panic(http.ErrAbortHandler)
+		w.staySilent(r)
 	}
 	running, ends := [][]any{}, [][]any{}
 	for _, one := range w.runs {
