Review case 2: a load under which each loss of power shows it

Cause: as before; short tasks of half a core leave room on the dark worker, so the new life gets starts.

--- a/review/standin/dark.go
+++ b/review/standin/dark.go
@@ -53,7 +53,7 @@
 	}
 	for n := range darkTimes {
 		if trouble {
-			w := s.workers[n%len(s.workers)]
+			w := s.busiest(n)
 			w.goDark()
 			if err := pause(ctx, darkFor); err != nil {
 				return nil, err
@@ -77,10 +77,21 @@
 	return broken, nil
 }
 
+// busiest returns the worker with most runs, the n-th if none runs anything.
+func (s *site) busiest(n int) *worker {
+	chosen, most := s.workers[n%len(s.workers)], 0
+	for _, w := range s.workers {
+		if runs := len(w.running()); runs > most {
+			chosen, most = w, runs
+		}
+	}
+	return chosen
+}
+
 // feed hands jobs with short tasks in until ctx ends.
 func (s *site) feed(ctx context.Context) {
 	for n := 0; ctx.Err() == nil; n++ {
-		one := step{Count: 12, CPU: 4000, MemMB: 64, EstimateMS: shortTask}
+		one := step{Count: 2, CPU: 500, MemMB: 64, EstimateMS: shortTask}
 		if status := s.submit(s.entries[n%3], jobID(n), one, shortTask); status != http.StatusOK {
 			s.log.printf("job %d was answered %d", n, status)
 		}
