--- a/review/standin/cancel.go
+++ b/review/standin/cancel.go
@@ -11,8 +11,8 @@
 
 const (
 	// cancelledJobs are the jobs that are cancelled at once, each with cancelledTasks tasks that last.
-	cancelledJobs  = 12
-	cancelledTasks = 12
+	cancelledJobs  = 20
+	cancelledTasks = 20
 	// goneWithin is contact_ms, cancel_ms and stop_ms: a task of a cancelled job has to be gone
 	// after so much time without a disruption.
 	goneWithin = 3000*time.Millisecond + 3000*time.Millisecond + 400*time.Millisecond
@@ -31,7 +31,7 @@
 		return nil, err
 	}
 	for n := range cancelledJobs {
-		one := step{Count: cancelledTasks, CPU: 500, MemMB: 64, EstimateMS: 1000, LongRunning: true}
+		one := step{Count: cancelledTasks, CPU: 300, MemMB: 64, EstimateMS: 1000, LongRunning: true}
 		if status := s.submit(s.entries[n%3], jobID(n), one, 0); status != http.StatusOK {
 			return nil, fmt.Errorf("job %d was answered %d", n, status)
 		}
