--- a/review/standin/cancel.go
+++ b/review/standin/cancel.go
@@ -10,9 +10,11 @@
 )
 
 const (
-	// cancelledJobs are the jobs that are cancelled at once, each with cancelledTasks tasks that last.
-	cancelledJobs  = 20
-	cancelledTasks = 20
+	// lastingJobs are handed in, each with lastingTasks tasks that last. The first cancelledJobs are
+	// cancelled at once: a share of 0.4.
+	lastingJobs   = 50
+	lastingTasks  = 20
+	cancelledJobs = 20
 	// goneWithin is contact_ms, cancel_ms and stop_ms: a task of a cancelled job has to be gone
 	// after so much time without a disruption.
 	goneWithin = 3000*time.Millisecond + 3000*time.Millisecond + 400*time.Millisecond
@@ -20,7 +22,7 @@
 	observed = 15 * time.Second
 )
 
-// playCancel cancels many jobs at once and kills the scheduler right after it has acknowledged
+// playCancel cancels many jobs at once, two of five, and kills the scheduler right after it has acknowledged
 // the first ones. The next scheduler has to stop the tasks that are left.
 func playCancel(ctx context.Context, s *site, trouble bool) ([]string, error) {
 	s.configure(queue{maxAttempts: 3, stretch: 2, targetMS: 1000})
@@ -30,14 +32,14 @@
 	if err := s.addEntries(ctx, 3); err != nil {
 		return nil, err
 	}
-	for n := range cancelledJobs {
-		one := step{Count: cancelledTasks, CPU: 300, MemMB: 64, EstimateMS: 1000, LongRunning: true}
+	for n := range lastingJobs {
+		one := step{Count: lastingTasks, CPU: 200, MemMB: 64, EstimateMS: 1000, LongRunning: true}
 		if status := s.submit(s.entries[n%3], jobID(n), one, 0); status != http.StatusOK {
 			return nil, fmt.Errorf("job %d was answered %d", n, status)
 		}
 	}
-	all := cancelledJobs * cancelledTasks
-	if err := s.await(ctx, 20*time.Second, "all tasks run", func() bool { return len(s.allRuns()) == all }); err != nil {
+	all := lastingJobs * lastingTasks
+	if err := s.await(ctx, 30*time.Second, "all tasks run", func() bool { return len(s.allRuns()) == all }); err != nil {
 		return nil, err
 	}
 	if err := pause(ctx, 3*time.Second); err != nil {
@@ -70,7 +72,7 @@
 	return broken, nil
 }
 
-// cancelAll cancels all jobs at the same time, and kills the entry at the first acknowledgement
+// cancelAll cancels jobs at the same time, and kills the entry at the first acknowledgement
 // if there is to be trouble. It returns when each job's cancelling was acknowledged.
 func (s *site) cancelAll(e *entry, kill bool) map[string]time.Time {
 	acked := make(map[string]time.Time)
--- a/review/standin/worker.go
+++ b/review/standin/worker.go
@@ -74,12 +74,14 @@
 	server    *http.Server
 	listener  net.Listener
 	stopLife  chan struct{}
+	// lives is closed and replaced when a life begins.
+	lives chan struct{}
 	// unknownStops counts the stop commands for runs that weren't there.
 	unknownStops int
 }
 
 func newWorker(s *site, id, address string, capacity int64, labels []string) *worker {
-	return &worker{site: s, id: id, address: address, capacity: capacity, labels: labels}
+	return &worker{site: s, id: id, address: address, capacity: capacity, labels: labels, lives: make(chan struct{})}
 }
 
 // start begins a life of the worker: it registers, and then serves.
@@ -95,6 +97,8 @@
 	w.runs, w.highest = make(map[string]*taskRun), make(map[string]int)
 	w.endSignal, w.stopLife = make(chan struct{}), make(chan struct{})
 	w.sequence, w.draining = 0, false
+	close(w.lives)
+	w.lives = make(chan struct{})
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST /kingcuplatch/run-start", w.command(w.born, w.runStart))
 	mux.HandleFunc("POST /kingcuplatch/run-stop", w.command(w.born, w.runStop))
@@ -116,8 +120,8 @@
 	_ = server.Close()
 }
 
-// goDark ends a life of the worker like a loss of power: its connections go silent for good, and
-// new ones get no answer until it starts again.
+// goDark ends a life of the worker like a loss of power: calls in progress are never answered, and
+// later ones get no answer until it starts again, and then a reset.
 func (w *worker) goDark() { w.end("goes dark") }
 
 // end ends a life of the worker and returns its server.
@@ -220,7 +224,7 @@
 		w.mu.Lock()
 		defer w.mu.Unlock()
 		if w.born != born {
-			w.staySilent(r)
+			w.resetByNextLife(r)
 		}
 		if o.Fence < w.fence {
 			w.refuse(rw, "fence")
@@ -231,8 +235,23 @@
 	}
 }
 
-// staySilent ends a call to a life that has ended: there is no answer, and nothing more on the
-// connection until the caller closes it. The worker's lock must be held.
+// resetByNextLife ends a call that has come after the life it was meant for: there is no answer
+// while the worker is dark, and a reset once it has started again. The worker's lock must be held.
+func (w *worker) resetByNextLife(r *http.Request) {
+	if w.born.IsZero() {
+		lives := w.lives
+		w.mu.Unlock()
+		select {
+		case <-lives:
+		case <-r.Context().Done():
+		}
+		w.mu.Lock()
+	}
+	panic(http.ErrAbortHandler)
+}
+
+// staySilent ends a call that had come when the life ended: nothing is sent on its connection any
+// more, so the caller hears nothing until it closes it. The worker's lock must be held.
 func (w *worker) staySilent(r *http.Request) {
 	w.mu.Unlock()
 	<-r.Context().Done()
