cluster: an entry that knows no evacuations takes no lease

What callers saw: with a failure domain evacuated, new work is placed in it after a takeover.

Cause: an entry that can't read the operators' rows (restarted while the store refuses it, or only that table is unreadable) has the configuration from the scheduler, by fetchCatalog. That satisfies takesLease. Evacuations came from its own reads alone, and "not read yet" looked like "none".

Change: a source of evacuations says whether it has been read. Replies to heartbeats carry the scheduler's (optional field evacuations, ignored by earlier versions); an entry goes by its own once it has read them, else by these. takesLease, which every acquisition asks, wants either.

Evidence: with the mend left out (unread counted as none) TestTakeoverKnowsEvacuationsWithoutReadingThem fails with "8 != 0: w0 is in an evacuated failure domain" and TestNoSchedulerWithoutEvacuations with "1 != 0" schedulers; both pass with it.

The same class, read and left: waves and the list of machines (a scheduler without them gives no orders), the directory of workers (nothing is placed on an unlisted worker; runs expire only after the leases of earlier schedulers), calls about jobs (503, never 410, until the lease is confirmed).

--- a/process/cluster/calls.go
+++ b/process/cluster/calls.go
@@ -73,6 +73,13 @@
 	Stamp int64 `json:"stamp,omitempty"`
 	// LagMS is how late the scheduler's process runs work that is ready, in milliseconds.
 	LagMS int64 `json:"lag_ms,omitempty"`
+	// Evacuations are those that the scheduler applies; nil if an earlier version sends the reply.
+	Evacuations *evacuations `json:"evacuations,omitempty"`
+}
+
+// evacuations are the operators' requests to empty failure domains.
+type evacuations struct {
+	Domains []string `json:"domains,omitempty"`
 }
 
 // seenReply names the scheduler that an entry follows, with the ages, in milliseconds, of
--- a/process/cluster/configuration_test.go
+++ b/process/cluster/configuration_test.go
@@ -83,3 +83,62 @@
 		assert.Equal(t, r.cell.CatalogVersion(), int64(2))
 	})
 }
+
+// simEvacuations are the operators' evacuations as a node reads them.
+type simEvacuations struct {
+	w    *simulation
+	node string
+}
+
+func (e simEvacuations) Evacuated() (domains []string, known bool) {
+	e.w.mu.Lock()
+	defer e.w.mu.Unlock()
+	if e.w.noCatalog[e.node] {
+		return nil, false
+	}
+	return e.w.evacuated, true
+}
+
+// An entry that can't read the operators' rows has the configuration from the scheduler, and takes
+// over from it. It must know the scheduler's evacuations too: else it places work in a failure
+// domain that the operators have emptied.
+func TestTakeoverKnowsEvacuationsWithoutReadingThem(t *testing.T) {
+	simulate(t, 2, func(w *simulation) {
+		w.set(func() {
+			w.domains = map[string]string{"w0": "z1", "w1": "z1", "w2": "z2", "w3": "z2"}
+			w.evacuated = []string{"z1"}
+		})
+		leader := w.awaitLeader(2*time.Second, "")
+		blind := w.other(leader).config.Name
+		w.kill(blind)
+		w.set(func() { w.refuse[blind], w.noCatalog[blind] = false, true })
+		w.start(blind)
+		time.Sleep(time.Second)
+		w.kill(leader)
+		assert.Equal(t, w.awaitLeader(3*time.Second, leader), blind)
+		ids := w.submitJobs(w.node(blind), "job", 8)
+		w.awaitCompleted(w.node(blind), ids, 20*time.Second)
+		w.set(func() {
+			for _, id := range []string{"w0", "w1"} {
+				assert.Equal(t, len(w.workers[id].starts), 0, "%s is in an evacuated failure domain", id)
+			}
+		})
+	})
+}
+
+// An entry that knows the configuration from an entry of an earlier version, and no evacuations,
+// leaves the lease to others until it has read them.
+func TestNoSchedulerWithoutEvacuations(t *testing.T) {
+	simulate(t, 1, func(w *simulation) {
+		w.kill("n0")
+		w.set(func() { w.refuse["n0"], w.noCatalog["n0"] = false, true })
+		w.start("n0")
+		p, err := simCatalogs{w, "n0"}.Decode([]byte("1"))
+		assert.NilError(t, err)
+		w.node("n0").publish(p)
+		time.Sleep(3 * time.Second)
+		assert.Equal(t, len(w.leaders()), 0)
+		w.set(func() { clear(w.noCatalog) })
+		w.awaitLeader(2*time.Second, "")
+	})
+}
--- a/process/cluster/heartbeat.go
+++ b/process/cluster/heartbeat.go
@@ -121,6 +121,9 @@
 			n.view.setMembers(reply.Members)
 		}
 		n.configContact = maxTime(n.configContact, n.view.tableContact)
+		if reply.Evacuations != nil {
+			n.schedulerEvacuations = reply.Evacuations
+		}
 	}
 	behind := n.published.Catalog == nil || n.published.Catalog.Version < reply.CatalogVersion
 	n.mu.Unlock()
@@ -179,6 +182,9 @@
 	if n.published.Catalog != nil {
 		reply.CatalogVersion = n.published.Catalog.Version
 	}
+	if domains, known := n.evacuatedLocked(); known {
+		reply.Evacuations = &evacuations{Domains: domains}
+	}
 	return reply, nil
 }
 
--- a/process/cluster/node.go
+++ b/process/cluster/node.go
@@ -84,6 +84,8 @@
 	// abortLoad cancels the load; abandoned is why and to whom the lease then goes.
 	abortLoad context.CancelFunc
 	abandoned handover
+	// schedulerEvacuations are those of the scheduler's last reply; nil before the first one.
+	schedulerEvacuations *evacuations
 	// configContact is the time of the last contact with the source of the configuration,
 	// directly or through the scheduler.
 	configContact time.Time
@@ -245,7 +247,8 @@
 }
 
 // takesLease reports whether this entry may acquire the lease at all: it knows the operators'
-// configuration, and it doesn't leave or the lease was released to it after it had accepted it.
+// configuration and evacuations, and it doesn't leave or the lease was released to it after it had
+// accepted it.
 func (n *Node) takesLease() bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
@@ -253,15 +256,31 @@
 }
 
 func (n *Node) takesLeaseLocked() bool {
-	return n.published.Catalog != nil && (!n.leaving || n.offer.toMe())
+	_, evacuationsKnown := n.evacuatedLocked()
+	return n.published.Catalog != nil && evacuationsKnown && (!n.leaving || n.offer.toMe())
 }
 
-// evacuated returns the failure domains that the operators have emptied, as last read.
+// evacuated returns the failure domains that the operators have emptied.
 func (n *Node) evacuated() []string {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	domains, _ := n.evacuatedLocked()
+	return domains
+}
+
+// evacuatedLocked returns the failure domains that the operators have emptied, as this entry has
+// read last or, before its first read, as the scheduler has told it. n.mu must be held.
+func (n *Node) evacuatedLocked() (domains []string, known bool) {
 	if n.config.Evacuations == nil {
-		return nil
+		return nil, true
+	}
+	if domains, known = n.config.Evacuations.Evacuated(); known {
+		return domains, true
+	}
+	if n.schedulerEvacuations == nil {
+		return nil, false
 	}
-	return n.config.Evacuations.Evacuated()
+	return n.schedulerEvacuations.Domains, true
 }
 
 // serveCatalog returns the configuration in force to another entry.
--- a/process/cluster/ports.go
+++ b/process/cluster/ports.go
@@ -98,8 +98,9 @@
 
 // Evacuations holds the operators' requests to empty failure domains.
 type Evacuations interface {
-	// Evacuated returns the failure domains to be emptied, as last read.
-	Evacuated() []string
+	// Evacuated returns the failure domains to be emptied, as last read. known is false until they
+	// have been read once.
+	Evacuated() (domains []string, known bool)
 }
 
 // Publication is a version of the catalog with its encoded form, which entries forward to
--- a/process/cluster/simulation_test.go
+++ b/process/cluster/simulation_test.go
@@ -65,8 +65,12 @@
 	startsDelayed map[string]time.Duration
 	// without are the methods that a node lacks, as an earlier version does, by its name.
 	without map[string][]string
-	// noCatalog holds the nodes that can't read the configuration.
+	// noCatalog holds the nodes that can't read the operators' rows: the configuration and evacuations.
 	noCatalog map[string]bool
+	// evacuated are the failure domains that operators have emptied. domains are those of workers, by
+	// the worker's id.
+	evacuated []string
+	domains   map[string]string
 	// startTimes are the times of the first start of each task.
 	startTimes map[string]time.Time
 	// machines is the service for machines; nil if there is none.
@@ -132,7 +136,7 @@
 		Name: name, Cores: cores, Address: name, Incarnation: name + time.Now().String(),
 		Timings:   Timings{Lease: 4 * time.Second, MaxLease: maxFakeLease, KeepEnded: time.Minute},
 		LinkBytes: w.linkBytes(name),
-		Table:     &nodeTable{w, name}, Directory: w, Catalogs: simCatalogs{w, name}, Workers: &nodeWorkers{w, name}, Advisor: w, Machines: w.machines,
+		Table:     &nodeTable{w, name}, Directory: w, Catalogs: simCatalogs{w, name}, Workers: &nodeWorkers{w, name}, Advisor: w, Machines: w.machines, Evacuations: simEvacuations{w, name},
 		Peers: &nodePeers{w, name}, Log: events.New(io.Discard, name),
 	})
 	ctx, cancel := context.WithCancel(context.Background())
@@ -229,7 +233,7 @@
 	w.mu.Lock()
 	for i := range len(w.workers) {
 		id := fmt.Sprintf("w%d", i)
-		list = append(list, cell.WorkerInfo{ID: id, Upstream: "desk", Address: id, Capacity: resource.Amount{MilliCPU: w.workerCPU}})
+		list = append(list, cell.WorkerInfo{ID: id, Upstream: "desk", Address: id, FailureDomain: w.domains[id], Capacity: resource.Amount{MilliCPU: w.workerCPU}})
 	}
 	w.mu.Unlock()
 	update(list)
