--- a/process/cell/cancelmodel_test.go
+++ b/process/cell/cancelmodel_test.go
@@ -24,6 +24,12 @@
 	cancelModelLength = 40 * time.Second
 	// doomedFor is how long before a takeover the commands of the scheduler may be lost with it.
 	doomedFor = 60 * time.Millisecond
+	// overlapsLength replaces cancelModelLength where workers are away for longAway.
+	overlapsLength = 80 * time.Second
+	longAway       = 30 * time.Second
+	gangLength     = 150 * time.Second
+	// secondTakeover bounds how long after a takeover the successor is taken over.
+	secondTakeover = 1500 * time.Millisecond
 )
 
 // Clients cancel jobs whose tasks last, at the moments around takeovers at which the scheduler's
@@ -63,6 +69,75 @@
 	m.checkLasting(lasting)
 }
 
+// The same, and more at the same time: the successor is taken over as well, before or after it has
+// the lists of its workers; jobs are cancelled while they are being placed; some are gangs; a worker
+// is away for longer than its lease, and comes back.
+func TestCancelsBesideOverlaps(t *testing.T) {
+	for seed := *cancelFirst; seed < *cancelFirst+*cancelSeeds; seed++ {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			runOverlappingCancels(t, uint64(seed))
+		})
+	}
+}
+
+func runOverlappingCancels(t *testing.T, seed uint64) {
+	queues, kinds := fakeQueues()
+	w := newSimulation(t, seed, modelWorkers, 3, queues, nil)
+	m := &model{simulation: w, rand: rand.New(rand.NewPCG(seed, 19))}
+	w.halfAllowed = true
+	for i := range kinds {
+		kinds[i].perSecond *= 0.05
+	}
+	w.generateJobs(kinds, modelTraffic, steadyLoad)
+	var lasting []*fakeJob
+	for n := range lastingJobs {
+		j := m.lastingJob(kinds[1], fmt.Sprintf("lasting%02d", n))
+		if n%3 == 0 {
+			m.makeGang(j)
+		}
+		lasting = append(lasting, j)
+		submitAt := time.Duration(m.rand.IntN(9000)) * time.Millisecond
+		w.after(submitAt, func() { w.submitWithRetries(j, 20) })
+		if m.rand.IntN(3) == 0 {
+			// While it is being placed.
+			w.after(submitAt+time.Duration(m.rand.IntN(300))*time.Millisecond, func() { m.cancelOnce(j) })
+		}
+	}
+	for range 1 + m.rand.IntN(3) {
+		at := m.cancelAroundTakeover(lasting)
+		if m.rand.IntN(2) == 0 {
+			m.after(at+doomedFor+time.Duration(m.rand.Int64N(int64(secondTakeover))), m.takeover)
+		}
+		if f := m.randomWorker(); m.rand.IntN(2) == 0 {
+			m.after(at-time.Duration(m.rand.IntN(500))*time.Millisecond, func() { f.partitioned = true })
+			m.after(at+longAway, func() { f.partitioned = false })
+		}
+	}
+	for range m.rand.IntN(2) {
+		m.injectFault()
+	}
+	w.run(overlapsLength)
+	m.checkLasting(lasting)
+}
+
+// makeGang makes the tasks of a job that lasts a gang, which outlasts the play and shows its progress.
+func (m *model) makeGang(j *fakeJob) {
+	step := &j.spec.Steps[0]
+	step.Gang, step.LongRunning, step.Estimate = true, false, gangLength
+	for i := range j.times[0] {
+		j.times[0][i] = gangLength
+	}
+}
+
+// cancelOnce has a client cancel a job that was accepted, unless it has been asked for already.
+func (m *model) cancelOnce(j *fakeJob) {
+	if j.accepted && !j.cancelling {
+		j.cancelling = true
+		m.cancel(j)
+	}
+}
+
 // lastingJob returns a job with tasks that last.
 func (m *model) lastingJob(kind fakeKind, id string) *fakeJob {
 	j := &fakeJob{kind: kind.queue.Name}
@@ -80,9 +155,9 @@
 }
 
 // cancelAroundTakeover schedules the cancelling of some jobs, each once, and a takeover at about the
-// same time. Most commands that the scheduler sends just before are lost.
-func (m *model) cancelAroundTakeover(jobs []*fakeJob) {
-	at := time.Second + m.faultTime()
+// same time, and returns when. Most commands that the scheduler sends just before are lost.
+func (m *model) cancelAroundTakeover(jobs []*fakeJob) (at time.Duration) {
+	at = time.Second + m.faultTime()
 	m.after(at, func() { m.lostStops = 0.8 })
 	m.after(at+doomedFor, func() {
 		m.lostStops = 0
@@ -92,13 +167,9 @@
 		if m.rand.IntN(4) > 0 {
 			continue
 		}
-		m.after(at+time.Duration(m.rand.Int64N(int64(2*doomedFor))), func() {
-			if j.accepted && !j.cancelling {
-				j.cancelling = true
-				m.cancel(j)
-			}
-		})
+		m.after(at+time.Duration(m.rand.Int64N(int64(2*doomedFor))), func() { m.cancelOnce(j) })
 	}
+	return at
 }
 
 // checkLasting checks that no task of a cancelled job runs, and that every task of the other
@@ -119,7 +190,8 @@
 		case j.cancelling && j.cancelled.IsZero():
 			m.violate("LOST the cancelling of %s has no answer", j.spec.ID)
 		case j.accepted && !j.cancelling && running[j.spec.ID] != j.spec.Steps[0].Count:
-			m.violate("LOST %d of %d tasks of %s run", running[j.spec.ID], j.spec.Steps[0].Count, j.spec.ID)
+			state, _, _, _ := m.cell.StateOf(j.spec.ID)
+			m.violate("LOST %d of %d tasks of %s run, it is %s, %s", running[j.spec.ID], j.spec.Steps[0].Count, j.spec.ID, state, m.describe(j.spec.ID))
 		}
 	}
 	assert.Equal(m.t, len(m.violations), 0, "%v", m.violations)
