--- a/process/cluster/configuration_test.go
+++ b/process/cluster/configuration_test.go
@@ -93,7 +93,7 @@
 func (e simEvacuations) Evacuated() (domains []string, known bool) {
 	e.w.mu.Lock()
 	defer e.w.mu.Unlock()
-	if e.w.noCatalog[e.node] {
+	if e.w.noEvacuations[e.node] {
 		return nil, false
 	}
 	return e.w.evacuated, true
@@ -111,7 +111,7 @@
 		leader := w.awaitLeader(2*time.Second, "")
 		blind := w.other(leader).config.Name
 		w.kill(blind)
-		w.set(func() { w.refuse[blind], w.noCatalog[blind] = false, true })
+		w.set(func() { w.refuse[blind], w.noCatalog[blind], w.noEvacuations[blind] = false, true, true })
 		w.start(blind)
 		time.Sleep(time.Second)
 		w.kill(leader)
@@ -131,14 +131,14 @@
 func TestNoSchedulerWithoutEvacuations(t *testing.T) {
 	simulate(t, 1, func(w *simulation) {
 		w.kill("n0")
-		w.set(func() { w.refuse["n0"], w.noCatalog["n0"] = false, true })
+		w.set(func() { w.refuse["n0"], w.noCatalog["n0"], w.noEvacuations["n0"] = false, true, true })
 		w.start("n0")
 		p, err := simCatalogs{w, "n0"}.Decode([]byte("1"))
 		assert.NilError(t, err)
 		w.node("n0").publish(p)
 		time.Sleep(3 * time.Second)
 		assert.Equal(t, len(w.leaders()), 0)
-		w.set(func() { clear(w.noCatalog) })
+		w.set(func() { clear(w.noEvacuations) })
 		w.awaitLeader(2*time.Second, "")
 	})
 }
--- a/process/cluster/simulation_test.go
+++ b/process/cluster/simulation_test.go
@@ -65,8 +65,9 @@
 	startsDelayed map[string]time.Duration
 	// without are the methods that a node lacks, as an earlier version does, by its name.
 	without map[string][]string
-	// noCatalog holds the nodes that can't read the operators' rows: the configuration and evacuations.
-	noCatalog map[string]bool
+	// noCatalog holds the nodes that can't read the configuration, noEvacuations those that can't read
+	// the evacuations.
+	noCatalog, noEvacuations map[string]bool
 	// evacuated are the failure domains that operators have emptied. domains are those of workers, by
 	// the worker's id.
 	evacuated []string
@@ -90,7 +91,7 @@
 			refuse: make(map[string]bool), hang: make(map[string]bool), cut: make(map[string]bool), heldUp: make(map[string]chan struct{}), replyDelay: make(map[string]time.Duration),
 			workers: make(map[string]*worker), tableDelay: 10 * time.Millisecond,
 			links: make(map[string]*nodeLink), without: make(map[string][]string), pauses: make(map[string]time.Duration), workerCPU: 4000, startTimes: make(map[string]time.Time),
-			noCatalog: make(map[string]bool), doneAcked: make(map[string]bool),
+			noCatalog: make(map[string]bool), noEvacuations: make(map[string]bool), doneAcked: make(map[string]bool),
 			startsDelayed: make(map[string]time.Duration),
 		}
 		w.addWorkers(4)
