cluster: the first calls to a new scheduler have their time, too

Cause: a forwarded call names the time after which it has no effect only once a heartbeat of the leadership was answered, since the scheduler's clock comes with the replies. Up to 0.2 s after a takeover calls were bounded by the fence alone; held up on a link, one was accepted long after its entry had given it up.

What callers saw: 502, then 429 or 503 at another entry, and the job runs seconds later.

Change: the notifications by which a new scheduler announces itself carry its clock (optional field stamp, ignored by earlier versions). A notification that is itself late gives a time that is too early, so that a call may be rejected as not run, until the first heartbeat.

Evidence: TestFirstCallOfALeadershipHasNoEffectAfterItsTime fails with the mend left out ("1 != 0" starts) and passes with it. An entry that learns the scheduler from the lease row, and not from its notification, still has no sample before its first heartbeat is answered.

--- a/process/cluster/acquire.go
+++ b/process/cluster/acquire.go
@@ -80,7 +80,7 @@
 	// From the notifications on, calls of other entries arrive.
 	n.startLoad(fence, cancel)
 	n.log.Log(events.CellLeaseAcquired, fence, reason, time.Since(began).String())
-	n.notify(n.knownEntries(), methodAcquired, seenReply{leaseRow: n.ownLease(), Fence: fence, Loading: true}, releaseTimeout)
+	n.notify(n.knownEntries(), methodAcquired, seenReply{leaseRow: n.ownLease(), Fence: fence, Loading: true, Stamp: n.clockMS()}, releaseTimeout)
 	n.begin(loadCtx, fence, began)
 }
 
@@ -124,7 +124,7 @@
 	jobs, live, _, _ := r.cell.Counts()
 	r.goroutines.Add(1)
 	n.install(r)
-	n.notify(n.knownEntries(), methodLoaded, seenReply{leaseRow: n.ownLease(), Fence: fence}, releaseTimeout)
+	n.notify(n.knownEntries(), methodLoaded, seenReply{leaseRow: n.ownLease(), Fence: fence, Stamp: n.clockMS()}, releaseTimeout)
 	n.log.Log(events.SchedulerStarted, fence, jobs, live, time.Since(since).String())
 	go func() {
 		r.run()
--- a/process/cluster/calls.go
+++ b/process/cluster/calls.go
@@ -96,6 +96,8 @@
 	Successor string `json:"successor,omitempty"`
 	// Loading is set in the notification of a scheduler that still has to read the cell.
 	Loading bool `json:"loading,omitempty"`
+	// Stamp is the time of a new scheduler's notification on its clock, in milliseconds.
+	Stamp int64 `json:"stamp,omitempty"`
 }
 
 // offerReply answers a scheduler that offers to hand the cell over.
--- a/process/cluster/latecall_test.go
+++ b/process/cluster/latecall_test.go
@@ -198,3 +198,33 @@
 		})
 	}
 }
+
+// The same right after a takeover, when the new scheduler has answered no heartbeat of the entry yet.
+func TestFirstCallOfALeadershipHasNoEffectAfterItsTime(t *testing.T) {
+	simulate(t, 4, func(w *simulation) {
+		former := w.awaitLeader(2*time.Second, "")
+		time.Sleep(time.Second)
+		w.kill(former)
+		leader := w.awaitLeader(3*time.Second, former)
+		fence := w.node(leader).lastFence()
+		entry := w.other(leader)
+		for {
+			entry.mu.Lock()
+			follows := entry.view.fence == fence && !entry.view.loading
+			beforeHeartbeat := entry.view.lastContact.Equal(entry.view.since)
+			entry.mu.Unlock()
+			if follows {
+				assert.Assert(t, beforeHeartbeat)
+				break
+			}
+			time.Sleep(time.Millisecond)
+		}
+		link := entry.config.Name + ">" + leader
+		w.set(func() { w.heldUp[link] = make(chan struct{}) })
+		reply := entry.Do(context.Background(), testJob("late", 1))
+		assert.Equal(t, reply.Result, ResultUnknown, "%+v", reply)
+		w.deliverHeldUp()
+		time.Sleep(3 * time.Second)
+		assert.Equal(t, w.starts("late"), 0)
+	})
+}
--- a/process/cluster/standby.go
+++ b/process/cluster/standby.go
@@ -133,9 +133,18 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.setLoading(message.Fence, message.Loading)
+	n.noteStampLocked(message)
 	return struct{}{}, nil
 }
 
+// noteStampLocked takes the clock of a new scheduler from its notification, so that calls have their
+// time before the first heartbeat is answered. n.mu must be held.
+func (n *Node) noteStampLocked(message seenReply) {
+	if message.Stamp > 0 && n.view.fence == message.Fence {
+		n.view.clock = n.view.clock.with(clockSample{message.Stamp, time.Now()})
+	}
+}
+
 // serveLoaded lets the calls go that wait for the scheduler to read the cell.
 func (n *Node) serveLoaded(_ context.Context, params json.RawMessage) (any, error) {
 	var message seenReply
@@ -146,6 +155,7 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.setLoading(message.Fence, false)
+	n.noteStampLocked(message)
 	return struct{}{}, nil
 }
 
