--- a/process/cluster/pairs_test.go
+++ b/process/cluster/pairs_test.go
@@ -43,6 +43,8 @@
 	"frozen relays":                    (*pairPlay).freezeRelays,
 	"cancels beside a takeover":        (*pairPlay).cancelBesideTakeover,
 	"held-up calls":                    (*pairPlay).holdUpCalls,
+	"two takeovers in a row":           (*pairPlay).restartSuccessor,
+	"restart of all in an outage":      (*pairPlay).restartAllInOutage,
 }
 
 // pairPlay is the state of one play.
@@ -211,6 +213,28 @@
 	p.set(func() { clear(p.noCatalog) })
 }
 
+// restartSuccessor kills the scheduler and then its successor, which may not have the lists of all
+// workers yet.
+func (p *pairPlay) restartSuccessor() {
+	p.restartScheduler()
+	p.scheduler()
+	time.Sleep(p.within(500 * time.Millisecond))
+	p.restartScheduler()
+}
+
+// restartAllInOutage restarts all nodes while the table gives no answer. The configuration comes back
+// some time after the table.
+func (p *pairPlay) restartAllInOutage() {
+	p.set(func() {
+		for name := range p.nodes {
+			p.hang[name] = true
+		}
+	})
+	time.Sleep(p.within(2 * time.Second))
+	time.AfterFunc(500*time.Millisecond+p.within(2*time.Second), func() { p.set(func() { clear(p.hang) }) })
+	p.restartAll()
+}
+
 func (p *pairPlay) restartWorker() {
 	p.losePower(fmt.Sprintf("w%d", int(p.within(4))), 200*time.Millisecond+p.within(time.Second))
 }
