--- a/process/cell/cancelmodel_test.go
+++ b/process/cell/cancelmodel_test.go
@@ -44,20 +44,26 @@
 	}
 }
 
-func runCancels(t *testing.T, seed uint64) {
+// newCancelModel returns a simulation with some work that ends by itself. stream tells models of the
+// same seed apart.
+func newCancelModel(t *testing.T, seed, stream uint64) (*model, fakeKind) {
 	queues, kinds := fakeQueues()
 	w := newSimulation(t, seed, modelWorkers, 3, queues, nil)
-	m := &model{simulation: w, rand: rand.New(rand.NewPCG(seed, 13))}
 	w.halfAllowed = true
 	for i := range kinds {
 		kinds[i].perSecond *= 0.05
 	}
 	w.generateJobs(kinds, modelTraffic, steadyLoad)
+	return &model{simulation: w, rand: rand.New(rand.NewPCG(seed, stream))}, kinds[1]
+}
+
+func runCancels(t *testing.T, seed uint64) {
+	m, kind := newCancelModel(t, seed, 13)
 	var lasting []*fakeJob
 	for n := range lastingJobs {
-		j := m.lastingJob(kinds[1], fmt.Sprintf("lasting%02d", n))
+		j := m.lastingJob(kind, fmt.Sprintf("lasting%02d", n))
 		lasting = append(lasting, j)
-		w.after(time.Duration(m.rand.IntN(4000))*time.Millisecond, func() { w.submitWithRetries(j, 20) })
+		m.after(time.Duration(m.rand.IntN(4000))*time.Millisecond, func() { m.submitWithRetries(j, 20) })
 	}
 	for range 1 + m.rand.IntN(3) {
 		m.cancelAroundTakeover(lasting)
@@ -65,7 +71,7 @@
 	for range m.rand.IntN(3) {
 		m.injectFault()
 	}
-	w.run(cancelModelLength)
+	m.run(cancelModelLength)
 	m.checkLasting(lasting)
 }
 
@@ -82,26 +88,19 @@
 }
 
 func runOverlappingCancels(t *testing.T, seed uint64) {
-	queues, kinds := fakeQueues()
-	w := newSimulation(t, seed, modelWorkers, 3, queues, nil)
-	m := &model{simulation: w, rand: rand.New(rand.NewPCG(seed, 19))}
-	w.halfAllowed = true
-	for i := range kinds {
-		kinds[i].perSecond *= 0.05
-	}
-	w.generateJobs(kinds, modelTraffic, steadyLoad)
+	m, kind := newCancelModel(t, seed, 19)
 	var lasting []*fakeJob
 	for n := range lastingJobs {
-		j := m.lastingJob(kinds[1], fmt.Sprintf("lasting%02d", n))
+		j := m.lastingJob(kind, fmt.Sprintf("lasting%02d", n))
 		if n%3 == 0 {
 			m.makeGang(j)
 		}
 		lasting = append(lasting, j)
 		submitAt := time.Duration(m.rand.IntN(9000)) * time.Millisecond
-		w.after(submitAt, func() { w.submitWithRetries(j, 20) })
+		m.after(submitAt, func() { m.submitWithRetries(j, 20) })
 		if m.rand.IntN(3) == 0 {
 			// While it is being placed.
-			w.after(submitAt+time.Duration(m.rand.IntN(300))*time.Millisecond, func() { m.cancelOnce(j) })
+			m.after(submitAt+time.Duration(m.rand.IntN(300))*time.Millisecond, func() { m.cancelOnce(j) })
 		}
 	}
 	for range 1 + m.rand.IntN(3) {
@@ -117,7 +116,7 @@
 	for range m.rand.IntN(2) {
 		m.injectFault()
 	}
-	w.run(overlapsLength)
+	m.run(overlapsLength)
 	m.checkLasting(lasting)
 }
 
--- a/process/cell/isolationshare_test.go
+++ b/process/cell/isolationshare_test.go
@@ -105,36 +105,30 @@
 // A task that was the only one just started when its worker was lost waits for an empty worker as long
 // as others run on each one, with most of the capacity free. Accepted work must run well before that.
 func TestLikelyCulpritWaitsForAnEmptyWorker(t *testing.T) {
-	w := newWaitWorld(t)
-	filling := smallTask
-	filling.Count, filling.MaxPerWorker, filling.Estimate = waitWorkers, 1, time.Hour
-	w.submit("filling", "team", filling)
-	w.run()
-	job := w.small()
-	firstStep(job).tasks[0].crashes = []crash{{run: 1, worker: "w9", at: w.now, evidence: evidenceSole, confirmed: true, started: true}}
 	const endOfTheWait = 14 * time.Second
-	for submitted := w.now; firstStep(job).tasks[0].current == nil; {
-		w.run()
-		w.after(100 * time.Millisecond)
-		w.list()
-		assert.Assert(t, w.now.Sub(submitted) < endOfTheWait, "waits after %s", w.now.Sub(submitted))
-	}
+	waitBesideLongTasks(t, evidenceSole, endOfTheWait)
 }
 
 // One that was alone on its worker waits longer, since it most likely crashes the next one too, but not
 // for good.
 func TestSureCulpritWaitsForABoundedTime(t *testing.T) {
+	waitBesideLongTasks(t, evidenceAlone, isolationBound+time.Second)
+}
+
+// waitBesideLongTasks checks that a task with a crash that tells so much about it runs before a time,
+// although a long task runs on each worker.
+func waitBesideLongTasks(t *testing.T, found evidence, before time.Duration) {
 	w := newWaitWorld(t)
 	filling := smallTask
 	filling.Count, filling.MaxPerWorker, filling.Estimate = waitWorkers, 1, time.Hour
 	w.submit("filling", "team", filling)
 	w.run()
 	job := w.small()
-	firstStep(job).tasks[0].crashes = []crash{{run: 1, worker: "w9", at: w.now, evidence: evidenceAlone, confirmed: true, started: true}}
+	firstStep(job).tasks[0].crashes = []crash{{run: 1, worker: "w9", at: w.now, evidence: found, confirmed: true, started: true}}
 	for submitted := w.now; firstStep(job).tasks[0].current == nil; {
 		w.run()
 		w.after(100 * time.Millisecond)
 		w.list()
-		assert.Assert(t, w.now.Sub(submitted) < isolationBound+time.Second, "waits after %s", w.now.Sub(submitted))
+		assert.Assert(t, w.now.Sub(submitted) < before, "waits after %s", w.now.Sub(submitted))
 	}
 }
--- a/process/cluster/latecall_test.go
+++ b/process/cluster/latecall_test.go
@@ -188,17 +188,23 @@
 			time.Sleep(time.Second)
 			w.node(leader).unsafe.anyTime = anyTime
 			entry := w.other(leader)
-			link := entry.config.Name + ">" + leader
-			w.set(func() { w.heldUp[link] = make(chan struct{}) })
-			reply := entry.Do(context.Background(), testJob("late", 1))
-			assert.Equal(t, reply.Result, ResultUnknown, "%+v", reply)
-			w.deliverHeldUp()
-			time.Sleep(3 * time.Second)
+			w.submitHeldUp(entry, leader)
 			assert.Equal(t, w.starts("late") > 0, anyTime)
 		})
 	}
 }
 
+// submitHeldUp submits a job that is held up on the link to the scheduler until its entry has given it
+// up, and arrives then.
+func (w *simulation) submitHeldUp(entry *Node, leader string) {
+	link := entry.config.Name + ">" + leader
+	w.set(func() { w.heldUp[link] = make(chan struct{}) })
+	reply := entry.Do(context.Background(), testJob("late", 1))
+	assert.Equal(w.t, reply.Result, ResultUnknown, "%+v", reply)
+	w.deliverHeldUp()
+	time.Sleep(3 * time.Second)
+}
+
 // The same right after a takeover, when the new scheduler has answered no heartbeat of the entry yet.
 func TestFirstCallOfALeadershipHasNoEffectAfterItsTime(t *testing.T) {
 	simulate(t, 4, func(w *simulation) {
@@ -219,12 +225,7 @@
 			}
 			time.Sleep(time.Millisecond)
 		}
-		link := entry.config.Name + ">" + leader
-		w.set(func() { w.heldUp[link] = make(chan struct{}) })
-		reply := entry.Do(context.Background(), testJob("late", 1))
-		assert.Equal(t, reply.Result, ResultUnknown, "%+v", reply)
-		w.deliverHeldUp()
-		time.Sleep(3 * time.Second)
+		w.submitHeldUp(entry, leader)
 		assert.Equal(t, w.starts("late"), 0)
 	})
 }
