cluster: a late notification doesn't replace the sample of a scheduler's clock

Cause: took the clock of each notification. One that arrives seconds late, when the sample of the heartbeats happens to be more than 2 s old, would have replaced it by a time that is too early, and calls would have been rejected as not run until the next heartbeat. Found while the diff was read again; not seen.

Change: a notification counts only before the first sample. A comment in isolate.go says what its bound is of. TestFirstCallOfALeadershipHasNoEffectAfterItsTime passes as before.

--- a/process/cell/isolate.go
+++ b/process/cell/isolate.go
@@ -35,8 +35,8 @@
 	// work for one without isolated tasks. A long-running task must be at work again some 9 s after its
 	// last run; where each worker has a task that lasts, none will ever be empty.
 	isolationPatience = 2 * time.Second
-	// isolationBound is how long any task waits for a worker without other work: accepted work must run
-	// in the end, whatever it may do to what runs beside it.
+	// isolationBound is how long a suspect waits at most for a worker without other work: accepted work
+	// must run in the end, whatever it may do to what runs beside it.
 	isolationBound = 30 * time.Second
 	// isolationEndsAfter is the age from which a run shares its worker with any other.
 	isolationEndsAfter = 30 * time.Second
--- a/process/cluster/standby.go
+++ b/process/cluster/standby.go
@@ -138,10 +138,11 @@
 }
 
 // noteStampLocked takes the clock of a new scheduler from its notification, so that calls have their
-// time before the first heartbeat is answered. n.mu must be held.
+// time before the first heartbeat is answered. After that a notification would be late. n.mu must be
+// held.
 func (n *Node) noteStampLocked(message seenReply) {
-	if message.Stamp > 0 && n.view.fence == message.Fence {
-		n.view.clock = n.view.clock.with(clockSample{message.Stamp, time.Now()})
+	if message.Stamp > 0 && n.view.fence == message.Fence && n.view.clock.stamp == 0 {
+		n.view.clock = clockSample{message.Stamp, time.Now()}
 	}
 }
 
