cluster: an entry that knows no evacuations isn't named a successor

Cause: since such an entry takes no lease, but its heartbeats named its configuration, so a scheduler of an earlier version, which tells it no evacuations, could hand the lease over to it; the others would have waited 250 ms for it. Found while the diff was read again.

Change: its heartbeats name no configuration, which schedulers of all versions take for an entry that can't have the lease. The simulation's evacuations have a lock of their own: nodes read them with their own lock held, and the simulation asks nodes with its lock held.

Evidence: TestNoSchedulerWithoutEvacuations fails with the mend left out and passes with it. Tests of process/cluster pass.

--- a/process/cluster/configuration_test.go
+++ b/process/cluster/configuration_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"testing"
 	"time"
 
@@ -84,19 +85,42 @@
 	})
 }
 
+// simOperators are the evacuations that operators have requested.
+type simOperators struct {
+	mu      sync.Mutex
+	domains []string
+	// unreadable are the nodes that can't read them.
+	unreadable map[string]bool
+}
+
+func (o *simOperators) request(domains ...string) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.domains = domains
+}
+
+func (o *simOperators) hideFrom(nodes ...string) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.unreadable = make(map[string]bool)
+	for _, node := range nodes {
+		o.unreadable[node] = true
+	}
+}
+
 // simEvacuations are the operators' evacuations as a node reads them.
 type simEvacuations struct {
-	w    *simulation
-	node string
+	operators *simOperators
+	node      string
 }
 
 func (e simEvacuations) Evacuated() (domains []string, known bool) {
-	e.w.mu.Lock()
-	defer e.w.mu.Unlock()
-	if e.w.noEvacuations[e.node] {
+	e.operators.mu.Lock()
+	defer e.operators.mu.Unlock()
+	if e.operators.unreadable[e.node] {
 		return nil, false
 	}
-	return e.w.evacuated, true
+	return e.operators.domains, true
 }
 
 // An entry that can't read the operators' rows has the configuration from the scheduler, and takes
@@ -106,12 +130,13 @@
 	simulate(t, 2, func(w *simulation) {
 		w.set(func() {
 			w.domains = map[string]string{"w0": "z1", "w1": "z1", "w2": "z2", "w3": "z2"}
-			w.evacuated = []string{"z1"}
 		})
+		w.evacuations.request("z1")
 		leader := w.awaitLeader(2*time.Second, "")
 		blind := w.other(leader).config.Name
 		w.kill(blind)
-		w.set(func() { w.refuse[blind], w.noCatalog[blind], w.noEvacuations[blind] = false, true, true })
+		w.evacuations.hideFrom(blind)
+		w.set(func() { w.refuse[blind], w.noCatalog[blind] = false, true })
 		w.start(blind)
 		time.Sleep(time.Second)
 		w.kill(leader)
@@ -131,14 +156,16 @@
 func TestNoSchedulerWithoutEvacuations(t *testing.T) {
 	simulate(t, 1, func(w *simulation) {
 		w.kill("n0")
-		w.set(func() { w.refuse["n0"], w.noCatalog["n0"], w.noEvacuations["n0"] = false, true, true })
+		w.evacuations.hideFrom("n0")
+		w.set(func() { w.refuse["n0"], w.noCatalog["n0"] = false, true })
 		w.start("n0")
 		p, err := simCatalogs{w, "n0"}.Decode([]byte("1"))
 		assert.NilError(t, err)
 		w.node("n0").publish(p)
 		time.Sleep(3 * time.Second)
 		assert.Equal(t, len(w.leaders()), 0)
-		w.set(func() { clear(w.noEvacuations) })
+		assert.Equal(t, w.node("n0").heartbeat(leaderView{}).CatalogVersion, int64(0), "it must not be named a successor")
+		w.evacuations.hideFrom()
 		w.awaitLeader(2*time.Second, "")
 	})
 }
--- a/process/cluster/heartbeat.go
+++ b/process/cluster/heartbeat.go
@@ -137,6 +137,10 @@
 	version := n.catalogVersion()
 	n.mu.Lock()
 	defer n.mu.Unlock()
+	if _, known := n.evacuatedLocked(); !known {
+		// It couldn't take the lease, as without a configuration.
+		version = 0
+	}
 	b := heartbeat{Member: n.member(), CatalogVersion: version, MembersHash: view.membersHash, Stamp: view.stamp, UptimeMS: n.clockMS(), Inflates: true}
 	if n.leaving {
 		b.LeavingMS = max(1, time.Since(n.leavingSince).Milliseconds())
--- a/process/cluster/simulation_test.go
+++ b/process/cluster/simulation_test.go
@@ -65,13 +65,12 @@
 	startsDelayed map[string]time.Duration
 	// without are the methods that a node lacks, as an earlier version does, by its name.
 	without map[string][]string
-	// noCatalog holds the nodes that can't read the configuration, noEvacuations those that can't read
-	// the evacuations.
-	noCatalog, noEvacuations map[string]bool
-	// evacuated are the failure domains that operators have emptied. domains are those of workers, by
-	// the worker's id.
-	evacuated []string
-	domains   map[string]string
+	// noCatalog holds the nodes that can't read the configuration.
+	noCatalog map[string]bool
+	// domains are the failure domains of workers, by the worker's id.
+	domains map[string]string
+	// evacuations are read by nodes with their own lock held, so they have a lock of their own.
+	evacuations simOperators
 	// startTimes are the times of the first start of each task.
 	startTimes map[string]time.Time
 	// machines is the service for machines; nil if there is none.
@@ -91,7 +90,7 @@
 			refuse: make(map[string]bool), hang: make(map[string]bool), cut: make(map[string]bool), heldUp: make(map[string]chan struct{}), replyDelay: make(map[string]time.Duration),
 			workers: make(map[string]*worker), tableDelay: 10 * time.Millisecond,
 			links: make(map[string]*nodeLink), without: make(map[string][]string), pauses: make(map[string]time.Duration), workerCPU: 4000, startTimes: make(map[string]time.Time),
-			noCatalog: make(map[string]bool), noEvacuations: make(map[string]bool), doneAcked: make(map[string]bool),
+			noCatalog: make(map[string]bool), doneAcked: make(map[string]bool),
 			startsDelayed: make(map[string]time.Duration),
 		}
 		w.addWorkers(4)
@@ -137,7 +136,7 @@
 		Name: name, Cores: cores, Address: name, Incarnation: name + time.Now().String(),
 		Timings:   Timings{Lease: 4 * time.Second, MaxLease: maxFakeLease, KeepEnded: time.Minute},
 		LinkBytes: w.linkBytes(name),
-		Table:     &nodeTable{w, name}, Directory: w, Catalogs: simCatalogs{w, name}, Workers: &nodeWorkers{w, name}, Advisor: w, Machines: w.machines, Evacuations: simEvacuations{w, name},
+		Table:     &nodeTable{w, name}, Directory: w, Catalogs: simCatalogs{w, name}, Workers: &nodeWorkers{w, name}, Advisor: w, Machines: w.machines, Evacuations: simEvacuations{&w.evacuations, name},
 		Peers: &nodePeers{w, name}, Log: events.New(io.Discard, name),
 	})
 	ctx, cancel := context.WithCancel(context.Background())
