cluster: a connection that isn't established in time is no refusal of the scheduler's address

Cause, by that replay's log: all entries start again and connect to the new scheduler at once, while it reads the cell. The queue of its listener is full, and some connections time out after 1 s ("dial tcp ...: i/o timeout" at tame-1). Any call that wasn't sent counted as a refusal, as if the process had ended: the entry took over at 36.47 s, 0.52 s after it had learned of the new scheduler, which had read the cell 0.23 s before and was serving. Restarted entries know no others to ask. The next scheduler reads the cell anew and meets the same.

Refused connections and answers of a process that doesn't schedule count as before.

--- a/process/cluster/heartbeat.go
+++ b/process/cluster/heartbeat.go
@@ -90,9 +90,8 @@
 		n.mu.Unlock()
 		return
 	}
-	var remote *peer.RemoteError
 	if err != nil {
-		n.view.refused = (errors.Is(err, peer.ErrNotSent) || errors.As(err, &remote)) && sent.After(n.view.lastContact)
+		n.view.refused = refuses(err) && sent.After(n.view.lastContact)
 		lost := !n.view.refused || time.Since(n.view.lastHeard) > heartbeatPeriod
 		n.mu.Unlock()
 		if lost {
@@ -132,6 +131,22 @@
 	}
 }
 
+// refuses reports whether the error of a heartbeat shows that the scheduler's address refuses connections,
+// or that the process there isn't the scheduler. A connection that isn't established in time shows
+// neither: a new scheduler to which all entries connect at once accepts them late.
+func refuses(err error) bool {
+	var remote *peer.RemoteError
+	var timing interface{ Timeout() bool }
+	switch {
+	case errors.As(err, &remote):
+		return true
+	case errors.As(err, &timing) && timing.Timeout():
+		return false
+	default:
+		return errors.Is(err, peer.ErrNotSent)
+	}
+}
+
 // heartbeat returns the heartbeat to the scheduler of a view.
 func (n *Node) heartbeat(view leaderView) heartbeat {
 	version := n.catalogVersion()
