ownership: witnesses that accept a connection late are asked again

What callers saw: nothing yet; found while the cause of, a connection that isn't established in time taken for a process that has ended, was sought on related paths. On the product's own path a named request could run twice after a restart.

Cause: an entry that restarts asks others for the ids that its former process replicated. Any call that wasn't sent counted as "no process at the address", so the keeper's answer was taken for empty. A busy process accepts connections late.

Evidence: TestRestartAsksOthersThatAcceptLate fails with the mend left out ("51 != 0 (missing): of 51") and passes with it. Other places that ask for ErrNotSent want to know that a call has had no effect, which a connection that timed out does show.

--- a/conn/peer/peer.go
+++ b/conn/peer/peer.go
@@ -14,6 +14,16 @@
 // ErrNotSent means that the call did not reach the peer.
 var ErrNotSent = errors.New("peer call not sent")
 
+// NoListener reports whether the error of a call shows that no process listens at the peer's address. A
+// connection that isn't established in time doesn't: a busy process accepts late.
+func NoListener(err error) bool {
+	var timing interface{ Timeout() bool }
+	if errors.As(err, &timing) && timing.Timeout() {
+		return false
+	}
+	return errors.Is(err, ErrNotSent)
+}
+
 // ErrUnknown means that the peer may or may not have handled the call.
 var ErrUnknown = errors.New("peer outcome unknown")
 
--- a/process/cluster/heartbeat.go
+++ b/process/cluster/heartbeat.go
@@ -132,19 +132,11 @@
 }
 
 // refuses reports whether the error of a heartbeat shows that the scheduler's address refuses connections,
-// or that the process there isn't the scheduler. A connection that isn't established in time shows
-// neither: a new scheduler to which all entries connect at once accepts them late.
+// or that the process there isn't the scheduler. A new scheduler to which all entries connect at
+// once accepts some late.
 func refuses(err error) bool {
 	var remote *peer.RemoteError
-	var timing interface{ Timeout() bool }
-	switch {
-	case errors.As(err, &remote):
-		return true
-	case errors.As(err, &timing) && timing.Timeout():
-		return false
-	default:
-		return errors.Is(err, peer.ErrNotSent)
-	}
+	return errors.As(err, &remote) || peer.NoListener(err)
 }
 
 // heartbeat returns the heartbeat to the scheduler of a view.
--- a/process/ownership/fakes_test.go
+++ b/process/ownership/fakes_test.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
+	"os"
 	"slices"
 	"strings"
 	"sync"
@@ -85,6 +87,9 @@
 	f.down = down
 }
 
+// lateAccept is how long an entry waits for a connection that isn't accepted.
+const lateAccept = 100 * time.Millisecond
+
 // fakeFleet is a set of entries with a network between them.
 type fakeFleet struct {
 	t        *testing.T
@@ -94,6 +99,8 @@
 	members  []Member
 	blocks   []Block
 	entries  []*fakeEntry
+	// acceptsFrom is when entries accept connections again; until then each takes lateAccept to fail.
+	acceptsFrom time.Time
 }
 
 type fakeEntry struct {
@@ -118,7 +125,13 @@
 func (f *fakeFleet) Call(ctx context.Context, address, method string, params, result any) error {
 	f.mu.Lock()
 	handler := f.handlers[address][method]
+	late := time.Now().Before(f.acceptsFrom)
 	f.mu.Unlock()
+	if late {
+		// The process is there, and doesn't get to accepting the connection.
+		time.Sleep(lateAccept)
+		return errors.Join(peer.ErrNotSent, os.ErrDeadlineExceeded)
+	}
 	if handler == nil {
 		return peer.ErrNotSent
 	}
--- a/process/ownership/predecessor.go
+++ b/process/ownership/predecessor.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"slices"
 	"time"
 
@@ -51,7 +50,7 @@
 		if err == nil {
 			return result
 		}
-		if errors.Is(err, peer.ErrNotSent) {
+		if peer.NoListener(err) {
 			return releaseResult{}
 		}
 		select {
--- a/process/ownership/restart_test.go
+++ b/process/ownership/restart_test.go
@@ -195,3 +195,25 @@
 		assert.Equal(t, len(m.proposeWitnesses()), 1)
 	})
 }
+
+// The same, and the others accept connections late, as busy processes do: they are asked again. What
+// they keep was taken for nothing before, as if no process were at their addresses.
+func TestRestartAsksOthersThatAcceptLate(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 3)
+		defer synctest.Wait()
+		defer f.cancelAll()
+		first := f.startFirstAlone()
+		time.Sleep(950 * time.Millisecond)
+		ctx, cancel := context.WithTimeout(t.Context(), 500*time.Millisecond)
+		defer cancel()
+		confirmed := replicateAll(ctx, first, 10*time.Millisecond)
+		first.cancel()
+		f.mu.Lock()
+		f.acceptsFrom = time.Now().Add(700 * time.Millisecond)
+		f.mu.Unlock()
+		next := f.start(0, 2)
+		time.Sleep(4 * time.Second)
+		assertImported(t, next, confirmed)
+	})
+}
