cell: crashes of workers long after the start of a task, and under other members of its gang, convict nobody

Cause: two crashes with nothing else on the worker were taken for proof, whatever the age of the run; the members of a gang shared one log; and a start without reply counted as begun if nothing else was there. In a fleet that isn't full every run is alone, and isolation makes it so after the first crash.

Change: each member has its own log. Two crashes right after the start convict, as before; others only with three more. A run that outlives an earlier one at its crash clears that crash. A loss that may have been a crash is waited for before a start that the verdict would forbid, also by gangs. Rows of earlier versions count a gang's log for each member, as perhaps not started.

--- a/process/cell/crash.go
+++ b/process/cell/crash.go
@@ -42,6 +42,10 @@
 // crashForgottenAfter is the age of a run from which earlier crashes don't count any more.
 const crashForgottenAfter = 10 * time.Minute
 
+// ageMargin returns how much the ages of a task's runs may differ at which it crashes its workers: their
+// speeds differ, and when a run began and its worker crashed is known roughly.
+func ageMargin(age time.Duration) time.Duration { return 250*time.Millisecond + age/4 }
+
 // recordLossSign records a sign that an unreachable worker's process has ended. The first such
 // sign counts as a crash, unless the worker was to go down anyway.
 func (c *Cell) recordLossSign(now time.Time, w *Worker, sign LossSign) {
@@ -65,20 +69,17 @@
 func (c *Cell) recordCrash(now time.Time, w *Worker, sign LossSign) {
 	losses := c.countLosses(w)
 	common := losses.common()
-	at := w.unreachableSince.Truncate(time.Millisecond)
 	c.machineCrashes[w.Address] = w.unreachableSince
 	c.note(Note{Kind: NoteWorkerCrashed, Worker: w.ID, Runs: len(w.exposed), Reason: sign.String(), Age: now.Sub(w.unreachableSince), Common: common})
 	for _, e := range w.exposed {
 		job := e.task.step.occ.job
-		log := e.task.crashLog()
+		log := &e.task.crashes
 		known := slices.ContainsFunc(*log, func(one crash) bool { return one.run == e.run })
 		if known || e.task.done || job.outcome.Ended() || !e.task.makeRoomForCrash() {
 			continue
 		}
-		one := crash{
-			run: e.run, worker: w.ID, machine: w.Address, at: at,
-			evidence: e.evidence, started: e.started, doubtful: losses.unexplained(),
-		}
+		one := w.crashUnder(e)
+		one.doubtful = losses.unexplained()
 		if common {
 			one.evidence = evidenceNone
 		}
@@ -87,10 +88,28 @@
 	}
 }
 
+// crashUnder returns the crash of an unreachable worker under one of its runs.
+func (w *Worker) crashUnder(e exposure) crash {
+	return crash{
+		run: e.run, worker: w.ID, machine: w.Address, at: w.unreachableSince.Truncate(time.Millisecond), age: e.age,
+		evidence: e.evidence, started: e.started,
+	}
+}
+
+// keepLosses keeps, with the tasks of the runs that are lost with a silent worker, that it may have
+// crashed. Another incarnation shows that only once it responds, often after the last lease has expired.
+func (w *Worker) keepLosses() {
+	for _, e := range w.exposed {
+		if e.run == e.task.lastRun {
+			e.task.lost = []crash{w.crashUnder(e)}
+		}
+	}
+}
+
 // makeRoomForCrash reports whether one more crash can be kept for the task. Of a long-running task, whose
 // crashes are without limit, the last ones are kept.
 func (t *task) makeRoomForCrash() bool {
-	log := t.crashLog()
+	log := &t.crashes
 	if len(*log) < maxCrashLog {
 		return true
 	}
@@ -104,7 +123,7 @@
 // be guilty.
 func (c *Cell) confirmCrash(now time.Time, w *Worker) {
 	for _, e := range w.exposed {
-		log := *e.task.crashLog()
+		log := e.task.crashes
 		i := slices.IndexFunc(log, func(one crash) bool { return one.run == e.run && one.worker == w.ID })
 		if i < 0 || log[i].confirmed {
 			continue
@@ -121,7 +140,7 @@
 // forgetCrash drops the records of a crash that wasn't one, as the worker responds again.
 func (c *Cell) forgetCrash(w *Worker) {
 	for _, e := range w.exposed {
-		dropCrash(e.task.crashLog(), w.ID, w.unreachableSince.Truncate(time.Millisecond))
+		dropCrash(&e.task.crashes, w.ID, w.unreachableSince.Truncate(time.Millisecond))
 	}
 	if c.machineCrashes[w.Address].Equal(w.unreachableSince) {
 		delete(c.machineCrashes, w.Address)
@@ -134,12 +153,20 @@
 }
 
 // reviewCrashes drops the crashes under a task whose run has lasted so long that they say nothing
-// about it.
+// about it. A task that crashes each worker that starts it never outlives an earlier crash; one that
+// takes minutes, in a fleet whose workers crash by themselves, soon does. A long-running task keeps
+// its crashes for longer, since the delay before its next start follows from them.
 func (c *Cell) reviewCrashes(now time.Time, r *Run) {
-	log := r.task.crashLog()
-	if len(*log) == 0 || r.listedAt.IsZero() || now.Sub(r.listedAt) < crashForgottenAfter || !r.worker.unreachableSince.IsZero() {
+	t := r.task
+	if len(t.crashes) == 0 || r.listedAt.IsZero() || !r.worker.unreachableSince.IsZero() {
 		return
 	}
-	*log = nil
-	c.markDirty(r.task.step.occ.job)
+	age, known := now.Sub(r.listedAt), len(t.crashes)
+	t.crashes = slices.DeleteFunc(t.crashes, func(one crash) bool {
+		outlived := !t.step.spec.LongRunning && one.age > 0 && age > one.age+ageMargin(one.age)
+		return outlived || age >= crashForgottenAfter
+	})
+	if len(t.crashes) < known {
+		c.markDirty(t.step.occ.job)
+	}
 }
--- a/process/cell/exposure.go
+++ b/process/cell/exposure.go
@@ -15,6 +15,8 @@
 	run      int
 	evidence evidence
 	started  bool
+	// age is for how long the run had gone on at most; zero if that isn't known.
+	age time.Duration
 }
 
 // exposures returns the runs that may be on the worker at the given time.
@@ -25,7 +27,7 @@
 		if r.state == runPlanned {
 			continue
 		}
-		e := exposure{task: r.task, run: r.Number, started: r.state == runStarted || r.state == runListed}
+		e := exposure{task: r.task, run: r.Number, started: r.state == runStarted || r.state == runListed, age: r.ageOnWorker(now)}
 		// A start without reply may be carried out at any time.
 		unanswered := r.state == runStarting || r.state == runOutcomeUnknown
 		if unanswered || (!r.sentAt.IsZero() && now.Sub(r.sentAt) <= recentStart) {
@@ -38,11 +40,19 @@
 	sole := !slices.ContainsFunc(recent, func(t *task) bool { return !sameUnit(t, recent[0]) })
 	for i := range exposed {
 		exposed[i].evidence = combineEvidence(exposed[i].evidence == evidenceRecent, sole, alone)
-		exposed[i].started = exposed[i].started || alone
 	}
 	return exposed
 }
 
+// ageOnWorker returns for how long the run can have gone on at most; zero if that isn't known, since
+// an earlier scheduler started it.
+func (r *Run) ageOnWorker(now time.Time) time.Duration {
+	if r.sentAt.IsZero() {
+		return 0
+	}
+	return max(now.Sub(r.sentAt), time.Millisecond)
+}
+
 // combineEvidence returns the evidence of a crash against a run that had just been started or
 // not, was the only one of these or not, and was alone or not.
 func combineEvidence(recent, sole, alone bool) evidence {
--- a/process/cell/gang.go
+++ b/process/cell/gang.go
@@ -63,10 +63,10 @@
 	s := u.step
 	job := s.occ.job
 	total := s.spec.charge().Times(int64(len(s.tasks)))
-	if s.deferred(r.now) || !c.withinCap(job.Team, total) {
+	if s.deferred(r.now) || !c.withinCap(job.Team, total) || s.tasks[0].awaitsConfirmation(r.now) {
 		return
 	}
-	s.besideOthers = suspected(s.crashes) && c.waitsInVain(r, s, s.crashes, s.waitingSince)
+	s.besideOthers = s.tasks[0].suspect() && c.waitsInVain(r, s.tasks[0], s.waitingSince)
 	// Work beyond its team's share must not keep capacity idle.
 	mayReserve := u.tier != overShare && !r.reservationsFull()
 	if c.cannotGetTicket(r, s) && !mayReserve {
--- a/process/cell/giveup.go
+++ b/process/cell/giveup.go
@@ -11,7 +11,7 @@
 // longer for the tasks that ran beside it.
 func (c *Cell) judge(now time.Time, t *task) {
 	job := t.step.occ.job
-	log := *t.crashLog()
+	log := t.crashes
 	if t.done || job.outcome.Ended() || !guilty(log) {
 		return
 	}
@@ -40,11 +40,8 @@
 	for _, job := range c.live {
 		for _, o := range job.occurrences {
 			for _, s := range o.steps {
-				if s != cause.step || !s.spec.Gang {
-					ignoreCrash(s.crashes, one.worker, one.at)
-				}
 				for _, t := range s.tasks {
-					if t != cause {
+					if !sameUnit(t, cause) {
 						ignoreCrash(t.crashes, one.worker, one.at)
 					}
 				}
@@ -75,6 +72,9 @@
 // describe returns what the crash says about the task.
 func (one crash) describe() string {
 	text := one.evidence.String()
+	if one.age > 0 {
+		text += ", after " + one.age.String()
+	}
 	if !one.started {
 		text += ", perhaps not started"
 	}
--- a/process/cell/isolate.go
+++ b/process/cell/isolate.go
@@ -123,8 +123,15 @@
 	)
 }
 
-// suspicion returns how much the crashes under the task speak against it.
-func (t *task) suspicion() evidence { return suspicionOf(*t.crashLog()) }
+// suspicion returns how much the crashes under the task, or under the members of its gang, speak
+// against it.
+func (t *task) suspicion() evidence {
+	suspicion := evidenceNone
+	for _, one := range t.unit() {
+		suspicion = max(suspicion, suspicionOf(one.crashes))
+	}
+	return suspicion
+}
 
 // countIsolation counts the workers that isolated tasks occupy, also those that have crashed
 // under them and aren't back yet.
@@ -178,7 +185,7 @@
 	mayOccupy := r.isolation.mayOccupy(t)
 	w := c.isolationWorker(r, t, mayOccupy)
 	if w == nil {
-		t.besideOthers = c.waitsInVain(r, s, t.crashes, t.apartSince)
+		t.besideOthers = c.waitsInVain(r, t, t.apartSince)
 		if !mayOccupy || t.besideOthers {
 			return
 		}
@@ -250,7 +257,7 @@
 // of machines that have crashed lately, or even under it, last: another crash there would say
 // little.
 func (c *Cell) isolationRank(now time.Time, t *task, w *Worker) int {
-	before := slices.ContainsFunc(*t.crashLog(), func(one crash) bool { return one.machine == w.Address })
+	before := slices.ContainsFunc(t.crashes, func(one crash) bool { return one.machine == w.Address })
 	return 2*boolToInt(w.vacatedUntil.After(now)) - boolToInt(c.crashedLately(now, w)) - 4*boolToInt(before)
 }
 
@@ -317,12 +324,11 @@
 	return slices.ContainsFunc(w.runList, func(r *Run) bool { return !r.task.step.spec.LongRunning })
 }
 
-// waitsInVain reports whether a suspect of s that has waited since then is to be placed beside others: it
+// waitsInVain reports whether a suspect that has waited since then is to be placed beside others: it
 // is hardly to blame, too few workers can be empty, or it has waited for long. For one that wasn't alone
 // when its worker crashed, those count that will be empty soon.
-func (c *Cell) waitsInVain(r *round, s *step, crashes []crash, since time.Time) bool {
-	waited := r.now.Sub(since)
-	suspicion := suspicionOf(crashes)
+func (c *Cell) waitsInVain(r *round, t *task, since time.Time) bool {
+	s, waited, suspicion := t.step, r.now.Sub(since), t.suspicion()
 	switch {
 	case waited < confirmationTime:
 		return false
@@ -384,7 +390,7 @@
 	if !r.isolated || r.listedAt.IsZero() || now.Sub(r.listedAt) <= isolationEndsAfter {
 		return
 	}
-	if r.task.step.spec.LongRunning && guilty(*r.task.crashLog()) {
+	if r.task.step.spec.LongRunning && crashesAlone(r.task.crashes) {
 		return
 	}
 	r.isolated = false
--- a/process/cell/isolationshare.go
+++ b/process/cell/isolationshare.go
@@ -72,6 +72,6 @@
 // that certainly crashes its workers is among them.
 func (w *Worker) isolatedRunWell(now time.Time) bool {
 	return len(w.runList) > 0 && !slices.ContainsFunc(w.runList, func(r *Run) bool {
-		return !r.startedWell(now) || now.Sub(r.sentAt) < isolationPatience || guilty(*r.task.crashLog())
+		return !r.startedWell(now) || now.Sub(r.sentAt) < isolationPatience || crashesAlone(r.task.crashes)
 	})
 }
--- a/process/cell/job.go
+++ b/process/cell/job.go
@@ -155,8 +155,6 @@
 	done  int
 	// failedRuns holds the numbers of a gang's failed runs.
 	failedRuns map[int]bool
-	// crashes holds the crashes of workers under a gang.
-	crashes []crash
 	// besideOthers is set if a gang that is suspect is to be placed beside others: it has waited long,
 	// and is hardly to blame or too few workers can be empty.
 	besideOthers bool
@@ -190,8 +188,11 @@
 	failedRuns map[int]bool
 	checkpoint string
 	current    *Run
-	// crashes holds the crashes of workers under the task, if it is no member of a gang.
+	// crashes holds the crashes of workers under the task. A member of a gang has its own.
 	crashes []crash
+	// lost is the loss of the last run with its worker, as a crash, if that may have been one; empty if
+	// the worker showed how it ended.
+	lost []crash
 	// apartSince is since when the task waits to be placed apart from others; zero if it doesn't.
 	apartSince time.Time
 	// besideOthers is set if the task, a suspect, is to be placed beside others: it has waited long,
--- a/process/cell/load.go
+++ b/process/cell/load.go
@@ -93,8 +93,8 @@
 func (c *Cell) loadStep(s *step, row stepRow) {
 	s.checkpoint = row.Checkpoint
 	s.failedRuns = numberSet(row.Failed)
-	s.crashes = loadCrashes(row.Crashes)
 	for i, t := range s.tasks {
+		t.crashes = loadGangCrashes(row.GangCrashes)
 		if i < len(row.Done) && row.Done[i] == '1' {
 			t.markDone()
 		}
@@ -105,7 +105,7 @@
 		}
 		t := s.tasks[tr.Index]
 		t.lastRun, t.checkpoint, t.failedRuns = tr.Last, tr.Checkpoint, numberSet(tr.Failed)
-		t.crashes = loadCrashes(tr.Crashes)
+		t.crashes = append(t.crashes, loadCrashes(tr.Crashes)...)
 		t.retryAt = t.restartAt()
 		if tr.Worker != "" {
 			c.addRun(t, c.ensureWorker(tr.Worker), runAdopted)
--- a/process/cell/place.go
+++ b/process/cell/place.go
@@ -104,7 +104,7 @@
 // place plans a run of t on w.
 func (c *Cell) place(now time.Time, t *task, w *Worker) *Run {
 	t.lastRun++
-	t.apartSince, t.besideOthers = time.Time{}, false
+	t.apartSince, t.besideOthers, t.lost = time.Time{}, false, nil
 	r := c.addRun(t, w, runPlanned)
 	r.plannedAt = now
 	c.starts.add(r)
--- a/process/cell/record.go
+++ b/process/cell/record.go
@@ -34,8 +34,9 @@
 	Failed     []int     `json:"f,omitempty"`
 	Checkpoint string    `json:"p,omitempty"`
 	Tasks      []taskRow `json:"t,omitempty"`
-	// Crashes holds the crashes of workers under a gang.
-	Crashes []crashRow `json:"x,omitempty"`
+	// GangCrashes holds the crashes of workers under a gang as earlier versions wrote them, which
+	// don't say under which member.
+	GangCrashes []crashRow `json:"x,omitempty"`
 }
 
 // taskRow is the progress of a task that has run and isn't done, or whose last run
@@ -57,7 +58,9 @@
 	Worker  string `json:"w"`
 	Machine string `json:"m,omitempty"`
 	// At is in milliseconds since 1970.
-	At        int64    `json:"t"`
+	At int64 `json:"t"`
+	// Age is for how long the run had gone on at most, in milliseconds; 0 if that isn't known.
+	Age       int64    `json:"a,omitempty"`
 	Evidence  evidence `json:"e,omitempty"`
 	Started   bool     `json:"s,omitempty"`
 	Doubtful  bool     `json:"d,omitempty"`
@@ -68,7 +71,7 @@
 	var rows []crashRow
 	for _, one := range crashes {
 		rows = append(rows, crashRow{
-			Run: one.run, Worker: one.worker, Machine: one.machine, At: one.at.UnixMilli(),
+			Run: one.run, Worker: one.worker, Machine: one.machine, At: one.at.UnixMilli(), Age: one.age.Milliseconds(),
 			Evidence: one.evidence, Started: one.started, Doubtful: one.doubtful, Confirmed: one.confirmed,
 		})
 	}
@@ -80,13 +83,23 @@
 	var crashes []crash
 	for _, row := range rows[:min(len(rows), maxCrashLog)] {
 		crashes = append(crashes, crash{
-			run: row.Run, worker: row.Worker, machine: row.Machine, at: time.UnixMilli(row.At),
+			run: row.Run, worker: row.Worker, machine: row.Machine, at: time.UnixMilli(row.At), age: time.Duration(row.Age) * time.Millisecond,
 			evidence: row.Evidence, started: row.Started, doubtful: row.Doubtful, confirmed: row.Confirmed,
 		})
 	}
 	return crashes
 }
 
+// loadGangCrashes returns the crashes under a gang as they count for each of its members: which of
+// them was hit isn't known.
+func loadGangCrashes(rows []crashRow) []crash {
+	crashes := loadCrashes(rows)
+	for i := range crashes {
+		crashes[i].started = false
+	}
+	return crashes
+}
+
 // hasState reports whether the job has progress to record beyond its acceptance.
 func (j *Job) hasState() bool {
 	if j.outcome.Ended() || len(j.occurrences) > 1 {
@@ -123,7 +136,7 @@
 }
 
 func (s *step) row() stepRow {
-	row := stepRow{Failed: sortedNumbers(s.failedRuns), Checkpoint: s.checkpoint, Crashes: crashRows(s.crashes)}
+	row := stepRow{Failed: sortedNumbers(s.failedRuns), Checkpoint: s.checkpoint}
 	if s.done > 0 {
 		done := make([]byte, len(s.tasks))
 		for i, t := range s.tasks {
--- a/process/cell/restart.go
+++ b/process/cell/restart.go
@@ -29,7 +29,7 @@
 // restartAt returns from when a long-running task may be started again after its last crash. It is
 // zero for other tasks, and for those without crashes.
 func (t *task) restartAt() time.Time {
-	log := *t.crashLog()
+	log := t.crashes
 	if !t.step.spec.LongRunning || len(log) == 0 {
 		return time.Time{}
 	}
@@ -44,7 +44,7 @@
 
 // gangApart reports the same of the gang s.
 func (s *step) gangApart(now time.Time) bool {
-	return suspected(s.crashes) && !s.besideOthers && !s.outOfPatience(now, s.waitingSince)
+	return s.tasks[0].suspect() && !s.besideOthers && !s.outOfPatience(now, s.waitingSince)
 }
 
 // outOfPatience reports whether tasks of s that wait since then are placed beside others rather than
--- a/process/cell/suspicion.go
+++ b/process/cell/suspicion.go
@@ -30,11 +30,12 @@
 	run    int
 	worker string
 	// machine is the worker's address, which stays with the machine.
-	machine  string
-	at       time.Time
+	machine string
+	at      time.Time
+	// age is for how long the run had gone on by then at most; zero if that isn't known.
+	age      time.Duration
 	evidence evidence
-	// started is set if the run had certainly begun: the worker had said so, or had nothing else
-	// that could crash it.
+	// started is set if the run had certainly begun, since the worker had said so.
 	started bool
 	// doubtful is set if other workers that no task can have crashed were lost at the same time.
 	doubtful bool
@@ -44,11 +45,11 @@
 }
 
 const (
-	// ownCrashesToGiveUp is the number of crashes that can hardly be another's after which a task
-	// is given up.
-	ownCrashesToGiveUp = 2
+	// promptCrashesToGiveUp is the number of crashes right after its start, that can hardly be
+	// another's, after which a task is given up.
+	promptCrashesToGiveUp = 2
 	// maxWeakCrashes is the number of crashes long after its start from which a task is kept
-	// apart; with one more, and nothing else there, it is given up.
+	// apart; with one more, and nothing else there at one of them, it is given up.
 	maxWeakCrashes = 3
 	// maxCrashes is the number of crashes after which a task is given up in any case, whether
 	// they say something about it or it was alone once.
@@ -59,47 +60,68 @@
 	confirmationTime = 10 * time.Second
 )
 
-// guilty reports whether the crashes under a task show that it crashes its workers: two with
-// nothing else there that could be the cause, or one of these right after its start when it had
-// been the only one just started at an earlier crash, or one of these after several others.
+// guilty reports whether the crashes under a task show that it crashes its workers: two right after
+// its start, with nothing else there at the last one that could be the cause and nothing else just
+// started at the first, or so many that it may hardly have one more. A worker that crashes when a task
+// has been there for some time may crash by itself, however often the task is alone there, and says
+// nothing about the other members of its gang.
 func guilty(crashes []crash) bool {
 	confirmed := slices.DeleteFunc(slices.Clone(crashes), func(one crash) bool { return !one.confirmed })
 	wasAlone := slices.ContainsFunc(confirmed, func(one crash) bool { return one.evidence >= evidenceAlone })
 	if countTelling(confirmed) >= maxCrashes || (len(confirmed) >= maxCrashes && wasAlone) {
 		return true
 	}
-	own := slices.DeleteFunc(confirmed, func(one crash) bool { return one.doubtful || !one.started || one.evidence < evidenceSole })
-	if len(own) >= ownCrashesToGiveUp && own[len(own)-1].evidence == evidenceAloneRecent {
-		return true
+	prompt, alone := 0, 0
+	for _, one := range confirmed {
+		if one.doubtful || !one.started {
+			continue
+		}
+		prompt += boolToInt(one.evidence == evidenceSole || one.evidence == evidenceAloneRecent)
+		if one.evidence == evidenceAloneRecent && prompt >= promptCrashesToGiveUp {
+			return true
+		}
+		alone += boolToInt(one.evidence >= evidenceAlone)
 	}
-	alone := ownOrOtherMachines(slices.DeleteFunc(own, func(one crash) bool { return one.evidence < evidenceAlone }))
-	return len(alone) >= ownCrashesToGiveUp || (len(alone) > 0 && len(confirmed) > maxWeakCrashes)
+	return alone > 0 && len(confirmed) > maxWeakCrashes
 }
 
-// awaitsConfirmation reports whether the task would be given up if its last crash were confirmed,
-// which is likely to happen soon.
-func (t *task) awaitsConfirmation(now time.Time) bool {
-	log := *t.crashLog()
-	n := len(log)
-	if t.step.spec.LongRunning || n == 0 || log[n-1].confirmed || now.Sub(log[n-1].at) > confirmationTime {
-		return false
+// minCrashesAlone is the number of crashes with nothing else there from which a task is kept alone even
+// while its run goes on.
+const minCrashesAlone = 2
+
+// crashesAlone reports whether several workers have crashed that ran nothing but the task: too little to
+// give it up, too much to run others beside it.
+func crashesAlone(crashes []crash) bool {
+	n := 0
+	for _, one := range crashes {
+		n += boolToInt(one.confirmed && one.started && !one.doubtful && one.evidence >= evidenceAlone)
 	}
-	confirmed := slices.Clone(log)
-	confirmed[n-1].confirmed = true
-	return guilty(confirmed)
+	return n >= minCrashesAlone || guilty(crashes)
 }
 
-// ownOrOtherMachines returns the crashes without those of a machine on which an earlier one
-// happened, unless the run had just been started: such a machine may crash by itself.
-func ownOrOtherMachines(crashes []crash) []crash {
-	var kept []crash
-	for _, one := range crashes {
-		sameMachine := slices.ContainsFunc(kept, func(k crash) bool { return k.machine == one.machine })
-		if !sameMachine || one.evidence == evidenceAloneRecent {
-			kept = append(kept, one)
+// awaitsConfirmation reports whether the task, or a member of its gang, would be given up if what took
+// its worker away lately were the crashes that it may have been, which is likely to be known soon.
+func (t *task) awaitsConfirmation(now time.Time) bool {
+	return !t.step.spec.LongRunning && slices.ContainsFunc(t.unit(), func(one *task) bool {
+		likely, certain := one.likelyCrashes(now)
+		return !certain && guilty(likely)
+	})
+}
+
+// likelyCrashes returns the crashes under the task with those that aren't confirmed yet and the loss of
+// its last run, if these were lately. certain is set if there are none such.
+func (t *task) likelyCrashes(now time.Time) (likely []crash, certain bool) {
+	certain = true
+	for _, one := range append(slices.Clone(t.crashes), t.lost...) {
+		known := slices.ContainsFunc(likely, func(l crash) bool { return l.run == one.run })
+		if !one.confirmed && !known && now.Sub(one.at) <= confirmationTime {
+			one.confirmed, certain = true, false
+		}
+		if !known {
+			likely = append(likely, one)
 		}
 	}
-	return kept
+	return likely, certain
 }
 
 // suspicionOf returns how much the crashes speak against a task: the evidence of those with
@@ -136,16 +158,18 @@
 	return n
 }
 
-// crashLog returns the crashes under the task, or under its gang.
-func (t *task) crashLog() *[]crash {
+// unit returns the tasks that start and end with t: itself, or all members of its gang.
+func (t *task) unit() []*task {
 	if t.step.spec.Gang {
-		return &t.step.crashes
+		return t.step.tasks
 	}
-	return &t.crashes
+	return t.step.tasks[t.index : t.index+1]
 }
 
-// suspect reports whether the task is to be kept apart from others.
-func (t *task) suspect() bool { return suspected(*t.crashLog()) }
+// suspect reports whether the task, or a member of its gang, is to be kept apart from others.
+func (t *task) suspect() bool {
+	return slices.ContainsFunc(t.unit(), func(one *task) bool { return suspected(one.crashes) })
+}
 
 // String returns the evidence as it appears in logs.
 func (e evidence) String() string {
