cell: a job whose rows the table refuses holds nobody up

Cause: no row was compared with the store's row_bytes, and any 4xx counted as an outage, so the transaction with the large row was repeated without end, with all jobs that shared it.

Change: platform.row_bytes is read. A job that can't be kept (specification, progress of all its steps and occurrences, a gang's runs) is refused at once with 400 that names the field. Runs are planned only as far as the row of the progress has room; what a later scheduler can do without is left out of one that is too large. A status that says that the request itself is wrong is ErrInvalid: the batch is written job by job, and a job that is refused alone three times is refused or, once accepted, set aside and tried again. A write takes no more jobs than fit into the store's transaction with rows of the largest size.

--- a/process/cell/admit.go
+++ b/process/cell/admit.go
@@ -137,6 +137,9 @@
 	if err := spec.Check(); err != nil {
 		return Admission{Verdict: Invalid, Reason: err.Error()}
 	}
+	if err := c.checkRows(&spec); err != nil {
+		return Admission{Verdict: Invalid, Reason: err.Error()}
+	}
 	if c.tableUnavailableFor > 0 || (c.tableSlow && c.countUnaccepted() >= maxUnaccepted) {
 		wait := OutageRetryAfter(c.tableUnavailableFor)
 		c.note(Note{Kind: NoteJobRefused, Job: spec.ID, Team: spec.Team, Queue: spec.Queue, Cause: CauseTable, Reason: tableUnavailable, Wait: wait})
--- a/process/cell/batch.go
+++ b/process/cell/batch.go
@@ -18,16 +18,22 @@
 // both are written together. It applies only while the table is slow.
 const placementWait = 60 * time.Millisecond
 
-// maxBatchBytes bounds the bytes of one write, before encoding.
-const maxBatchBytes = 400 << 10
+// maxBatchBytes is the size from which a write takes no more jobs, maxWriteBytes the largest size that
+// one of several jobs may get, both before encoding. The store takes 1 MB, encoded.
+const (
+	maxBatchBytes = 400 << 10
+	maxWriteBytes = 700 << 10
+)
 
 // Batch is one atomic write to the table.
 type Batch struct {
 	Conditions []platform.Condition
 	Writes     []platform.Write
-	jobs       []*batchJob
-	runs       []*Run
-	takenAt    time.Time
+	// Uncertain is set once an attempt at the write may have taken effect.
+	Uncertain bool
+	jobs      []*batchJob
+	runs      []*Run
+	takenAt   time.Time
 	// bytes is the total size of the values.
 	bytes int
 	codec *rowCodec
@@ -45,6 +51,8 @@
 	removedSpec bool
 	wroteState  bool
 	waiters     []Waiter
+	// condition, write and run are the indices of its first ones in the batch.
+	condition, write, run int
 }
 
 // markDirty marks a job as changed and queues it for recording.
@@ -94,7 +102,7 @@
 func (c *Cell) fill(b *Batch, now time.Time, wanted func(*Job) bool) {
 	var left []*Job
 	for i, job := range c.dirty {
-		if len(b.Conditions)+len(b.Writes)+2*maxRowsPerJob > maxBatchEntries || b.bytes >= maxBatchBytes {
+		if len(b.Conditions)+len(b.Writes)+2*maxRowsPerJob > maxBatchEntries || b.bytes >= maxBatchBytes || (len(b.jobs) > 0 && b.bytes+maxRowsPerJob*c.rowLimit() > maxWriteBytes) {
 			left = append(left, c.dirty[i:]...)
 			break
 		}
@@ -106,7 +114,7 @@
 			left = append(left, job)
 			continue
 		}
-		b.bytes += b.add(job)
+		b.bytes += c.addToBatch(now, b, job)
 	}
 	c.dirty = left
 }
@@ -146,9 +154,15 @@
 	return !j.accepted && j.liveRuns == 0 && !j.outcome.Ended() && now.Sub(j.FirstSeen) < placementWait
 }
 
-// add adds the rows of a job to the batch and returns their size in bytes.
-func (b *Batch) add(job *Job) int {
+// addToBatch adds the rows of a job to the batch and returns their size in bytes.
+func (c *Cell) addToBatch(now time.Time, b *Batch, job *Job) int {
+	var state []byte
+	if !job.retired && (job.stateVersion != 0 || job.hasState()) {
+		state = c.encodeState(now, job)
+	}
 	e := &batchJob{
+		condition: len(b.Conditions), write: len(b.Writes), run: len(b.runs),
+
 		job: job, dirtySeq: job.dirtySeq, outcome: job.outcome,
 		finished: job.outcome.Ended() && job.liveRuns == 0, retired: job.retired, waiters: job.waiters,
 	}
@@ -163,9 +177,9 @@
 		}
 		return bytes
 	}
-	if job.stateVersion != 0 || job.hasState() {
+	if state != nil {
 		e.wroteState = true
-		bytes += b.put(statePrefix+job.ID, job.stateVersion, b.codec.encode(job.stateRow()))
+		bytes += b.put(statePrefix+job.ID, job.stateVersion, state)
 	}
 	for _, o := range job.occurrences {
 		for _, s := range o.steps {
@@ -217,7 +231,7 @@
 // BatchRecorded handles the successful write of a batch with the given version:
 // it calls waiters, starts planned runs and releases acknowledgements.
 func (c *Cell) BatchRecorded(now time.Time, b *Batch, version uint64) {
-	c.batches = slices.DeleteFunc(c.batches, func(one *Batch) bool { return one == b })
+	c.forgetBatch(b)
 	for _, e := range b.jobs {
 		c.jobRecorded(now, e, version)
 	}
--- a/process/cell/cancel.go
+++ b/process/cell/cancel.go
@@ -42,12 +42,13 @@
 			kept = append(kept, job)
 			continue
 		}
-		c.refuseUnrecorded(job)
+		c.refuseUnrecorded(job, tableUnavailable)
 	}
 	c.dirty = kept
 }
 
-func (c *Cell) refuseUnrecorded(job *Job) {
+// refuseUnrecorded drops a job of which nothing is recorded and nothing has been started.
+func (c *Cell) refuseUnrecorded(job *Job, reason string) {
 	for _, notify := range job.waiters {
 		notify(RecordedNo)
 	}
@@ -69,5 +70,5 @@
 			break
 		}
 	}
-	c.note(Note{Kind: NoteJobRefused, Job: job.ID, Team: job.Team, Reason: tableUnavailable, Wait: OutageRetryAfter(c.tableUnavailableFor)})
+	c.note(Note{Kind: NoteJobRefused, Job: job.ID, Team: job.Team, Queue: job.Queue, Cause: CauseTable, Reason: reason, Wait: OutageRetryAfter(c.tableUnavailableFor)})
 }
--- a/process/cell/cell.go
+++ b/process/cell/cell.go
@@ -29,6 +29,8 @@
 type Settings struct {
 	// KeepEnded is how long the state of an ended job can be queried.
 	KeepEnded time.Duration
+	// MaxRowBytes is the size of the largest row that the table takes; 0 if unknown.
+	MaxRowBytes int
 }
 
 // Cell is the state of one cell. It is not safe for concurrent use.
--- a/process/cell/job.go
+++ b/process/cell/job.go
@@ -115,6 +115,12 @@
 	// liveRuns is the number of runs that may still occupy capacity on a worker.
 	liveRuns int
 
+	// tasks is the number of tasks of an occurrence.
+	tasks int
+	// stateBytes is the size of the row of the job's progress as it was last encoded, stateEntries the
+	// number of tasks in it.
+	stateBytes, stateEntries int
+
 	specVersion  uint64
 	stateVersion uint64
 	specRemoved  bool
@@ -260,6 +266,9 @@
 
 func newJob(spec JobSpec) *Job {
 	j := &Job{JobSpec: spec, shown: Queued}
+	for i := range spec.Steps {
+		j.tasks += spec.Steps[i].Count
+	}
 	if spec.Repeat <= 0 {
 		j.addOccurrence(0, spec.FirstSeen)
 	}
--- a/process/cell/place.go
+++ b/process/cell/place.go
@@ -68,10 +68,10 @@
 		return
 	}
 	workers := c.startableWorkers(r, s)
-	missing := 0
+	missing, room := 0, c.roomForTasks(job)
 	var placed []*Run
 	for _, t := range s.tasks {
-		if !t.placeable(r.now) || (suspects && t.apart(r.now)) {
+		if !t.placeable(r.now) || (suspects && t.apart(r.now)) || (room <= 0 && !t.hasEntry()) {
 			continue
 		}
 		if missing > 0 {
@@ -86,6 +86,7 @@
 			missing++
 			continue
 		}
+		room -= boolToInt(!t.hasEntry())
 		placed = append(placed, c.place(r.now, t, w))
 		r.totalFreeCPU -= s.spec.Need.MilliCPU
 	}
--- a/process/cell/record.go
+++ b/process/cell/record.go
@@ -148,7 +148,7 @@
 		row.Done = string(done)
 	}
 	for _, t := range s.tasks {
-		if t.current == nil && (t.done || t.lastRun == 0) {
+		if !t.hasEntry() {
 			continue
 		}
 		tr := taskRow{Index: t.index, Last: t.lastRun, Failed: sortedNumbers(t.failedRuns), Checkpoint: t.checkpoint, Crashes: crashRows(t.crashes)}
--- a/process/cell/rowcodec.go
+++ b/process/cell/rowcodec.go
@@ -14,8 +14,8 @@
 	compressedMark = 1
 	// minCompressedBytes is the size below which compression saves too little.
 	minCompressedBytes = 160
-	// maxRowBytes bounds a decompressed row.
-	maxRowBytes = 4 << 20
+	// maxPlainBytes bounds a decompressed row.
+	maxPlainBytes = 4 << 20
 )
 
 // rowCodec encodes rows. Compressed ones are about half as large, and are written only if
@@ -65,12 +65,12 @@
 		return json.Unmarshal(value, into)
 	}
 	reader := flate.NewReader(bytes.NewReader(value[1:]))
-	plain, err := io.ReadAll(io.LimitReader(reader, maxRowBytes+1))
+	plain, err := io.ReadAll(io.LimitReader(reader, maxPlainBytes+1))
 	if err != nil {
 		return fmt.Errorf("decompress: %w", err)
 	}
-	if len(plain) > maxRowBytes {
-		return fmt.Errorf("decompress: more than %d bytes", maxRowBytes)
+	if len(plain) > maxPlainBytes {
+		return fmt.Errorf("decompress: more than %d bytes", maxPlainBytes)
 	}
 	return json.Unmarshal(plain, into)
 }
--- a/process/cell/rowcodec_test.go
+++ b/process/cell/rowcodec_test.go
@@ -48,7 +48,7 @@
 	assert.NilError(t, decodeRow(packed, &spec))
 	assert.ErrorContains(t, decodeRow(packed[:len(packed)/2], &spec), "decompress")
 	assert.ErrorContains(t, decodeRow([]byte{compressedMark, 0xff, 0xff}, &spec), "decompress")
-	bomb := (&rowCodec{compress: true}).encode(JobSpec{Text: strings.Repeat("x", maxRowBytes+1)})
+	bomb := (&rowCodec{compress: true}).encode(JobSpec{Text: strings.Repeat("x", maxPlainBytes+1)})
 	assert.ErrorContains(t, decodeRow(bomb, &spec), "more than")
 
 	c := Load(Settings{KeepEnded: time.Minute}, []platform.Row{{Key: specPrefix + "job", Value: packed[:len(packed)/2], Version: 1}})
--- /dev/null
+++ b/process/cell/rowlimit.go
@@ -0,0 +1,215 @@
+package cell
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"time"
+)
+
+// The table takes rows up to a size. A job of which a row would be larger can't be recorded, so it is
+// refused at once if that can be told from its specification. The row of its progress grows with the
+// tasks that have run and aren't done; runs are planned only as far as it has room for them, and what
+// a later scheduler can do without is left out of one that is still too large.
+
+const (
+	// maxBatchRowBytes bounds the rows of one job, so that the two of them fit into one write.
+	maxBatchRowBytes = 320 << 10
+	// Sizes of the entry of one task in the row of a job's progress, before any was written: an index,
+	// the number of a run and a worker, as JSON and compressed.
+	taskEntryBytes       = 64
+	packedTaskEntryBytes = 24
+	// entrySpread is for entries that are larger than those written last, or compressed worse, in
+	// hundredths.
+	entrySpread = 125
+	// doneEntryBytes is the size of a step of which all tasks are done, without these, as JSON;
+	// specEntryBytes bounds that of a step of the specification without its lists and texts.
+	doneEntryBytes = 16
+	specEntryBytes = 320
+	// escapedBytes is the size of one byte of a text as JSON at most, numberBytes that of a number of
+	// an earlier step.
+	escapedBytes = 6
+	numberBytes  = 8
+	// rowFullDelay is the delay before a task is placed for which the row had no room.
+	rowFullDelay = time.Second
+)
+
+// rowLimit returns the size of the largest row of a job.
+func (c *Cell) rowLimit() int {
+	if c.settings.MaxRowBytes <= 0 {
+		return maxBatchRowBytes
+	}
+	return min(c.settings.MaxRowBytes, maxBatchRowBytes)
+}
+
+// checkRows returns an error that names the field because of which a job can't be recorded.
+func (c *Cell) checkRows(spec *JobSpec) error {
+	limit := c.rowLimit()
+	if spec.maxBytes() > limit {
+		if n := len(c.codec.encode(spec)); n > limit {
+			return fmt.Errorf("%s: the job takes %d bytes to keep, and %d can be kept", spec.largestField(), n, limit)
+		}
+	}
+	if n := spec.doneBytes(); n > maxPlainBytes {
+		return fmt.Errorf("%s: the job's progress takes %d bytes to keep, and %d can be kept", spec.countField(), n, maxPlainBytes)
+	} else if n > limit {
+		if n := len(c.codec.encode(spec.doneRow())); n > limit {
+			return fmt.Errorf("%s: the job's progress takes %d bytes to keep, and %d can be kept", spec.countField(), n, limit)
+		}
+	}
+	for i := range spec.Steps {
+		if s := &spec.Steps[i]; s.Gang && s.Count*c.entryBytes() > limit {
+			return fmt.Errorf("steps[%d].count: the runs of a gang of %d can't be kept in %d bytes", i, s.Count, limit)
+		}
+	}
+	return nil
+}
+
+// maxBytes bounds the size of the specification as JSON.
+func (s *JobSpec) maxBytes() int {
+	n := 2*specEntryBytes + escapedBytes*(len(s.Text)+len(s.ID)+len(s.Queue)+len(s.Team)+len(s.Upstream))
+	for i := range s.Steps {
+		step := &s.Steps[i]
+		n += specEntryBytes + numberBytes*len(step.After) + escapedBytes*(len(step.RequiredLabel)+len(step.PreferredRack))
+	}
+	return n
+}
+
+// largestField names the field that takes most of the specification.
+func (s *JobSpec) largestField() string {
+	if whole := s.maxBytes(); escapedBytes*len(s.Text) > whole/2 {
+		return "spec"
+	}
+	return "steps"
+}
+
+// doneBytes bounds the size of the job's progress as JSON when all its tasks are done.
+func (s *JobSpec) doneBytes() int {
+	n := 0
+	for i := range s.Steps {
+		n += doneEntryBytes + s.Steps[i].Count
+	}
+	return n * max(1, s.Repeat)
+}
+
+// doneRow returns the job's progress when all its tasks are done.
+func (s *JobSpec) doneRow() stateRow {
+	var one occRow
+	for i := range s.Steps {
+		one.Steps = append(one.Steps, stepRow{Done: strings.Repeat("1", s.Steps[i].Count)})
+	}
+	return stateRow{Occs: slices.Repeat([]occRow{one}, max(1, s.Repeat))}
+}
+
+// countField names the field that determines the size of the job's progress.
+func (s *JobSpec) countField() string {
+	if s.Repeat > 1 {
+		return "repeat_count"
+	}
+	return "steps"
+}
+
+// entryBytes returns the size of a task's entry before any was written.
+func (c *Cell) entryBytes() int {
+	if c.codec.compress {
+		return packedTaskEntryBytes
+	}
+	return taskEntryBytes
+}
+
+// roomForTasks returns how many more of the job's tasks fit into the row of its progress, by the size of
+// the entries written last. Those that have run before have their entries.
+func (c *Cell) roomForTasks(job *Job) int {
+	entry := c.entryBytes()
+	if job.stateEntries > 0 {
+		entry = max(entry, entrySpread*job.stateBytes/job.stateEntries/100)
+	}
+	room := c.rowLimit() / entry
+	if job.tasks*len(job.occurrences) <= room {
+		return room
+	}
+	for _, o := range job.occurrences {
+		for _, s := range o.steps {
+			room -= s.entries()
+		}
+	}
+	return room
+}
+
+// entries returns the number of the step's tasks that have an entry in the row.
+func (s *step) entries() int {
+	n := 0
+	for _, t := range s.tasks {
+		n += boolToInt(t.hasEntry())
+	}
+	return n
+}
+
+// hasEntry reports whether the task has an entry in the row of its job's progress.
+func (t *task) hasEntry() bool { return t.current != nil || (!t.done && t.lastRun > 0) }
+
+// encodeState returns the row of the job's progress. One that is too large even without what a later
+// scheduler can do without is for the table to refuse.
+func (c *Cell) encodeState(now time.Time, job *Job) []byte {
+	value, fits := job.encodeState(&c.codec, c.rowLimit())
+	if !fits {
+		c.withdrawUnrecorded(now, job)
+		value, _ = job.encodeState(&c.codec, c.rowLimit())
+	}
+	return value
+}
+
+// encodeState returns the row of the job's progress, without what a later scheduler can do without if
+// the whole doesn't fit: checkpoints, then crashes. fits is false if it is still too large.
+func (j *Job) encodeState(codec *rowCodec, limit int) (value []byte, fits bool) {
+	row := j.stateRow()
+	value = codec.encode(row)
+	j.stateBytes, j.stateEntries = len(value), row.entries()
+	for _, leaveOut := range []func(*taskRow){
+		func(t *taskRow) { t.Checkpoint = "" },
+		func(t *taskRow) { t.Crashes = nil },
+	} {
+		if len(value) <= limit {
+			return value, true
+		}
+		row.change(leaveOut)
+		value = codec.encode(row)
+	}
+	return value, len(value) <= limit
+}
+
+// entries returns the number of the row's tasks.
+func (r *stateRow) entries() int {
+	n := 0
+	r.change(func(*taskRow) { n++ })
+	return n
+}
+
+// change changes each task of the row.
+func (r *stateRow) change(change func(*taskRow)) {
+	for _, o := range r.Occs {
+		for _, s := range o.Steps {
+			for i := range s.Tasks {
+				change(&s.Tasks[i])
+			}
+		}
+	}
+}
+
+// withdrawUnrecorded drops the planned runs of a job whose row has no room for them. They were never
+// recorded, so their numbers are free again.
+func (c *Cell) withdrawUnrecorded(now time.Time, job *Job) {
+	for _, o := range job.occurrences {
+		for _, s := range o.steps {
+			for _, t := range s.tasks {
+				if r := t.current; r != nil && r.state == runPlanned {
+					c.dropRun(r)
+					c.health.AbortProbe(r.worker.ID)
+					t.current, t.retryAt = nil, now.Add(rowFullDelay)
+					t.lastRun--
+					c.note(Note{Kind: NoteRunWithdrawn, Job: job.ID, Task: r.Task, Run: r.Number, Worker: r.worker.ID, Reason: "the job's row is full"})
+				}
+			}
+		}
+	}
+}
--- a/process/cluster/faketable_test.go
+++ b/process/cluster/faketable_test.go
@@ -146,6 +146,11 @@
 			return 0, &platform.ConflictError{Key: c.Key, Version: w.rows[c.Key].Version}
 		}
 	}
+	for _, write := range txn.Writes {
+		if w.maxRowBytes > 0 && len(write.Value) > w.maxRowBytes {
+			return 0, platform.ErrInvalid
+		}
+	}
 	w.version++
 	for _, write := range txn.Writes {
 		if write.Delete {
--- a/process/cluster/leadership.go
+++ b/process/cluster/leadership.go
@@ -105,7 +105,7 @@
 		return nil, err
 	}
 	read := time.Now()
-	loaded := cell.Load(cell.Settings{KeepEnded: n.timings().KeepEnded}, rows)
+	loaded := cell.Load(cell.Settings{KeepEnded: n.timings().KeepEnded, MaxRowBytes: n.config.MaxRowBytes}, rows)
 	loaded.SetEvacuated(read, n.evacuated())
 	r := &leadership{
 		node: n, fence: fence, timings: n.timings(), began: since, cell: loaded,
--- a/process/cluster/metrics.go
+++ b/process/cluster/metrics.go
@@ -27,6 +27,7 @@
 	setAside        *metrics.Counter
 
 	tableFailures     *metrics.Counter
+	refusedWrites     *metrics.Counter
 	heartbeatFailures *metrics.Counter
 	adviceFailures    *metrics.Counter
 
@@ -64,6 +65,7 @@
 		crashed:           set.NewCounter("kingcuplatch_cell_worker_crashes_total"),
 		setAside:          set.NewCounter("kingcuplatch_cell_set_aside_total"),
 		tableFailures:     set.NewCounter("kingcuplatch_cell_table_failures_total"),
+		refusedWrites:     set.NewCounter("kingcuplatch_cell_refused_writes_total"),
 		heartbeatFailures: set.NewCounter("kingcuplatch_cell_heartbeat_failures_total"),
 		adviceFailures:    set.NewCounter("kingcuplatch_cell_advice_failures_total"),
 		acceptTime:        set.NewHistogram("kingcuplatch_cell_accept_seconds"),
--- a/process/cluster/node.go
+++ b/process/cluster/node.go
@@ -43,7 +43,9 @@
 	Cores float64
 	// LinkBytes is the bandwidth of this entry's link, in bytes a second; 0 if unknown.
 	LinkBytes int64
-	Timings   Timings
+	// MaxRowBytes is the size of the largest row that the table takes; 0 if unknown.
+	MaxRowBytes int
+	Timings     Timings
 
 	Table     platform.Table
 	Directory Directory
--- a/process/cluster/record.go
+++ b/process/cluster/record.go
@@ -32,6 +32,8 @@
 	// table that is slow because writes queue must not receive each of them again and
 	// again.
 	maxTableTimeout = 4 * tableTimeout
+	// refusedWriteTries is how often the table must refuse the write of a single job.
+	refusedWriteTries = 3
 	// slowWrite is the write duration from which the table is considered slow.
 	slowWrite = 100 * time.Millisecond
 	// probePeriod is the interval between reads of the lease row while there are no
@@ -106,16 +108,22 @@
 	return false
 }
 
-// recordBatch writes one batch and completes the callers that wait for it.
+// recordBatch writes one batch and completes the callers that wait for it. If the table refuses it for
+// good, the jobs are recorded one by one, and those that it refuses alone are left to the cell.
 func (r *leadership) recordBatch(batch *cell.Batch, began time.Time) {
-	version, ok := r.write(batch)
+	version, err := r.write(batch)
 	took := time.Since(began)
 	r.tableMu.Lock()
 	delete(r.writes, batch)
 	r.lastWrite = took
 	others := len(r.writes)
 	r.tableMu.Unlock()
-	if !ok {
+	switch {
+	case err == nil:
+	case errors.Is(err, platform.ErrInvalid):
+		r.recordRefused(batch, err)
+		return
+	default:
 		return
 	}
 	if took > slowWrite {
@@ -130,14 +138,39 @@
 	})
 }
 
-// write repeats the same transaction until its outcome is known. ok is false if the
-// leadership has ended.
-func (r *leadership) write(batch *cell.Batch) (version uint64, ok bool) {
+// recordRefused handles a batch that the table refuses for good.
+func (r *leadership) recordRefused(batch *cell.Batch, refusal error) {
+	if batch.Jobs() == 1 {
+		r.node.metrics.refusedWrites.Inc()
+		r.change(func(now time.Time, c *cell.Cell) {
+			c.BatchRejected(now, batch, refusal.Error())
+			r.signalAcks(c)
+		})
+		return
+	}
+	var parts []*cell.Batch
+	r.change(func(_ time.Time, c *cell.Cell) { parts = c.SplitBatch(batch) })
+	for _, part := range parts {
+		began := time.Now()
+		r.tableMu.Lock()
+		r.writes[part] = began
+		r.tableMu.Unlock()
+		r.recordBatch(part, began)
+	}
+}
+
+// errLeadershipEnded means that a write was given up with the leadership.
+var errLeadershipEnded = errors.New("the leadership has ended")
+
+// write repeats the same transaction until its outcome is known. It returns platform.ErrInvalid if the
+// table refuses it for good, a single job's only after refusedWriteTries: that would set an accepted job
+// aside.
+func (r *leadership) write(batch *cell.Batch) (version uint64, err error) {
 	txn := platform.Txn{
 		Conditions: append([]platform.Condition{{Key: leaseKey, Version: r.fence}}, batch.Conditions...),
 		Writes:     batch.Writes,
 	}
-	timeout := tableTimeout
+	timeout, refusals := tableTimeout, 0
 	for !r.over() {
 		sent := time.Now()
 		ctx, cancel := r.tableCall(sent, timeout)
@@ -146,17 +179,26 @@
 		cancel()
 		if err == nil {
 			r.tableAnswered(sent)
-			return version, true
+			return version, nil
+		}
+		if errors.Is(err, platform.ErrInvalid) {
+			r.tableAnswered(sent)
+			if refusals++; batch.Jobs() > 1 || refusals >= refusedWriteTries {
+				return 0, err
+			}
+			sleep(r.ctx, tableRetryDelay)
+			continue
 		}
 		var conflict *platform.ConflictError
 		if errors.As(err, &conflict) {
 			r.tableAnswered(sent)
 			return r.resolve(batch)
 		}
+		batch.Uncertain = batch.Uncertain || !errors.Is(err, platform.ErrUnavailable)
 		r.tableFailed(sent, err)
 		sleep(r.ctx, tableRetryDelay)
 	}
-	return 0, false
+	return 0, errLeadershipEnded
 }
 
 // tableCall returns the context of a write sent now. When the table recovers, it cancels
@@ -180,7 +222,7 @@
 // resolve determines whether an earlier attempt at the batch, whose outcome was unknown,
 // took effect. If it did not, another entry is writing the cell's rows, and this entry
 // steps down.
-func (r *leadership) resolve(batch *cell.Batch) (version uint64, ok bool) {
+func (r *leadership) resolve(batch *cell.Batch) (uint64, error) {
 	for !r.over() {
 		sent := time.Now()
 		version, mine, err := r.readBack(batch)
@@ -190,11 +232,11 @@
 			continue
 		}
 		if mine {
-			return version, true
+			return version, nil
 		}
 		r.stepDown("a row differs from what this entry wrote")
 	}
-	return 0, false
+	return 0, errLeadershipEnded
 }
 
 // readBack reports whether the lease row is still this entry's and the batch's rows are as
--- a/process/cluster/simulation_test.go
+++ b/process/cluster/simulation_test.go
@@ -32,6 +32,9 @@
 	hang   map[string]bool
 	// leaseWritesOnly makes the table reject all writes but those of the lease row.
 	leaseWritesOnly bool
+	// maxRowBytes is the size of the largest row that the table takes, statedRowBytes what nodes know
+	// of it; 0 if there is no limit, or they know none.
+	maxRowBytes, statedRowBytes int
 	// tableDelay is the duration of every call to the table.
 	tableDelay time.Duration
 	// serialWrites, if not nil, is a semaphore that makes the table execute writes one
@@ -84,6 +87,11 @@
 
 // simulate runs f with n nodes in virtual time.
 func simulate(t *testing.T, n int, f func(w *simulation)) {
+	simulateWith(t, n, func(*simulation) {}, f)
+}
+
+// simulateWith runs f with n nodes in virtual time, after prepare.
+func simulateWith(t *testing.T, n int, prepare, f func(w *simulation)) {
 	synctest.Test(t, func(t *testing.T) {
 		w := &simulation{
 			t: t, nodes: make(map[string]*Node), stops: make(map[string]context.CancelFunc), rows: make(map[string]platform.Row),
@@ -93,6 +101,7 @@
 			noCatalog: make(map[string]bool), doneAcked: make(map[string]bool),
 			startsDelayed: make(map[string]time.Duration),
 		}
+		prepare(w)
 		w.addWorkers(4)
 		for i := range n {
 			w.start(fmt.Sprintf("n%d", i))
@@ -135,8 +144,8 @@
 	n := NewNode(Config{
 		Name: name, Cores: cores, Address: name, Incarnation: name + time.Now().String(),
 		Timings:   Timings{Lease: 4 * time.Second, MaxLease: maxFakeLease, KeepEnded: time.Minute},
-		LinkBytes: w.linkBytes(name),
-		Table:     &nodeTable{w, name}, Directory: w, Catalogs: simCatalogs{w, name}, Workers: &nodeWorkers{w, name}, Advisor: w, Machines: w.machines, Evacuations: simEvacuations{&w.evacuations, name},
+		LinkBytes: w.linkBytes(name), MaxRowBytes: w.statedRowBytes,
+		Table: &nodeTable{w, name}, Directory: w, Catalogs: simCatalogs{w, name}, Workers: &nodeWorkers{w, name}, Advisor: w, Machines: w.machines, Evacuations: simEvacuations{&w.evacuations, name},
 		Peers: &nodePeers{w, name}, Log: events.New(io.Discard, name),
 	})
 	ctx, cancel := context.WithCancel(context.Background())
--- a/process/platform/platform.go
+++ b/process/platform/platform.go
@@ -3,7 +3,7 @@
 // package for each published protocol implements them.
 //
 // A write has one of three outcomes. It took effect (nil error), it had no effect
-// (ErrUnavailable, *ConflictError), or its outcome is unknown (ErrUnknown), for
+// (ErrUnavailable, ErrInvalid, *ConflictError), or its outcome is unknown (ErrUnknown), for
 // instance because no response arrived. After ErrUnknown the caller must read the
 // row back before it reports either outcome.
 package platform
@@ -20,6 +20,10 @@
 // could not be reached to send it.
 var ErrUnavailable = errors.New("platform unavailable")
 
+// ErrInvalid means that the call had no effect, and never will, since the platform takes no such
+// request: a value is too large, for instance. It is ErrUnavailable, too.
+var ErrInvalid = fmt.Errorf("%w: it takes no such request", ErrUnavailable)
+
 // ErrUnknown means that the call may or may not have taken effect.
 var ErrUnknown = errors.New("platform outcome unknown")
 
@@ -76,7 +80,7 @@
 	// `after`, in the order of their keys.
 	Scan(ctx context.Context, prefix, after string, limit int) ([]Row, error)
 	// Commit applies txn and returns the version of the rows that it wrote, which is
-	// the same for all. Errors: *ConflictError, ErrUnavailable, ErrUnknown.
+	// the same for all. Errors: *ConflictError, ErrUnavailable, ErrInvalid, ErrUnknown.
 	Commit(ctx context.Context, txn Txn) (version uint64, err error)
 }
 
