--- a/process/jobs/commit.go
+++ b/process/jobs/commit.go
@@ -204,6 +204,8 @@
 		return len(rejected) == 0
 	case errors.As(err, &conflict):
 		return c.resolveConflict(ctx, batch, conflict.Key)
+	case errors.Is(err, platform.ErrInvalid) && len(batch) > 1:
+		return c.writeEach(ctx, batch)
 	case errors.Is(err, platform.ErrUnavailable):
 		c.reject(batch)
 		return false
@@ -213,6 +215,16 @@
 	}
 }
 
+// writeEach sends a transaction for each change of one that the table refuses for good, so that only
+// those stay unwritten that it refuses alone. It returns false if the next one must be delayed.
+func (c *committer) writeEach(ctx context.Context, batch []*change) bool {
+	all := true
+	for _, ch := range batch {
+		all = c.write(ctx, []*change{ch}) && all
+	}
+	return all
+}
+
 // compose builds a transaction. Changes of shards whose lease this entry does not hold
 // are returned as rejected.
 func (c *committer) compose(batch []*change) (txn platform.Txn, writable, rejected []*change) {
--- a/process/jobs/table_test.go
+++ b/process/jobs/table_test.go
@@ -18,6 +18,8 @@
 	commits int
 	before  func(platform.Txn)
 	down    bool
+	// maxRowBytes is the size of the largest row that the table takes; 0 means any.
+	maxRowBytes int
 	// lostReplies is how many commits take effect and return ErrUnknown.
 	lostReplies int
 }
@@ -59,6 +61,11 @@
 	if f.down {
 		return 0, platform.ErrUnavailable
 	}
+	for _, w := range txn.Writes {
+		if f.maxRowBytes > 0 && len(w.Value) > f.maxRowBytes {
+			return 0, platform.ErrInvalid
+		}
+	}
 	for _, c := range txn.Conditions {
 		if have := f.rows[c.Key].Version; have != c.Version {
 			return 0, &platform.ConflictError{Key: c.Key, Version: have}
--- a/process/platform/httpplatform/protocol.go
+++ b/process/platform/httpplatform/protocol.go
@@ -2,8 +2,9 @@
 // platform.Instances with a client of the platform's HTTP/JSON protocol.
 //
 // The results of a write are mapped to outcomes as follows. A write that obtained no
-// connection, or that the platform answered with 503 and the code "unavailable" or
-// with 400 and the code "invalid", had no effect: platform.ErrUnavailable. A 409
+// connection, or that the platform answered with 503 and the code "unavailable",
+// had no effect: platform.ErrUnavailable, and with 400 and the code "invalid"
+// platform.ErrInvalid. A 409
 // with the code "conflict" is a *platform.ConflictError. Any other failure after
 // the write has obtained a connection is platform.ErrUnknown. A failed read is
 // platform.ErrUnavailable, or platform.ErrNotFound for the code "not_found".
--- a/process/platform/httpplatform/wire.go
+++ b/process/platform/httpplatform/wire.go
@@ -111,7 +111,7 @@
 }
 
 // write sends a change and returns the response body. Errors: *platform.ConflictError,
-// platform.ErrUnavailable, platform.ErrUnknown.
+// platform.ErrUnavailable, platform.ErrInvalid, platform.ErrUnknown.
 func (c httpClient) write(ctx context.Context, step, method, path string, query url.Values, body []byte) ([]byte, error) {
 	var connected atomic.Bool
 	trace := httptrace.ClientTrace{
@@ -143,7 +143,7 @@
 	case got.status == http.StatusServiceUnavailable && problem.Code == CodeUnavailable:
 		return c.wrapError(platform.ErrUnavailable, step, got)
 	case got.status == http.StatusBadRequest && problem.Code == CodeInvalid:
-		return c.wrapError(platform.ErrUnavailable, step, got)
+		return c.wrapError(platform.ErrInvalid, step, got)
 	default:
 		return c.wrapError(platform.ErrUnknown, step, got)
 	}
