cell: capacity is kept only for work that can use it soon

Cause: the processors that steps within guaranteed shares wanted in vain were added up, and kept free anywhere in the fleet, whether of use to them or not.

Change: capacity is kept on single workers, for tasks that could start there now or within 2 s. Only if less is free than wanted, as before, and for the first 32 such steps of a round.

TestReportNamesWhatAJobWaitsFor had the fault as its example of guaranteed_share: processors kept for work that waits for memory which never comes free. The memory is now expected to come free; the check is unchanged.

--- a/process/cell/place.go
+++ b/process/cell/place.go
@@ -78,7 +78,11 @@
 			missing++
 			continue
 		}
-		if !c.withinCap(job.Team, s.spec.charge()) || !r.keepsGuaranteed(u) || c.starts.full(r.now) {
+		if !c.withinCap(job.Team, s.spec.charge()) || c.starts.full(r.now) {
+			break
+		}
+		startable := len(workers)
+		if workers = c.besideKept(r, u, workers); len(workers) == 0 && startable > 0 {
 			break
 		}
 		w := c.bestWorker(r.now, t, workers)
--- a/process/cell/round.go
+++ b/process/cell/round.go
@@ -33,6 +33,9 @@
 	// within their teams' guaranteed shares wait for, both in thousandths of a core.
 	totalFreeCPU  int64
 	guaranteedCPU int64
+	// guaranteed holds these steps, keptFor how many of them capacity is kept for by now.
+	guaranteed []missedStep
+	keptFor    int
 }
 
 // readyWorker is a worker with its free CPU at the start of a round, in thousandths of
@@ -158,15 +161,10 @@
 	r.misses++
 	if u.tier < overShare {
 		r.guaranteedCPU += int64(tasks) * u.step.spec.Need.MilliCPU
+		r.guaranteed = append(r.guaranteed, missedStep{u.step, tasks})
 	}
 }
 
-// keepsGuaranteed reports whether placing a task of the step leaves enough CPU for the
-// waiting work within guaranteed shares.
-func (r *round) keepsGuaranteed(u waitingStep) bool {
-	return u.tier < overShare || r.totalFreeCPU-u.step.spec.Need.MilliCPU >= r.guaranteedCPU
-}
-
 // withFreeCPU returns the workers that may have enough free CPU for need.
 func (r *round) withFreeCPU(need resource.Amount) []readyWorker {
 	n, _ := slices.BinarySearchFunc(r.ready, need.MilliCPU, func(w readyWorker, cpu int64) int {
--- a/process/cell/worker.go
+++ b/process/cell/worker.go
@@ -156,6 +156,7 @@
 	// readyIn is the number of the last round in which the worker accepted new work.
 	readyIn  uint64
 	reserved reservation
+	kept     kept
 	// isolatedRuns counts the runs of isolated tasks; until vacatedUntil the worker is kept free
 	// for such tasks of the step vacatedFor.
 	isolatedRuns int
