cell: idle workers reserved for a gang that waits for others take what ends before

Work that fits nowhere else waited beside idle workers.

A reservation now says when the last of the workers that the gang needs is expected to be empty, and tasks that end before may be placed on the others.

TestWorkersReservedForAGangThatWaitsTakeShortTasks fails on: a task of 30 s waits for a gang that can start in an hour.

--- a/process/cell/gang.go
+++ b/process/cell/gang.go
@@ -29,6 +29,9 @@
 type reservation struct {
 	round uint64
 	step  *step
+	// from is when the last of the workers that the step needs is expected to be empty; zero if all
+	// have enough free capacity soon.
+	from time.Time
 }
 
 // reservationsFull reports whether no more steps may reserve workers.
@@ -48,10 +51,11 @@
 }
 
 // reservedFromStep reports whether a reservation of w for another step keeps s from it. A
-// task that ends before the last of the worker's runs may still be placed there, since the
-// reserving step has to wait for that run anyway.
+// task that ends before the last of the worker's runs, or before the other workers that the
+// reserving step needs are empty, may still be placed there, since that step has to wait anyway.
 func (r *round) reservedFromStep(w *Worker, s *step) bool {
-	return r.reservedForOther(w, s) && !s.endsWithin(w.lastEndEstimate(r.now).Sub(r.now))
+	until := maxTime(w.lastEndEstimate(r.now), w.reserved.from)
+	return r.reservedForOther(w, s) && !s.endsWithin(until.Sub(r.now))
 }
 
 // endsWithin reports whether a task of s is expected to end within d.
@@ -224,11 +228,13 @@
 // the order in which that is expected.
 func (r *round) reserve(s *step, f gangForecast) {
 	slots := f.soon
+	var from time.Time
 	if f.expected < len(s.tasks) {
 		slots = slices.Clone(f.empty)
 		slices.SortStableFunc(slots, func(a, b workerSlots) int {
 			return a.worker.lastEndEstimate(r.now).Compare(b.worker.lastEndEstimate(r.now))
 		})
+		from = r.emptyBy(slots, len(s.tasks))
 	}
 	left := len(s.tasks)
 	for _, slot := range slots {
@@ -238,7 +244,7 @@
 		if slot.worker.reserved.round == r.number {
 			continue
 		}
-		slot.worker.reserved = reservation{round: r.number, step: s}
+		slot.worker.reserved = reservation{round: r.number, step: s, from: from}
 		r.reservations.workers++
 		left -= slot.tasks
 	}
@@ -246,3 +252,17 @@
 		r.reservations.steps++
 	}
 }
+
+// emptyBy returns when enough of the workers, in the order of their last ends, are expected to be empty
+// for the given number of tasks: that of the last one if all together are too few.
+func (r *round) emptyBy(slots []workerSlots, tasks int) time.Time {
+	var by time.Time
+	for _, slot := range slots {
+		if tasks <= 0 {
+			break
+		}
+		by = slot.worker.lastEndEstimate(r.now)
+		tasks -= slot.tasks
+	}
+	return by
+}
--- a/process/cell/keep_test.go
+++ b/process/cell/keep_test.go
@@ -94,3 +94,21 @@
 	}
 	return list
 }
+
+// Idle workers were reserved for a gang until it ran, although the others that it needs were busy for
+// long: work that fits nowhere else, and ends before, waited as long beside idle workers.
+func TestWorkersReservedForAGangThatWaitsTakeShortTasks(t *testing.T) {
+	for _, test := range []struct {
+		estimate time.Duration
+		placed   bool
+	}{{30 * time.Second, true}, {2 * time.Hour, false}} {
+		w := newWaitWorld(t)
+		w.submit("busy", "team", StepSpec{Count: 2, Need: resource.Amount{MilliCPU: 5000}, MaxPerWorker: 1, Estimate: time.Hour})
+		w.confirm(w.plan())
+		w.submit("gang", "team", StepSpec{Count: waitWorkers, Need: resource.Amount{MilliCPU: 6000}, MaxPerWorker: 1, Gang: true, Estimate: time.Minute})
+		w.plan()
+		w.submit("beside", "team", StepSpec{Count: 1, Need: resource.Amount{MilliCPU: 6000}, Estimate: test.estimate})
+		w.plan()
+		assert.Equal(t, firstStep(w.c.jobs["beside"]).tasks[0].current != nil, test.placed, "%s", test.estimate)
+	}
+}
--- a/process/cell/placementview.go
+++ b/process/cell/placementview.go
@@ -71,7 +71,7 @@
 	switch {
 	case w.isolated(now):
 		v.isolated += free
-	case reserved && (s.spec.Gang || !s.endsWithin(w.lastEndEstimate(now).Sub(now))):
+	case reserved && (s.spec.Gang || !s.endsWithin(maxTime(w.lastEndEstimate(now), w.reserved.from).Sub(now))):
 		v.kept += free
 	}
 }
