cell: a worker that was taken down for an upkeep has not crashed

Cause: only a cordoned worker counted as going down anyway, and the cordon ends with the pass after the order, before the machine's next worker responds.

Change: the mark that an order was given, which holds until a later list shows the outcome, counts as well, also for a worker that is back under its id.

Two rows of TestWorkersThatLeaveHaveNotCrashed failed before.

--- a/process/cell/crash.go
+++ b/process/cell/crash.go
@@ -54,7 +54,7 @@
 	}
 	first := w.lossSign == LossSilent
 	w.lossSign = sign
-	if w.Draining || c.isCordoned(w) {
+	if c.goesDown(w) {
 		return
 	}
 	if first {
@@ -65,6 +65,12 @@
 	}
 }
 
+// goesDown reports whether w is to go down anyway: it drains, or its machine is about to be taken down
+// or has been, since when no list has shown that the worker goes on.
+func (c *Cell) goesDown(w *Worker) bool {
+	return w.Draining || c.isCordoned(w) || !w.interruptedUntil.IsZero()
+}
+
 // recordCrash records the crash of a worker with the tasks that ran there.
 func (c *Cell) recordCrash(now time.Time, w *Worker, sign LossSign) {
 	losses := c.countLosses(w)
--- a/process/cell/crash_test.go
+++ b/process/cell/crash_test.go
@@ -186,6 +186,18 @@
 			c.SetCordon(map[string]bool{"w0": true})
 			c.WorkerUnreachable(now, "w0", LossReplaced, nil)
 		},
+		// The cordon ends with the order, long before the machine responds again (review/7).
+		"taken down for an upkeep": func(c *Cell, now time.Time) {
+			c.SetInterrupted("w0", now)
+			c.SetCordon(nil)
+			c.WorkerUnreachable(now.Add(time.Second), "w0", LossSilent, nil)
+			c.WorkerUnreachable(now.Add(2*time.Second), "w0", LossReplaced, nil)
+		},
+		"taken down for an upkeep, back under its id": func(c *Cell, now time.Time) {
+			c.SetInterrupted("w0", now)
+			c.SetCordon(nil)
+			c.Listed(now.Add(2*time.Second), "w0", Listing{SentAt: now.Add(2 * time.Second), Incarnation: 2})
+		},
 	} {
 		c, now := runningCell(t, "w0")
 		prepare(c, now.Add(time.Second))
--- a/process/cell/list.go
+++ b/process/cell/list.go
@@ -66,13 +66,13 @@
 		return
 	}
 	defer c.excludeOnPanic(now, w)
-	if l.SentAt.After(w.interruptedUntil) {
-		w.interruptedUntil = time.Time{}
-	}
 	absent := EndVanished
 	if c.recordReply(now, w, l.Incarnation) {
 		absent = EndCrashed
 	}
+	if l.SentAt.After(w.interruptedUntil) {
+		w.interruptedUntil = time.Time{}
+	}
 	for _, end := range l.Ends {
 		c.handleEnd(now, w, end)
 	}
--- a/process/cell/worker.go
+++ b/process/cell/worker.go
@@ -347,7 +347,7 @@
 	for _, r := range sortedRuns(w) {
 		c.endRun(now, r, kind, "")
 	}
-	if kind == EndVanished {
+	if kind == EndVanished && !c.goesDown(w) {
 		w.keepLosses()
 	}
 }
