cell: a recorded run is not started on the next incarnation of its worker

What may start was checked for capacity, not for the worker's life, label and upstream.

TestRecordedRunIsNotStartedOnTheNextIncarnation fails before.

--- a/process/cell/batch.go
+++ b/process/cell/batch.go
@@ -330,6 +330,8 @@
 		return "worker draining"
 	case c.evacuated(w):
 		return "failure domain evacuated"
+	case r.incarnation != w.incarnation, !r.task.step.matches(c.upstreamOf(r.task.step.occ.job), w):
+		return "worker has started again"
 	case !w.capacityKnown():
 		return "capacity of the worker's incarnation unknown"
 	case w.overCapacity():
--- a/process/cell/incarnation_test.go
+++ b/process/cell/incarnation_test.go
@@ -116,3 +116,24 @@
 	assert.Equal(t, len(c.TakeActions().Starts), 0)
 	assert.Equal(t, len(c.workers["w0"].runs), 0)
 }
+
+// A run was recorded, its worker started again meanwhile under its id, as another kind, and the run was
+// started there without the label that its step requires (ROUTE).
+func TestRecordedRunIsNotStartedOnTheNextIncarnation(t *testing.T) {
+	for name, labels := range map[string][]string{"another kind": nil, "the same kind": {"big"}} {
+		now := time.Unix(1_700_000_000, 0)
+		c := New(Settings{KeepEnded: time.Minute}, catalog.New(1, nil, nil, nil, catalog.Limits{}))
+		list := labelledWorkers(1, 1, 1000)
+		c.SetWorkers(now, list)
+		c.Listed(now, "w0", Listing{SentAt: now, Incarnation: 1})
+		spec := JobSpec{ID: "job", Team: "team", Upstream: "desk", Steps: []StepSpec{{Count: 1, Need: resource.Amount{MilliCPU: 1000}, RequiredLabel: "big"}}}
+		assert.Equal(t, c.Submit(now, spec, func(Recorded) {}).Verdict, Recording)
+		c.Plan(now)
+		assert.Assert(t, firstStep(c.jobs["job"]).tasks[0].current != nil)
+		list[0].Incarnation, list[0].Labels = 2, labels
+		c.SetWorkers(now, list)
+		c.Listed(now, "w0", Listing{SentAt: now, Incarnation: 2})
+		record(t, c, now)
+		assert.Equal(t, len(c.TakeActions().Starts), 0, name)
+	}
+}
--- a/process/cell/load.go
+++ b/process/cell/load.go
@@ -139,7 +139,7 @@
 	job := t.step.occ.job
 	r := &Run{
 		RunKey: RunKey{Task: t.name(), Number: t.lastRun},
-		task:   t, worker: w, need: t.step.spec.Need, team: job.Team, state: state,
+		task:   t, worker: w, incarnation: w.incarnation, need: t.step.spec.Need, team: job.Team, state: state,
 	}
 	r.isolated = t.suspect()
 	r.pace = fullPace
--- a/process/cell/worker.go
+++ b/process/cell/worker.go
@@ -55,6 +55,9 @@
 	need   resource.Amount
 	team   string
 	state  runState
+	// incarnation is that of the worker for which the run was planned; a later one may be of another
+	// kind.
+	incarnation int64
 	// ticket and ticketUntil are set for queues with advice.
 	ticket      string
 	ticketUntil time.Time
