cluster: after an outage of the table no run is started by workers' entries from before

Once it is back, writes go on at once and recorded runs are started, while the feed of the workers' entries still waits for its time-out, so workers are filled up to their former capacity (LIMIT).

Change: when the table answers after more than 2.5 s, the directory is read anew, and a worker gets no start until it has written its entry since. The first time that a worker does so after the directory was read is reported as a change.

--- a/process/cell/worker.go
+++ b/process/cell/worker.go
@@ -19,6 +19,8 @@
 	Draining      bool
 	// Incarnation identifies this incarnation of the worker by the time of its start.
 	Incarnation int64
+	// Renewed is set if the worker has written its entry since the directory was first read.
+	Renewed bool
 	// ColdUntil is until when the worker expects to be slow after its start; zero if it doesn't.
 	ColdUntil time.Time
 }
@@ -121,6 +123,9 @@
 	adopted bool
 	// incarnation is that of the last reply.
 	incarnation int64
+	// entryAwaited is set until the worker has written its entry again: the one before is from before
+	// an outage of the directory, and capacity may have shrunk since.
+	entryAwaited bool
 	// unreachableSince is when calls began to fail; zero if they succeed.
 	unreachableSince time.Time
 	// lossSign is the strongest sign seen since then that the worker's process has ended;
@@ -199,9 +204,9 @@
 
 // capacityKnown reports whether the directory's entry is that of the incarnation which replied last.
 // An incarnation may have less capacity than the one before, and is of another age, kind or state.
-// An entry that names no incarnation counts for any.
+// An entry that names no incarnation counts for any, one from before an outage for none.
 func (w *Worker) capacityKnown() bool {
-	return w.Incarnation == 0 || w.incarnation == w.Incarnation
+	return !w.entryAwaited && (w.Incarnation == 0 || w.incarnation == w.Incarnation)
 }
 
 // usable reports whether new work may be placed on the worker, regardless of its health.
@@ -227,6 +232,7 @@
 		}
 		info.ColdUntil = limitCold(now, info.ColdUntil)
 		w.setInfo(info)
+		w.entryAwaited = w.entryAwaited && !info.Renewed
 		w.addUsed(resource.Amount{})
 		w.listed = true
 	}
@@ -242,6 +248,14 @@
 	c.updateHealthMonitor(now)
 }
 
+// AwaitEntries keeps new work from each worker until the directory, read anew, shows that the worker
+// has written its entry again.
+func (c *Cell) AwaitEntries() {
+	for _, w := range c.workerOrder {
+		w.entryAwaited = true
+	}
+}
+
 // confirmReplaced records that unreachable workers have ended at whose addresses the directory lists
 // later incarnations.
 func (c *Cell) confirmReplaced(now time.Time) {
--- a/process/cluster/leadership.go
+++ b/process/cluster/leadership.go
@@ -73,6 +73,8 @@
 
 	mu   sync.Mutex
 	cell *cell.Cell
+	// entryAwaits counts how often the workers' entries were found too old.
+	entryAwaits int
 	// failed is set once a decision has panicked; the cell is half changed then.
 	failed  bool
 	workers map[string]*workerLoop
@@ -290,14 +292,46 @@
 }
 
 // followDirectory runs a poll loop for every worker that the directory lists.
+// maxEntryAge is how long the table may be silent before the workers' entries are too old to start by.
+const maxEntryAge = 2500 * time.Millisecond
+
+// followDirectory follows the directory, anew after each outage of the table: a call in progress may
+// have been lost with it.
 func (r *leadership) followDirectory() {
-	r.node.config.Directory.Follow(r.ctx, func(list []cell.WorkerInfo) {
-		r.change(func(now time.Time, c *cell.Cell) {
-			c.SetWorkers(now, list)
-			for _, info := range list {
-				r.addWorker(info)
-			}
-		})
+	for !r.over() {
+		r.tableMu.Lock()
+		recovered := r.tableRecovered
+		r.tableMu.Unlock()
+		r.mu.Lock()
+		awaits := r.entryAwaits
+		r.mu.Unlock()
+		ctx, cancel := context.WithCancel(r.ctx)
+		stop := context.AfterFunc(recovered, cancel)
+		r.node.config.Directory.Follow(ctx, func(list []cell.WorkerInfo) { r.setWorkers(awaits, list) })
+		stop()
+		cancel()
+	}
+}
+
+// setWorkers replaces the list of workers. awaits is entryAwaits when the directory was first read for
+// it: what was renewed before the entries were found too old doesn't count.
+func (r *leadership) setWorkers(awaits int, list []cell.WorkerInfo) {
+	r.change(func(now time.Time, c *cell.Cell) {
+		for i := range list {
+			list[i].Renewed = list[i].Renewed && awaits == r.entryAwaits
+		}
+		c.SetWorkers(now, list)
+		for _, info := range list {
+			r.addWorker(info)
+		}
+	})
+}
+
+// awaitEntries keeps new work from each worker until it has written its entry again.
+func (r *leadership) awaitEntries() {
+	r.change(func(_ time.Time, c *cell.Cell) {
+		r.entryAwaits++
+		c.AwaitEntries()
 	})
 }
 
--- a/process/cluster/ports.go
+++ b/process/cluster/ports.go
@@ -92,7 +92,7 @@
 // Directory lists the workers.
 type Directory interface {
 	// Follow calls update with the complete list at the start and after every change,
-	// until ctx ends.
+	// until ctx ends. That a worker has written its entry for the first time since is a change.
 	Follow(ctx context.Context, update func([]cell.WorkerInfo))
 }
 
--- a/process/cluster/simulation_test.go
+++ b/process/cluster/simulation_test.go
@@ -62,6 +62,10 @@
 	links map[string]*nodeLink
 	// workerCPU is the capacity of each worker.
 	workerCPU int64
+	// renewedAfter is how long after the directory is read workers renew their entries, with shrunkCPU
+	// if that isn't 0.
+	renewedAfter time.Duration
+	shrunkCPU    int64
 	// pauses are how long nodes are paused before each start command, by name.
 	pauses map[string]time.Duration
 	// startsDelayed are how late nodes get the messages with start commands, by name.
@@ -238,15 +242,31 @@
 
 // Follow implements Directory.
 func (w *simulation) Follow(ctx context.Context, update func([]cell.WorkerInfo)) {
+	w.mu.Lock()
+	entriesFrom := w.renewedAfter
+	w.mu.Unlock()
+	if entriesFrom > 0 {
+		update(w.entries(false))
+		sleep(ctx, entriesFrom)
+	}
+	update(w.entries(true))
+	<-ctx.Done()
+}
+
+// entries returns the directory; workers have renewed their entries or not.
+func (w *simulation) entries(renewed bool) []cell.WorkerInfo {
 	var list []cell.WorkerInfo
 	w.mu.Lock()
+	defer w.mu.Unlock()
+	cpu := w.workerCPU
+	if renewed && w.shrunkCPU > 0 {
+		cpu = w.shrunkCPU
+	}
 	for i := range len(w.workers) {
 		id := fmt.Sprintf("w%d", i)
-		list = append(list, cell.WorkerInfo{ID: id, Upstream: "desk", Address: id, FailureDomain: w.domains[id], Capacity: resource.Amount{MilliCPU: w.workerCPU}})
+		list = append(list, cell.WorkerInfo{ID: id, Upstream: "desk", Address: id, FailureDomain: w.domains[id], Capacity: resource.Amount{MilliCPU: cpu}, Renewed: renewed})
 	}
-	w.mu.Unlock()
-	update(list)
-	<-ctx.Done()
+	return list
 }
 
 // Advise implements Advisor; the queue of these tests needs no advice.
--- a/process/cluster/table.go
+++ b/process/cluster/table.go
@@ -68,16 +68,22 @@
 func (r *leadership) tableAnswered(sent time.Time) {
 	r.tableMu.Lock()
 	r.tableHeard = time.Now()
+	silent := r.tableHeard.Sub(r.tableContact)
+	recovered := func() {}
 	if sent.After(r.tableContact) {
 		r.tableContact = sent
 	}
 	failing := r.failingSince
 	r.failingSince = time.Time{}
 	if !failing.IsZero() {
-		r.signalTableRecovered()
+		recovered = r.signalTableRecovered
 		r.tableRecovered, r.signalTableRecovered = context.WithCancel(context.Background())
 	}
 	r.tableMu.Unlock()
+	if !failing.IsZero() && silent > maxEntryAge {
+		r.awaitEntries()
+	}
+	recovered()
 	if !failing.IsZero() {
 		r.node.log.Log(events.TableRecovered, time.Since(failing).String())
 	}
