--- a/process/cell/rejected.go
+++ b/process/cell/rejected.go
@@ -35,7 +35,8 @@
 }
 
 // BatchRejected handles a batch that the table will never take. A job that isn't accepted, and certainly
-// not recorded, is refused. Any other is set aside with its last change, and tried again later: its row may be smaller then.
+// not recorded, is refused. Any other is set aside with its last change, and tried again later: its row
+// may be smaller then.
 func (c *Cell) BatchRejected(now time.Time, b *Batch, reason string) {
 	c.forgetBatch(b)
 	for _, r := range b.runs {
