cell: gangs without crashes cost nothing to judge, and reservations no forecast

Each look at a waiting gang went over its members' crash logs, some four times a round, and each look at a worker asked for the expected end of its last run although it wasn't reserved.

A step now says whether any of its tasks has crashes, and the end is asked for reserved workers only.

Tests that set crashes use one function for it; no check changed.

--- a/process/cell/crash.go
+++ b/process/cell/crash.go
@@ -90,6 +90,7 @@
 			one.evidence = evidenceNone
 		}
 		*log = append(*log, one)
+		e.task.step.crashed = true
 		c.markDirty(job)
 	}
 }
@@ -108,6 +109,7 @@
 	for _, e := range w.exposed {
 		if e.run == e.task.lastRun {
 			e.task.lost = []crash{w.crashUnder(e)}
+			e.task.step.crashed = true
 		}
 	}
 }
--- a/process/cell/crash_test.go
+++ b/process/cell/crash_test.go
@@ -219,7 +219,7 @@
 func TestRunThatGoesOnEndsIsolation(t *testing.T) {
 	c, now := runningCell(t, "w0")
 	task := c.jobs["job-w0"].occurrences[0].steps[0].tasks[0]
-	task.crashes = []crash{{run: 0, worker: "gone", evidence: evidenceAlone, at: now}}
+	task.setCrashes(crash{run: 0, worker: "gone", evidence: evidenceAlone, at: now})
 	r := task.current
 	r.isolated, r.worker.isolatedRuns = true, 1
 	listed := Listing{Incarnation: 1, Running: []ListedRun{{RunKey: r.RunKey, Percent: 1}}}
@@ -250,3 +250,6 @@
 	c.forgetRisks(now.Add(riskWindow))
 	assert.Assert(t, !c.mixes(other, w))
 }
+
+// setCrashes replaces the crashes under the task.
+func (t *task) setCrashes(log ...crash) { t.crashes, t.step.crashed = log, true }
--- a/process/cell/gang.go
+++ b/process/cell/gang.go
@@ -54,8 +54,7 @@
 // task that ends before the last of the worker's runs, or before the other workers that the
 // reserving step needs are empty, may still be placed there, since that step has to wait anyway.
 func (r *round) reservedFromStep(w *Worker, s *step) bool {
-	until := maxTime(w.lastEndEstimate(r.now), w.reserved.from)
-	return r.reservedForOther(w, s) && !s.endsWithin(until.Sub(r.now))
+	return r.reservedForOther(w, s) && !s.endsWithin(maxTime(w.lastEndEstimate(r.now), w.reserved.from).Sub(r.now))
 }
 
 // endsWithin reports whether a task of s is expected to end within d.
--- a/process/cell/isolationshare_test.go
+++ b/process/cell/isolationshare_test.go
@@ -17,7 +17,7 @@
 	suspects.Count = waitWorkers
 	apart := w.submit("apart", "team", suspects)
 	for _, task := range firstStep(apart).tasks {
-		task.crashes = []crash{{run: 1, worker: "w9", at: w.now, evidence: evidenceAlone, confirmed: true}}
+		task.setCrashes(crash{run: 1, worker: "w9", at: w.now, evidence: evidenceAlone, confirmed: true})
 	}
 	for range waitWorkers {
 		w.run()
@@ -48,7 +48,7 @@
 	w.run()
 	apart := w.submit("apart", "team", smallTask, smallTask)
 	for _, s := range apart.occurrences[0].steps {
-		s.tasks[0].crashes = []crash{{run: 1, worker: "w9", at: w.now, evidence: evidenceAlone, confirmed: true}}
+		s.tasks[0].setCrashes(crash{run: 1, worker: "w9", at: w.now, evidence: evidenceAlone, confirmed: true})
 	}
 	w.run()
 	job := w.small()
@@ -72,7 +72,7 @@
 		w.submit("filling", "team", filling)
 		w.run()
 		job := w.small()
-		firstStep(job).tasks[0].crashes = []crash{{run: 1, worker: "w9", at: w.now, evidence: found, confirmed: true}}
+		firstStep(job).tasks[0].setCrashes(crash{run: 1, worker: "w9", at: w.now, evidence: found, confirmed: true})
 		for range 120 {
 			w.run()
 			w.after(100 * time.Millisecond)
@@ -93,7 +93,7 @@
 	gang := smallTask
 	gang.Count, gang.Gang = waitWorkers, true
 	job := w.submit("job", "team", gang)
-	firstStep(job).tasks[0].crashes = []crash{{run: 1, worker: "w9", at: w.now, evidence: evidenceRecent, confirmed: true}}
+	firstStep(job).tasks[0].setCrashes(crash{run: 1, worker: "w9", at: w.now, evidence: evidenceRecent, confirmed: true})
 	for range 120 {
 		w.run()
 		w.after(100 * time.Millisecond)
@@ -124,7 +124,7 @@
 	w.submit("filling", "team", filling)
 	w.run()
 	job := w.small()
-	firstStep(job).tasks[0].crashes = []crash{{run: 1, worker: "w9", at: w.now, evidence: found, confirmed: true, started: true}}
+	firstStep(job).tasks[0].setCrashes(crash{run: 1, worker: "w9", at: w.now, evidence: found, confirmed: true, started: true})
 	for submitted := w.now; firstStep(job).tasks[0].current == nil; {
 		w.run()
 		w.after(100 * time.Millisecond)
--- a/process/cell/job.go
+++ b/process/cell/job.go
@@ -161,6 +161,8 @@
 	done  int
 	// failedRuns holds the numbers of a gang's failed runs.
 	failedRuns map[int]bool
+	// crashed is set once a worker may have crashed under a task of the step.
+	crashed bool
 	// besideOthers is set if a gang that is suspect is to be placed beside others: it has waited long,
 	// and is hardly to blame or too few workers can be empty.
 	besideOthers bool
--- a/process/cell/load.go
+++ b/process/cell/load.go
@@ -95,6 +95,7 @@
 	s.failedRuns = numberSet(row.Failed)
 	for i, t := range s.tasks {
 		t.crashes = loadGangCrashes(row.GangCrashes)
+		s.crashed = s.crashed || len(t.crashes) > 0
 		if i < len(row.Done) && row.Done[i] == '1' {
 			t.markDone()
 		}
@@ -106,6 +107,7 @@
 		t := s.tasks[tr.Index]
 		t.lastRun, t.checkpoint, t.failedRuns = tr.Last, tr.Checkpoint, numberSet(tr.Failed)
 		t.crashes = append(t.crashes, loadCrashes(tr.Crashes)...)
+		s.crashed = s.crashed || len(t.crashes) > 0
 		t.retryAt = t.restartAt()
 		if tr.Worker != "" {
 			c.addRun(t, c.ensureWorker(tr.Worker), runAdopted)
--- a/process/cell/service_test.go
+++ b/process/cell/service_test.go
@@ -116,7 +116,7 @@
 		suspect.spec.Need.MilliCPU, suspect.spec.Gang, suspect.spec.LongRunning = 500, test.gang, test.longRunning
 		task := suspect.tasks[0]
 		task.retryAt = now.Add(time.Millisecond)
-		task.crashes = []crash{{run: 1, worker: "w9", machine: "at-w9", at: now, evidence: evidenceAlone, started: true, confirmed: true}}
+		task.setCrashes(crash{run: 1, worker: "w9", machine: "at-w9", at: now, evidence: evidenceAlone, started: true, confirmed: true})
 		c.Plan(now)
 		assert.Assert(t, task.current == nil && c.workers["w0"].used.MilliCPU == 400, test.name)
 		for waited := time.Duration(0); waited <= test.patience+time.Second; waited += 200 * time.Millisecond {
--- a/process/cell/suspicion.go
+++ b/process/cell/suspicion.go
@@ -102,7 +102,7 @@
 // awaitsConfirmation reports whether the task, or a member of its gang, would be given up if what took
 // its worker away lately were the crashes that it may have been, which is likely to be known soon.
 func (t *task) awaitsConfirmation(now time.Time) bool {
-	return !t.step.spec.LongRunning && slices.ContainsFunc(t.unit(), func(one *task) bool {
+	return t.step.crashed && !t.step.spec.LongRunning && slices.ContainsFunc(t.unit(), func(one *task) bool {
 		likely, certain := one.likelyCrashes(now)
 		return !certain && guilty(likely)
 	})
@@ -168,7 +168,7 @@
 
 // suspect reports whether the task, or a member of its gang, is to be kept apart from others.
 func (t *task) suspect() bool {
-	return slices.ContainsFunc(t.unit(), func(one *task) bool { return suspected(one.crashes) })
+	return t.step.crashed && slices.ContainsFunc(t.unit(), func(one *task) bool { return suspected(one.crashes) })
 }
 
 // String returns the evidence as it appears in logs.
--- a/process/cell/waitreport_test.go
+++ b/process/cell/waitreport_test.go
@@ -227,7 +227,7 @@
 		{WaitIsolation, "tasks wait to run apart", func(w *waitWorld) {
 			w.fill(resource.Amount{MilliCPU: 2000, MemoryMB: 2000})
 			job := w.small()
-			firstStep(job).tasks[0].crashes = []crash{{run: 1, worker: "w9", at: w.now, evidence: evidenceSole, confirmed: true}}
+			firstStep(job).tasks[0].setCrashes(crash{run: 1, worker: "w9", at: w.now, evidence: evidenceSole, confirmed: true})
 			w.plan()
 			w.after(long)
 			w.plan()
