--- a/process/cell/cancel.go
+++ b/process/cell/cancel.go
@@ -42,15 +42,16 @@
 			kept = append(kept, job)
 			continue
 		}
-		c.refuseUnrecorded(job, tableUnavailable)
+		c.refuseUnrecorded(job, RecordedNo, tableUnavailable)
 	}
 	c.dirty = kept
 }
 
-// refuseUnrecorded drops a job of which nothing is recorded and nothing has been started.
-func (c *Cell) refuseUnrecorded(job *Job, reason string) {
+// refuseUnrecorded drops a job of which nothing is recorded and nothing has been started, and tells
+// those who wait for its record why.
+func (c *Cell) refuseUnrecorded(job *Job, how Recorded, reason string) {
 	for _, notify := range job.waiters {
-		notify(RecordedNo)
+		notify(how)
 	}
 	job.waiters = nil
 	for _, o := range job.occurrences {
--- a/process/cell/rejected.go
+++ b/process/cell/rejected.go
@@ -58,7 +58,7 @@
 func (c *Cell) dropRefused(e *batchJob, reason string) {
 	e.job.waiters = append(e.waiters, e.job.waiters...)
 	c.dirty = slices.DeleteFunc(c.dirty, func(j *Job) bool { return j == e.job })
-	c.refuseUnrecorded(e.job, reason)
+	c.refuseUnrecorded(e.job, RecordedRefused, reason)
 }
 
 // setAsideUnrecorded sets a job aside of which the last change isn't recorded; the ends in it are held.
--- a/process/cell/rowlimit.go
+++ b/process/cell/rowlimit.go
@@ -15,14 +15,14 @@
 const (
 	// maxBatchRowBytes bounds the rows of one job, so that the two of them fit into one write.
 	maxBatchRowBytes = 320 << 10
-	// Sizes of the entry of one task in the row of a job's progress, before any was written: an index,
+	// Bytes of the entry of one task in the row of a job's progress, before any was written: an index,
 	// the number of a run and a worker, as JSON and compressed.
 	taskEntryBytes       = 64
 	packedTaskEntryBytes = 24
-	// entrySpread is for entries that are larger than those written last, or compressed worse, in
-	// hundredths.
-	entrySpread = 125
-	// doneEntryBytes is the size of a step of which all tasks are done, without these, as JSON;
+	// entrySpreadPercent is the size that an entry may have, in percent of the mean of those written
+	// last: it may be larger, or compressed worse.
+	entrySpreadPercent = 125
+	// doneEntryBytes is the size, in bytes, of a step of which all tasks are done, without these, as JSON;
 	// specEntryBytes bounds that of a step of the specification without its lists and texts.
 	doneEntryBytes = 16
 	specEntryBytes = 320
@@ -122,7 +122,7 @@
 func (c *Cell) roomForTasks(job *Job) int {
 	entry := c.entryBytes()
 	if job.stateEntries > 0 {
-		entry = max(entry, entrySpread*job.stateBytes/job.stateEntries/100)
+		entry = max(entry, entrySpreadPercent*job.stateBytes/job.stateEntries/100)
 	}
 	room := c.rowLimit() / entry
 	if job.tasks*len(job.occurrences) <= room {
--- a/process/cluster/answer.go
+++ b/process/cluster/answer.go
@@ -138,6 +138,8 @@
 	switch how {
 	case cell.RecordedYes:
 		return Reply{Result: ResultOK}
+	case cell.RecordedRefused:
+		return unavailable("the table refuses the job's rows", 0)
 	case cell.RecordedNo:
 		return unavailable("the table takes no writes", r.tableFailingFor())
 	default:
--- a/process/cluster/rowlimit_test.go
+++ b/process/cluster/rowlimit_test.go
@@ -41,7 +41,7 @@
 		}, ResultInvalid, "repeat_count: "},
 		{"the runs of a gang", limit, func(s *cell.JobSpec) { tasks(s); s.Steps[0].Gang = true }, ResultInvalid, "steps[0].count: "},
 		{"the runs of many tasks", limit, tasks, ResultOK, ""},
-		{"the specification, by a limit that isn't known", 0, steps, ResultUnavailable, ""},
+		{"the specification, by a limit that isn't known", 0, steps, ResultUnavailable, "refuses the job's rows"},
 		{"the runs of many tasks, by a limit that isn't known", 0, tasks, ResultOK, ""},
 	} {
 		t.Run(test.name, func(t *testing.T) {
